Rename the crate to madderloom and read the settings object in a module of its own

The adapter's reading of the settings moves out of wire.rs, so that the sidecar to come reads the same object alike.

--- a/src/bin/frostfield-drill.rs
+++ b/src/bin/madderloom-simhost.rs
@@ -1,7 +1,7 @@
 //! Drives decision modules from lines on standard input, with replies on standard output.
 #![forbid(unsafe_code)]
 
-use frostfield::wire::Adapter;
+use madderloom::wire::Adapter;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
@@ -9,7 +9,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("frostfield-drill: {problem}");
+            eprintln!("madderloom-simhost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
-//! frostfield: the decision module of a load balancer that lives in every client process.
+//! madderloom: a client-side load balancer, and the sidecar that serves with it.
 //!
-//! The module is a pure state machine without clock, threads or I/O: the embedder hands
+//! The decision module is a pure state machine without clock, threads or I/O: the embedder hands
 //! [`Balancer::handle`] one [`Event`] at a time with the present time and carries out the
 //! [`Action`]s it gets back. See the README for an example and `docs/design.md` for the mechanism.
 #![forbid(unsafe_code)]
@@ -8,7 +8,7 @@
 
 // The tests inside share their driver with those outside, which names the crate.
 #[cfg(test)]
-extern crate self as frostfield;
+extern crate self as madderloom;
 
 #[cfg(test)]
 #[path = "../tests/common/mod.rs"]
@@ -17,6 +17,7 @@
 pub mod interface;
 #[cfg(test)]
 mod interval_tests;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,9 +1,9 @@
 //! The bench's text dialect, in and out. Nothing is decided here: lines become events of the decision
 //! module, and its actions become lines.
 
+use crate::settings::{Layout, Site};
 use crate::{Action, Balancer, interface::*};
 use foldhash::quality::FixedState;
-use serde::Deserialize;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
 use std::io::Write;
@@ -11,186 +11,6 @@
 /// Numbers under which the dialect keeps lists.
 const TABLES: usize = 16;
 
-/// Start-up settings as the dialect words them. Unknown keys are skipped.
-#[derive(Deserialize)]
-struct Profile {
-    group_size: u32,
-    my_zone: u32,
-    period: Micros,
-    services: Vec<Service>,
-    #[serde(default)]
-    tenants: Vec<ClientGroup>,
-    discovery: Discovery,
-    limits: SiteLimits,
-    #[serde(default)]
-    load_report: LoadReport,
-    safety: Safety,
-    #[serde(default)]
-    tariffs: Tariffs,
-    #[serde(default)]
-    worth_by: WorthBy,
-}
-
-#[derive(Deserialize)]
-struct Service {
-    on_time: Micros,
-    #[serde(default)]
-    aim_stretch: f64,
-    give_up: Micros,
-    effect: EffectName,
-    #[serde(default)]
-    key_scope: ScopeName,
-    #[serde(default)]
-    window: Micros,
-    worth: f64,
-    #[serde(default)]
-    late_worth: f64,
-}
-
-#[derive(Deserialize, Default, PartialEq)]
-#[serde(rename_all = "lowercase")]
-enum WorthBy {
-    #[default]
-    Request,
-    Work,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
-enum EffectName {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Deserialize, Clone, Copy, Default)]
-#[serde(rename_all = "lowercase")]
-enum ScopeName {
-    All,
-    Zone,
-    #[default]
-    Cell,
-}
-
-#[derive(Deserialize)]
-struct ClientGroup {
-    #[serde(default)]
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize, PartialEq)]
-#[serde(rename_all = "lowercase")]
-enum Discovery {
-    Automatic,
-    Subscribe,
-}
-
-#[derive(Deserialize)]
-struct SiteLimits {
-    cancel: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after: Micros,
-    max_attempts: u32,
-    #[serde(default)]
-    probes: bool,
-}
-
-#[derive(Deserialize, Default)]
-struct LoadReport {
-    #[serde(default)]
-    how: String,
-    #[serde(default)]
-    fields: Vec<String>,
-}
-
-/// Where in a load report the values stand that are read.
-#[derive(Clone, Copy, Default)]
-struct Layout {
-    held: Option<usize>,
-    errors: Option<usize>,
-}
-
-impl Layout {
-    fn of(report: &LoadReport) -> Self {
-        let place = |name: &str| report.fields.iter().position(|f| f == name);
-        Layout { held: place("rif").or(place("q")), errors: place("fail_rate") }
-    }
-
-    fn report(self, row: &str) -> Option<Report> {
-        let value = |place: usize| row.split(',').nth(place)?.parse().ok().filter(|v| *v >= 0.0);
-        let held = self.held.and_then(value)?;
-        Some(Report { held, errors: self.errors.and_then(value).unwrap_or(0.0) })
-    }
-}
-
-#[derive(Deserialize)]
-struct Safety {
-    cold_from: f64,
-    cold: Micros,
-    fall: Micros,
-}
-
-#[derive(Deserialize, Default)]
-struct Tariffs {
-    #[serde(default)]
-    cross_zone: f64,
-    #[serde(default)]
-    probe: f64,
-}
-
-/// The settings in a start-up message.
-fn settings(json: &str) -> Result<(Settings, Layout), String> {
-    let mut reader = serde_json::Deserializer::from_str(json);
-    let profile: Profile = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
-    let class = |s: &Service| Class {
-        aim: s.on_time,
-        aim_stretch: s.aim_stretch,
-        deadline: s.give_up,
-        effect: match s.effect {
-            EffectName::Safe => Effect::Safe,
-            EffectName::Unsafe => Effect::Unsafe,
-            EffectName::Keyed => Effect::Keyed {
-                scope: match s.key_scope {
-                    ScopeName::All => Scope::All,
-                    ScopeName::Zone => Scope::Zone,
-                    ScopeName::Cell => Scope::Cell,
-                },
-                window: s.window,
-            },
-        },
-        worth: s.worth,
-        late_worth: s.late_worth,
-    };
-    let layout = Layout::of(&profile.load_report);
-    let reports = profile.load_report.how != "none" && layout.held.is_some();
-    let settings = Settings {
-        group_size: profile.group_size,
-        zone: profile.my_zone,
-        tick: profile.period,
-        classes: profile.services.iter().map(class).collect(),
-        tenants: profile.tenants.iter().map(|t| Tenant { quota: t.quota_per_s }).collect(),
-        discovery_on_request: profile.discovery == Discovery::Subscribe,
-        limits: Limits {
-            cancel: profile.limits.cancel,
-            // A probe that tells no load is of no use.
-            probes: profile.limits.probes && reports,
-            retry_after: profile.limits.retry_after,
-            max_retry_after: profile.limits.max_retry_after,
-            max_attempts: profile.limits.max_attempts,
-        },
-        rules: Rules {
-            cold_from: profile.safety.cold_from,
-            cold: profile.safety.cold,
-            fall: profile.safety.fall,
-        },
-        prices: Prices { cross_zone: profile.tariffs.cross_zone, probe: profile.tariffs.probe },
-        worth_by_work: profile.worth_by == WorthBy::Work,
-    };
-    Ok((settings, layout))
-}
-
 /// One instance: its balancer and its own numbering of server names.
 struct Instance {
     balancer: Balancer,
@@ -325,8 +145,9 @@
     fn open(&mut self, fields: &mut Fields<'_>, reply: &mut Vec<u8>) -> Result<(), String> {
         let id = fields.get("sidecar_id")?;
         let seed = fields.get("salt")?;
-        let made = settings(&fields.rest()).and_then(|(settings, layout)| {
-            Balancer::new(settings, seed).map(|made| (made, layout)).map_err(|e| e.to_string())
+        let made = Site::from_json(&fields.rest()).and_then(|site| {
+            let layout = site.layout;
+            Balancer::new(site.settings, seed).map(|made| (made, layout)).map_err(|e| e.to_string())
         });
         match made {
             Ok((balancer, layout)) => {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use frostfield::*;
+use madderloom::*;
 
 #[test]
 fn shares_follow_the_measured_speed() {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use frostfield::*;
+use madderloom::*;
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use frostfield::*;
+use madderloom::*;
 
 const KEYED: Effect = Effect::Keyed { scope: Scope::Zone, window: 6 * S };
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -7,7 +7,7 @@
 
 /// Exit code, standard output and standard error for this input.
 fn drill(input: &str) -> (Option<i32>, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_frostfield-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_madderloom-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
