--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! The words in which an embedder and the decision module speak: settings, events and actions.
 
+use foldhash::quality::FixedState;
 use std::fmt;
+use std::hash::BuildHasher;
 
 /// A time, or a span of time, in microseconds. Times only ever grow; their zero means nothing.
 pub type Micros = u64;
@@ -12,6 +14,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
+impl ServerId {
+    /// The number of a server of this name: its hash, the same at every instance.
+    pub fn named(name: &str) -> Self {
+        ServerId(FixedState::with_seed(0).hash_one(name))
+    }
+}
+
 /// What a balancer is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod interface;
 #[cfg(test)]
 mod interval_tests;
+pub mod net;
 pub mod settings;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,37 @@
+//! One sidecar: from its environment to a program that serves until it is told to stop.
+#![forbid(unsafe_code)]
+
+use madderloom::net::{Config, Sidecar};
+use std::io::Write;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            // Standard error may be closed; that must not hide the exit code.
+            let _ = writeln!(std::io::stderr(), "madderloom: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let config = Config::load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, async { Sidecar::new(config)?.serve(stop()?).await })
+}
+
+/// Ends when the program is told to stop.
+fn stop() -> Result<impl Future<Output = ()>, String> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let of = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (mut planned, mut by_hand) = (of(SignalKind::terminate())?, of(SignalKind::interrupt())?);
+    Ok(async move {
+        tokio::select! {
+            _ = planned.recv() => {}
+            _ = by_hand.recv() => {}
+        }
+    })
+}
--- /dev/null
+++ b/src/net/flow.rs
@@ -0,0 +1,153 @@
+//! One server-side flow: an attempt at a server, from its connection to its one outcome.
+
+use super::connections::{Connections, Lease, NoConnection};
+use super::{BODY, Sidecar};
+use crate::{Closed, Event, Micros, Outcome, RequestId, ServerId};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const EXPIRES: HeaderName = HeaderName::from_static("x-expires-in-ms");
+const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
+
+/// What of a client's request goes on to a server.
+pub(super) struct Onward {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// An attempt that owes the module its outcome. It tells it once: at its end, or when it is dropped.
+pub(super) struct Attempt {
+    pub(super) sidecar: Rc<Sidecar>,
+    pub(super) request: RequestId,
+    pub(super) number: u32,
+    pub(super) server: ServerId,
+    pub(super) sent: Micros,
+    pub(super) timeout_at: Micros,
+    /// The transaction has had its final answer.
+    pub(super) over: Rc<Cell<bool>>,
+    pub(super) told: bool,
+}
+
+impl Attempt {
+    fn tell(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.told, true) {
+            return;
+        }
+        let now = self.sidecar.clock.now();
+        // What is served goes to the client: the transaction is over with it.
+        if outcome == Outcome::Ok {
+            self.over.set(true);
+        }
+        let closed = Closed {
+            request: self.request,
+            attempt: self.number,
+            server: self.server,
+            outcome,
+            elapsed: now.saturating_sub(self.sent),
+            ended: self.over.get(),
+        };
+        self.sidecar.handle(now, Event::Closed(closed));
+    }
+}
+
+impl Drop for Attempt {
+    /// Its connection is closed by the drop of what it was doing.
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled);
+    }
+}
+
+/// Makes the attempt. An answer is there if, and only if, its outcome was that it was served.
+pub(super) async fn run(mut attempt: Attempt, onward: Rc<Onward>) -> Option<Response<Full<Bytes>>> {
+    let (outcome, answer) = {
+        let written = Cell::new(false);
+        let exchange = exchange(&attempt, &onward, &written);
+        match tokio::time::timeout_at(attempt.sidecar.clock.instant(attempt.timeout_at), exchange).await {
+            Ok(done) => done,
+            Err(_) if written.get() => (Outcome::Timeout, None),
+            // The connection never came up, so nothing can have run.
+            Err(_) => (Outcome::ConnectFailed, None),
+        }
+    };
+    attempt.tell(outcome);
+    answer
+}
+
+type Ended = (Outcome, Option<Response<Full<Bytes>>>);
+
+async fn exchange(attempt: &Attempt, onward: &Onward, written: &Cell<bool>) -> Ended {
+    let sidecar = &attempt.sidecar;
+    let Some(address) = sidecar.pool.address(attempt.server) else { return (Outcome::Moot, None) };
+    let left = attempt.timeout_at.saturating_sub(attempt.sent).div_ceil(1_000);
+    let mut request = message(onward, address, left);
+    let (mut lease, answer) = loop {
+        let mut lease = match sidecar.connections.take(address).await {
+            Ok(lease) => lease,
+            Err(NoConnection::Failed) => return (Outcome::ConnectFailed, None),
+            Err(NoConnection::Exhausted) => return (Outcome::Moot, None),
+        };
+        written.set(true);
+        match lease.sender.try_send_request(request).await {
+            Ok(answer) => break (lease, answer),
+            Err(mut failed) => match failed.take_message() {
+                // Handed back unsent by a connection that was closed while it lay idle: not one byte of it has
+                // gone out, so this is still the same attempt.
+                Some(unsent) if lease.used => {
+                    written.set(false);
+                    request = unsent;
+                }
+                Some(_) => return (Outcome::ConnectFailed, None),
+                // Some of it may have been written, so all of it may: an unsafe request must not go out again.
+                None => return (Outcome::Reset, None),
+            },
+        }
+    };
+    lease.used = true;
+    let (head, body) = answer.into_parts();
+    match Limited::new(body, BODY).collect().await {
+        Ok(body) => {
+            keep(&sidecar.connections, lease);
+            judge(head.status, &head.headers, body.to_bytes())
+        }
+        // Broken off, or longer than an answer may be.
+        Err(_) => (Outcome::Reset, None),
+    }
+}
+
+fn keep(connections: &Connections, lease: Lease) {
+    connections.keep(lease);
+}
+
+fn message(onward: &Onward, address: SocketAddr, left_ms: u64) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(onward.body.clone()));
+    *request.method_mut() = onward.method.clone();
+    *request.uri_mut() = onward.uri.clone();
+    *request.headers_mut() = onward.headers.clone();
+    request.headers_mut().insert(EXPIRES, HeaderValue::from(left_ms));
+    if let Ok(host) = HeaderValue::from_maybe_shared(Bytes::from(address.to_string())) {
+        request.headers_mut().entry(header::HOST).or_insert(host);
+    }
+    request
+}
+
+fn judge(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Ended {
+    let never_ran = headers.get(NEVER_RAN).is_some_and(|v| v == "1");
+    match status {
+        StatusCode::OK => {
+            let mut answer = Response::new(Full::new(body));
+            if let Some(kind) = headers.get(header::CONTENT_TYPE) {
+                answer.headers_mut().insert(header::CONTENT_TYPE, kind.clone());
+            }
+            (Outcome::Ok, Some(answer))
+        }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => (Outcome::Full, None),
+        _ => (Outcome::Error, None),
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,147 @@
+//! The real sidecar: sockets around the decision module. Nothing is decided here but what malformed
+//! input and hard limits leave no choice in.
+//!
+//! One thread, one [`Sidecar`] behind an `Rc`; every task holds that and hands it events. The actions
+//! that come back are dispatched here, to the transaction, the pool, the probes or the timers they name.
+
+mod clock;
+mod config;
+mod connections;
+mod flow;
+mod pool;
+mod probe;
+mod timers;
+mod transaction;
+mod virtual_server;
+
+pub use config::{Config, Limits};
+
+use crate::settings::Site;
+use crate::{Action, Balancer, Closed, Event, Micros, Note, Outcome, RequestId};
+use clock::Clock;
+use connections::Connections;
+use foldhash::quality::FixedState;
+use pool::Pool;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use timers::Timers;
+use transaction::{Step, Steps};
+
+/// A body, a client's or a server's, holds this much at most.
+const BODY: usize = 64 << 10;
+
+/// One sidecar.
+pub struct Sidecar {
+    balancer: RefCell<Balancer>,
+    clock: Clock,
+    timers: Timers,
+    pool: Pool,
+    connections: Connections,
+    listen: SocketAddr,
+    classes: Vec<String>,
+    max_open: usize,
+    sockets: usize,
+    /// The transactions that are not over, and where each hears what it is to do.
+    transactions: RefCell<HashMap<RequestId, Steps, FixedState>>,
+    last_request: Cell<RequestId>,
+    /// It has been told to stop: every answer closes its connection.
+    stopping: Cell<bool>,
+    /// Kept for its capacity.
+    actions: Cell<Vec<Action>>,
+}
+
+impl Sidecar {
+    /// A sidecar that has not begun to serve.
+    pub fn new(config: Config) -> Result<Rc<Self>, String> {
+        let seed = config.seed()?;
+        let Site { settings, layout: _, classes, zones, kinds, conn_idle, connect_timeout, max_open, .. } =
+            config.settings;
+        let balancer = Balancer::new(settings, seed).map_err(|e| format!("configuration: {e}"))?;
+        let sidecar = Rc::new(Sidecar {
+            balancer: RefCell::new(balancer),
+            clock: Clock::start(),
+            timers: Timers::default(),
+            pool: Pool::new(config.discovery, zones, kinds),
+            connections: Connections::new(conn_idle, connect_timeout, config.limits.sockets / 2),
+            listen: config.listen,
+            classes,
+            max_open,
+            sockets: config.limits.sockets,
+            transactions: RefCell::default(),
+            last_request: Cell::new(0),
+            stopping: Cell::new(false),
+            actions: Cell::default(),
+        });
+        pool::known(&sidecar, config.known);
+        Ok(sidecar)
+    }
+
+    /// Serves until `stop` ends, then finishes what was taken.
+    pub async fn serve(self: Rc<Self>, stop: impl Future<Output = ()>) -> Result<(), String> {
+        let own = Rc::clone(&self);
+        tokio::task::spawn_local(async move { timers::run(&own).await });
+        virtual_server::run(&self, stop).await
+    }
+
+    /// Hands the module one event and carries out what it says. Never called while the module is borrowed.
+    fn handle(self: &Rc<Self>, now: Micros, event: Event<'_>) {
+        let mut actions = self.actions.take();
+        self.balancer.borrow_mut().handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.dispatch(now, action);
+        }
+        self.actions.set(actions);
+    }
+
+    fn dispatch(self: &Rc<Self>, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, server, timeout_at } => {
+                if !self.tell(request, Step::Send { server, timeout_at }) {
+                    // Every attempt has an outcome, also one whose transaction is over.
+                    let outcome = Outcome::Moot;
+                    let closed = Closed { request, attempt: 0, server, outcome, elapsed: 0, ended: true };
+                    self.handle(now, Event::Closed(closed));
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                self.tell(request, Step::Cancel { attempt });
+            }
+            Action::Refuse { request, retry_after } => {
+                self.tell(request, Step::Refuse { retry_after });
+            }
+            Action::Fail { request } => {
+                self.tell(request, Step::Fail);
+            }
+            Action::SetTimer { at, timer } => self.timers.set(at, timer),
+            Action::Subscribe => pool::subscribe(self),
+            Action::Probe(server) => probe::start(self, server),
+            Action::Log(note) => self.note(note),
+        }
+    }
+
+    fn tell(&self, request: RequestId, step: Step) -> bool {
+        self.transactions.borrow().get(&request).is_some_and(|steps| steps.send(step).is_ok())
+    }
+
+    fn note(&self, note: Note) {
+        match note {
+            Note::Overload(class) => {
+                let class = self.classes.get(class as usize).map_or("?", String::as_str);
+                log(format_args!("overload: refusing {class} early"));
+            }
+            Note::Ejected(server, outcome) => {
+                log(format_args!("ejected {}: {outcome:?}", self.pool.name(server)));
+            }
+            Note::Restored(server) => log(format_args!("restored {}", self.pool.name(server))),
+            Note::DiscoveryFailed => log(format_args!("server list out of reach")),
+        }
+    }
+}
+
+/// A line for the operators. Standard error may be closed: that must not end the program.
+fn log(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,229 @@
+//! The pool: discovery's list of servers and its watch on changes, as news for the module.
+
+use super::{Sidecar, log};
+use crate::{Event, Listed, Members, Micros, ServerId, ServerState};
+use bytes::{Bytes, BytesMut};
+use foldhash::quality::FixedState;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::timeout;
+
+/// Discovery that says nothing for this long, no heartbeat either, is taken to be cut off. It beats every
+/// 2 s; what it has to tell counts as told after 6 s whether it came or not.
+const SILENCE: Duration = Duration::from_millis(4_500);
+/// The longest line that is read, and the most servers of one list.
+const LINE: usize = 1 << 20;
+const SERVERS: usize = 4_096;
+
+/// One answer of discovery, a line of its watch, or the list that a configuration holds.
+#[derive(Deserialize, Default)]
+pub(super) struct Listing {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
+#[derive(Deserialize)]
+struct Endpoint {
+    name: Box<str>,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u32,
+    status: Status,
+    #[serde(default = "usual_weight")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Status {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+fn usual_weight() -> f64 {
+    1.0
+}
+
+struct Member {
+    name: Box<str>,
+    address: SocketAddr,
+}
+
+/// The servers as this sidecar knows them, and its watch.
+pub(super) struct Pool {
+    discovery: SocketAddr,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    index: Cell<u64>,
+    members: RefCell<HashMap<ServerId, Member, FixedState>>,
+    watch: RefCell<Option<AbortHandle>>,
+}
+
+impl Pool {
+    pub(super) fn new(discovery: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Self {
+        let (index, members, watch) = Default::default();
+        Pool { discovery, zones, kinds, index, members, watch }
+    }
+
+    /// Where a server is to be found.
+    pub(super) fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.members.borrow().get(&server).map(|m| m.address)
+    }
+
+    pub(super) fn name(&self, server: ServerId) -> Box<str> {
+        let members = self.members.borrow();
+        members.get(&server).map_or_else(|| format!("{:016x}", server.0).into(), |m| m.name.clone())
+    }
+
+    /// Whether there is a server to send to at all.
+    pub(super) fn is_known(&self) -> bool {
+        !self.members.borrow().is_empty()
+    }
+
+    fn listed(&self, endpoint: &Endpoint) -> Listed {
+        // A name that the settings do not hold stands for one place of its own.
+        let place =
+            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let sound = endpoint.weight.is_finite() && endpoint.weight > 0.0;
+        Listed {
+            server: ServerId::named(&endpoint.name),
+            zone: place(&self.zones, &endpoint.zone) as u32,
+            cell: endpoint.group,
+            kind: place(&self.kinds, &endpoint.kind) as u32,
+            // The clock of the module was set by Unix time; 0 is long ago.
+            started: Some(endpoint.since_ms.saturating_mul(1_000)).filter(|t| *t > 0),
+            capacity: if sound { endpoint.weight } else { 1.0 },
+            state: match endpoint.status {
+                Status::InService => ServerState::Ready,
+                Status::Terminating => ServerState::Draining,
+                Status::Terminated => ServerState::Gone,
+            },
+        }
+    }
+
+    /// Takes in a list or some changes, and gives the same in the module's words.
+    fn take_in(&self, listing: Listing) -> Vec<Listed> {
+        let listed: Vec<Listed> = listing.endpoints.iter().map(|e| self.listed(e)).collect();
+        let mut members = self.members.borrow_mut();
+        if listing.snapshot {
+            members.clear();
+        }
+        for (endpoint, listed) in listing.endpoints.into_iter().zip(&listed) {
+            if listed.state == ServerState::Gone {
+                members.remove(&listed.server);
+            } else if members.len() < SERVERS || members.contains_key(&listed.server) {
+                members.insert(listed.server, Member { name: endpoint.name, address: endpoint.address });
+            }
+        }
+        self.index.set(listing.index);
+        listed
+    }
+}
+
+/// Tells the module of the list that the configuration holds.
+pub(super) fn known(sidecar: &Rc<Sidecar>, listing: Listing) {
+    news(sidecar, sidecar.clock.now(), Listing { snapshot: true, ..listing });
+}
+
+fn news(sidecar: &Rc<Sidecar>, now: Micros, listing: Listing) {
+    let full = listing.snapshot;
+    if !full && listing.index < sidecar.pool.index.get() {
+        // Changes older than the list that is held would undo newer ones.
+        return;
+    }
+    let listed = sidecar.pool.take_in(listing);
+    let members = if full { Members::Full(&listed) } else { Members::Changes(&listed) };
+    sidecar.handle(now, Event::Members(members));
+}
+
+/// Opens the watch, in place of one that is open.
+pub(super) fn subscribe(sidecar: &Rc<Sidecar>) {
+    let own = Rc::clone(sidecar);
+    let watch = tokio::task::spawn_local(async move {
+        let Err(problem) = follow(&own).await;
+        log(format_args!("discovery: {problem}"));
+        let now = own.clock.now();
+        own.handle(now, Event::Members(Members::Failed));
+    });
+    if let Some(former) = sidecar.pool.watch.replace(Some(watch.abort_handle())) {
+        former.abort();
+    }
+}
+
+/// Ends a connection's task with the watch that reads from it.
+struct Driven(JoinHandle<()>);
+
+impl Drop for Driven {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Follows the watch for as long as it holds.
+async fn follow(sidecar: &Rc<Sidecar>) -> Result<Infallible, String> {
+    let pool = &sidecar.pool;
+    let silent = |_| "no word for too long".to_string();
+    let stream = timeout(SILENCE, TcpStream::connect(pool.discovery)).await.map_err(silent)?;
+    let stream = stream.map_err(|e| e.to_string())?;
+    let made = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = made.map_err(|e| e.to_string())?;
+    let _driven = Driven(tokio::task::spawn_local(async move {
+        // How it ended shows in the body that is read from it.
+        let _ = connection.await;
+    }));
+    let request = Request::get(format!("/v1/endpoints?watch=1&after={}", pool.index.get()))
+        .header(header::HOST, pool.discovery.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| e.to_string())?;
+    let answer = timeout(SILENCE, sender.send_request(request)).await.map_err(silent)?;
+    let answer = answer.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    read_lines(sidecar, answer.into_body()).await
+}
+
+async fn read_lines(sidecar: &Rc<Sidecar>, mut body: Incoming) -> Result<Infallible, String> {
+    let mut unread = BytesMut::new();
+    loop {
+        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "no word for too long".to_string())?;
+        let frame = frame.ok_or("the watch has ended")?.map_err(|e| e.to_string())?;
+        let now = sidecar.clock.now();
+        unread.extend_from_slice(frame.data_ref().map_or(&[], |d| d.as_ref()));
+        while let Some(end) = unread.iter().position(|b| *b == b'\n') {
+            let line = unread.split_to(end + 1);
+            // A blank line only says that discovery is there.
+            if !line.trim_ascii().is_empty() {
+                let listing: Listing =
+                    serde_json::from_slice(&line).map_err(|e| format!("makes no sense: {e}"))?;
+                if listing.endpoints.len() > SERVERS {
+                    return Err(format!("lists {} servers", listing.endpoints.len()));
+                }
+                news(sidecar, now, listing);
+            }
+        }
+        if unread.len() > LINE {
+            return Err("a line is too long".to_string());
+        }
+        // It wakes every 2 s: a good time to look after what lies idle.
+        sidecar.connections.sweep();
+    }
+}
--- /dev/null
+++ b/src/net/probe.rs
@@ -0,0 +1,45 @@
+//! Load probes: a server is asked for its load report.
+
+use super::{BODY, Sidecar};
+use crate::{Event, Report, ServerId};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A server that has not answered by then has nothing to tell that is still true.
+const WAIT: Duration = Duration::from_millis(300);
+
+/// Asks, and tells the module what came back.
+pub(super) fn start(sidecar: &Rc<Sidecar>, server: ServerId) {
+    let own = Rc::clone(sidecar);
+    tokio::task::spawn_local(async move {
+        let report = tokio::time::timeout(WAIT, ask(&own, server)).await.ok().flatten();
+        let now = own.clock.now();
+        own.handle(now, Event::Probed(server, report));
+    });
+}
+
+async fn ask(sidecar: &Rc<Sidecar>, server: ServerId) -> Option<Report> {
+    let address = sidecar.pool.address(server)?;
+    let request = Request::get("/status/load").header(header::HOST, address.to_string());
+    let request = request.body(Full::<Bytes>::default()).ok()?;
+    let mut lease = sidecar.connections.take(address).await.ok()?;
+    let (head, body) = lease.sender.send_request(request).await.ok()?.into_parts();
+    let body = Limited::new(body, BODY).collect().await.ok()?.to_bytes();
+    sidecar.connections.keep(lease);
+    std::str::from_utf8(&body).ok().filter(|_| head.status == StatusCode::OK).and_then(report)
+}
+
+/// Reads `TEXT inflight=7, queue=2, util=0.61`; names that are not known are passed over.
+fn report(text: &str) -> Option<Report> {
+    let text = text.trim().strip_prefix("TEXT ")?;
+    let value = |wanted: &str| {
+        let mut pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
+        let (_, value) = pairs.find(|(name, _)| *name == wanted)?;
+        value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)
+    };
+    let held = value("inflight").or_else(|| value("queue"))?;
+    Some(Report { held, errors: value("eps").unwrap_or(0.0) })
+}
--- /dev/null
+++ b/src/net/transaction.rs
@@ -0,0 +1,136 @@
+//! A transaction: the life of one client's request, from the module's first word on it to its final answer.
+
+use super::Sidecar;
+use super::flow::{self, Attempt, Onward};
+use crate::{Event, Micros, NewRequest, RequestId, ServerId};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What the module tells a transaction to do next.
+pub(super) enum Step {
+    /// Start a flow.
+    Send { server: ServerId, timeout_at: Micros },
+    /// End a flow.
+    Cancel { attempt: u32 },
+    /// Answer that the request is refused.
+    Refuse { retry_after: Option<Micros> },
+    /// Answer that it has failed.
+    Fail,
+}
+
+/// Where a transaction hears of its steps. The module gives a request only so many of them.
+pub(super) type Steps = UnboundedSender<Step>;
+
+/// The final answer.
+pub(super) enum Answer {
+    /// What a server made of it.
+    Served(Response<Full<Bytes>>),
+    /// Another try can do no harm.
+    Refused { retry_after: Option<Micros> },
+    /// Nothing is promised.
+    Failed,
+}
+
+type Answered = Option<Response<Full<Bytes>>>;
+type Flow = Pin<Box<dyn Future<Output = Answered>>>;
+
+struct Transaction {
+    sidecar: Rc<Sidecar>,
+    id: RequestId,
+    /// Set with the final answer.
+    over: Rc<Cell<bool>>,
+    /// By their numbers; one that has ended leaves its place empty.
+    flows: Vec<Option<Flow>>,
+}
+
+/// Serves one request: the module's words go in from the top, and the final answer comes out.
+pub(super) async fn run(sidecar: &Rc<Sidecar>, now: Micros, new: NewRequest, onward: Onward) -> Answer {
+    let (mut transaction, mut steps) = Transaction::begin(sidecar, new.id);
+    let onward = Rc::new(onward);
+
+    // The module takes it in, and says what to do first: send it, refuse it, or nothing yet.
+    sidecar.handle(now, Event::Request(new));
+
+    loop {
+        tokio::select! {
+            biased;
+            step = steps.recv() => match step {
+                Some(Step::Send { server, timeout_at }) => transaction.send(&onward, server, timeout_at),
+                Some(Step::Cancel { attempt }) => transaction.cancel(attempt),
+                Some(Step::Refuse { retry_after }) => return transaction.end(Answer::Refused { retry_after }),
+                Some(Step::Fail) | None => return transaction.end(Answer::Failed),
+            },
+            // A flow has told the module its outcome before it ends: what follows is another step.
+            answered = transaction.any_flow() => if let Some(answer) = answered {
+                return transaction.end(Answer::Served(answer));
+            },
+        }
+    }
+}
+
+impl Transaction {
+    fn begin(sidecar: &Rc<Sidecar>, id: RequestId) -> (Self, UnboundedReceiver<Step>) {
+        let (sender, steps) = unbounded_channel();
+        sidecar.transactions.borrow_mut().insert(id, sender);
+        (Transaction { sidecar: Rc::clone(sidecar), id, over: Rc::default(), flows: Vec::new() }, steps)
+    }
+
+    fn send(&mut self, onward: &Rc<Onward>, server: ServerId, timeout_at: Micros) {
+        let attempt = Attempt {
+            sidecar: Rc::clone(&self.sidecar),
+            request: self.id,
+            number: self.flows.len() as u32,
+            server,
+            sent: self.sidecar.clock.now(),
+            timeout_at,
+            over: Rc::clone(&self.over),
+            told: false,
+        };
+        self.flows.push(Some(Box::pin(flow::run(attempt, Rc::clone(onward)))));
+    }
+
+    /// A flow that is dropped closes its connection and tells the module that it was called off.
+    fn cancel(&mut self, attempt: u32) {
+        if let Some(flow) = self.flows.get_mut(attempt as usize) {
+            *flow = None;
+        }
+    }
+
+    /// Waits until some flow ends.
+    async fn any_flow(&mut self) -> Answered {
+        std::future::poll_fn(|context: &mut Context<'_>| {
+            for place in &mut self.flows {
+                if let Some(Poll::Ready(answered)) = place.as_mut().map(|flow| flow.as_mut().poll(context)) {
+                    *place = None;
+                    return Poll::Ready(answered);
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    fn end(&mut self, answer: Answer) -> Answer {
+        self.over.set(true);
+        answer
+    }
+}
+
+impl Drop for Transaction {
+    /// Ended without an answer, it is the client that has gone. The module hears of that before the flows
+    /// that are still out end, or it would take them for its own and send again.
+    fn drop(&mut self) {
+        if !self.over.replace(true) {
+            let now = self.sidecar.clock.now();
+            self.sidecar.handle(now, Event::ClientGone(self.id));
+        }
+        self.flows.clear();
+        self.sidecar.transactions.borrow_mut().remove(&self.id);
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,6 @@
 use crate::{Action, Balancer, interface::*};
 use foldhash::quality::FixedState;
 use std::collections::HashMap;
-use std::hash::BuildHasher;
 use std::io::Write;
 
 /// Numbers under which the dialect keeps lists.
@@ -25,7 +24,7 @@
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
-        let mut id = ServerId(FixedState::with_seed(0).hash_one(name));
+        let mut id = ServerId::named(name);
         while self.names.contains_key(&id) {
             id = ServerId(id.0.wrapping_add(1));
         }
