End on SIGTERM, make room at the descriptor limit, and read reports as nodes name them

Tests that start the real program showed, each failing before this change: - After SIGTERM the program never ended: the pending accept held a permit of the room that the end waits for (virtual_server.rs, run). The wait now comes after the taking has ended. - At its own limit on clients, or the system's on descriptors, the next client waited for ever while idle ones kept their places. The longest connected is now asked to close before none is left, and the limit of the system is heeded where it is lower. - Load reports on the socket name their values rif and q, seen in the bytes of /status/load; only inflight and queue were read, so a probe would have told nothing. - Answer headers such as Content-Encoding, without which a body cannot be read, were dropped. - A seed that is no hex number was told without the field's name.

--- a/src/main.rs
+++ b/src/main.rs
@@ -20,7 +20,11 @@
     let config = Config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, async { Sidecar::new(config)?.serve(stop()?).await })
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // In a task of its own: what is awaited here is polled again whenever any task has been.
+        let serving = tokio::task::spawn_local(Sidecar::new(config)?.serve(stop()?));
+        serving.await.map_err(|e| e.to_string())?
+    })
 }
 
 /// Ends when the program is told to stop.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use super::pool::Listing;
 use crate::settings::Site;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer, de::Error};
 use std::net::SocketAddr;
 
 /// A sidecar's configuration.
@@ -15,8 +15,9 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
-    /// For random numbers, as hex digits; new with each start.
-    pub seed: String,
+    /// For random numbers; new with each start.
+    #[serde(deserialize_with = "hex")]
+    pub seed: u64,
     /// What the platform lets it have.
     #[serde(default)]
     pub limits: Limits,
@@ -35,6 +36,13 @@
     pub sockets: usize,
 }
 
+/// What the system lets this process have: it may be less than the platform says.
+fn allowed_descriptors() -> usize {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|l| l.strip_prefix("Max open files"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(usize::MAX)
+}
+
 fn usual_sockets() -> usize {
     1024
 }
@@ -58,6 +66,7 @@
                 *address = value.parse().map_err(|e| format!("{variable}: {e}: {value}"))?;
             }
         }
+        config.limits.sockets = config.limits.sockets.min(allowed_descriptors());
         config.name = std::env::var("RELAY_NAME").unwrap_or(config.name);
         Ok(config)
     }
@@ -68,12 +77,12 @@
         let config: Config = serde_path_to_error::deserialize(&mut reader)
             .map_err(|e| format!("configuration: {e}").replace(['\n', '\r'], " "))?;
         reader.end().map_err(|e| format!("configuration: {e}"))?;
-        config.seed()?;
         Ok(config)
     }
+}
 
-    /// The seed as a number.
-    pub(super) fn seed(&self) -> Result<u64, String> {
-        u64::from_str_radix(&self.seed, 16).map_err(|e| format!("configuration: seed: {e}: {}", self.seed))
-    }
+/// A number that is written as hex digits.
+fn hex<'a, D: Deserializer<'a>>(reader: D) -> Result<u64, D::Error> {
+    let digits = String::deserialize(reader)?;
+    u64::from_str_radix(&digits, 16).map_err(|e| D::Error::custom(format_args!("{e}: {digits:?}")))
 }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -1,6 +1,6 @@
 //! One server-side flow: an attempt at a server, from its connection to its one outcome.
 
-use super::connections::{Connections, Lease, NoConnection};
+use super::connections::NoConnection;
 use super::{BODY, Sidecar};
 use crate::{Closed, Event, Micros, Outcome, RequestId, ServerId};
 use bytes::Bytes;
@@ -14,6 +14,25 @@
 const EXPIRES: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 
+/// Headers that are about one connection and go no further.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Leaves of a message's headers those that are about the message itself.
+pub(super) fn end_to_end(headers: &mut HeaderMap) {
+    for name in &HOP {
+        headers.remove(name);
+    }
+}
+
 /// What of a client's request goes on to a server.
 pub(super) struct Onward {
     pub(super) method: Method,
@@ -87,7 +106,7 @@
     let Some(address) = sidecar.pool.address(attempt.server) else { return (Outcome::Moot, None) };
     let left = attempt.timeout_at.saturating_sub(attempt.sent).div_ceil(1_000);
     let mut request = message(onward, address, left);
-    let (mut lease, answer) = loop {
+    let (lease, answer) = loop {
         let mut lease = match sidecar.connections.take(address).await {
             Ok(lease) => lease,
             Err(NoConnection::Failed) => return (Outcome::ConnectFailed, None),
@@ -109,22 +128,17 @@
             },
         }
     };
-    lease.used = true;
     let (head, body) = answer.into_parts();
     match Limited::new(body, BODY).collect().await {
         Ok(body) => {
-            keep(&sidecar.connections, lease);
-            judge(head.status, &head.headers, body.to_bytes())
+            sidecar.connections.keep(lease);
+            judge(head.status, head.headers, body.to_bytes())
         }
         // Broken off, or longer than an answer may be.
         Err(_) => (Outcome::Reset, None),
     }
 }
 
-fn keep(connections: &Connections, lease: Lease) {
-    connections.keep(lease);
-}
-
 fn message(onward: &Onward, address: SocketAddr, left_ms: u64) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(onward.body.clone()));
     *request.method_mut() = onward.method.clone();
@@ -137,14 +151,13 @@
     request
 }
 
-fn judge(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Ended {
+fn judge(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Ended {
     let never_ran = headers.get(NEVER_RAN).is_some_and(|v| v == "1");
     match status {
         StatusCode::OK => {
             let mut answer = Response::new(Full::new(body));
-            if let Some(kind) = headers.get(header::CONTENT_TYPE) {
-                answer.headers_mut().insert(header::CONTENT_TYPE, kind.clone());
-            }
+            end_to_end(&mut headers);
+            *answer.headers_mut() = headers;
             (Outcome::Ok, Some(answer))
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => (Outcome::Full, None),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,11 +27,15 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use timers::Timers;
+use tokio::sync::Notify;
 use transaction::{Step, Steps};
 
 /// A body, a client's or a server's, holds this much at most.
 const BODY: usize = 64 << 10;
+/// Descriptors that are neither a client's nor a server's; the rest is shared out equally.
+const OWN_DESCRIPTORS: usize = 16;
 
 /// One sidecar.
 pub struct Sidecar {
@@ -43,7 +47,11 @@
     listen: SocketAddr,
     classes: Vec<String>,
     max_open: usize,
-    sockets: usize,
+    /// Connections of clients that are held at once, and the signal for one to make room.
+    most_clients: usize,
+    crowded: Notify,
+    /// The longest that a client waits.
+    longest: Duration,
     /// The transactions that are not over, and where each hears what it is to do.
     transactions: RefCell<HashMap<RequestId, Steps, FixedState>>,
     last_request: Cell<RequestId>,
@@ -56,20 +64,23 @@
 impl Sidecar {
     /// A sidecar that has not begun to serve.
     pub fn new(config: Config) -> Result<Rc<Self>, String> {
-        let seed = config.seed()?;
         let Site { settings, layout: _, classes, zones, kinds, conn_idle, connect_timeout, max_open, .. } =
             config.settings;
-        let balancer = Balancer::new(settings, seed).map_err(|e| format!("configuration: {e}"))?;
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let share = (config.limits.sockets.saturating_sub(OWN_DESCRIPTORS) / 2).max(1);
+        let balancer = Balancer::new(settings, config.seed).map_err(|e| format!("configuration: {e}"))?;
         let sidecar = Rc::new(Sidecar {
             balancer: RefCell::new(balancer),
             clock: Clock::start(),
             timers: Timers::default(),
             pool: Pool::new(config.discovery, zones, kinds),
-            connections: Connections::new(conn_idle, connect_timeout, config.limits.sockets / 2),
+            connections: Connections::new(conn_idle, connect_timeout, share),
             listen: config.listen,
             classes,
             max_open,
-            sockets: config.limits.sockets,
+            most_clients: share,
+            crowded: Notify::new(),
+            longest: Duration::from_micros(longest),
             transactions: RefCell::default(),
             last_request: Cell::new(0),
             stopping: Cell::new(false),
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -40,6 +40,8 @@
         let (_, value) = pairs.find(|(name, _)| *name == wanted)?;
         value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)
     };
-    let held = value("inflight").or_else(|| value("queue"))?;
-    Some(Report { held, errors: value("eps").unwrap_or(0.0) })
+    // The protocol's words, or those of the settings: nodes have been seen to use the latter.
+    let either = |one, other| value(one).or_else(|| value(other));
+    let held = either("inflight", "rif").or_else(|| either("queue", "q"))?;
+    Some(Report { held, errors: either("eps", "fail_rate").unwrap_or(0.0) })
 }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -1,7 +1,7 @@
 //! The virtual server: the client's side. It takes connections and requests, and gives answers back.
 
 use super::connections::is_exhausted;
-use super::flow::Onward;
+use super::flow::{self, Onward};
 use super::transaction::{self, Answer};
 use super::{BODY, Sidecar, log};
 use crate::{Micros, NewRequest};
@@ -9,7 +9,7 @@
 use foldhash::quality::FixedState;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
+use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming, server::conn::http1};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::hash::BuildHasher;
@@ -20,8 +20,6 @@
 
 /// How long after it is told to stop the program still takes what comes.
 const LINGER: Duration = Duration::from_millis(800);
-/// Descriptors that are neither a client's nor a server's.
-const OWN_DESCRIPTORS: usize = 32;
 /// A client counts its time from the sending, which is a little before the reading.
 const MARGIN: Micros = 1_000;
 
@@ -29,38 +27,32 @@
 const EXPIRES: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const SECOND_TRY: HeaderName = HeaderName::from_static("x-second-try");
 const SIZE_HINT: HeaderName = HeaderName::from_static("x-size-hint");
-/// Headers that are about one connection and go no further.
-const HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::TRANSFER_ENCODING,
-    header::CONTENT_LENGTH,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-    header::EXPECT,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Serves clients until `stop` ends and what was taken is answered.
 pub(super) async fn run(sidecar: &Rc<Sidecar>, stop: impl Future<Output = ()>) -> Result<(), String> {
     let at = sidecar.listen;
     let listener = TcpListener::bind(at).await.map_err(|e| format!("RELAY_LISTEN: {at}: {e}"))?;
-    let most = (sidecar.sockets / 2).saturating_sub(OWN_DESCRIPTORS).max(1);
+    let at = listener.local_addr().map_err(|e| format!("RELAY_LISTEN: {at}: {e}"))?;
+    log(format_args!("listening on {at}"));
+    let most = sidecar.most_clients;
     let room = Rc::new(Semaphore::new(most));
     let (close, closing) = watch::channel(false);
-    let taking = take(sidecar, &listener, &room, closing);
-    tokio::pin!(taking);
+    let stopping = async {
+        stop.await;
+        log(format_args!("stopping"));
+        sidecar.stopping.set(true);
+        // Clients go on connecting for a while, and what has reached this machine has been taken.
+        tokio::time::sleep(LINGER).await;
+    };
     tokio::select! {
-        () = &mut taking => {}
-        () = stop => {}
+        () = take(sidecar, &listener, &room, closing) => {}
+        () = stopping => {}
     }
-    log(format_args!("stopping"));
-    sidecar.stopping.set(true);
-    // Clients go on connecting for a while, and what has reached this machine has been taken.
-    let _ = tokio::time::timeout(LINGER, &mut taking).await;
-    // The receiver may be gone where no client is there.
+    drop(listener);
+    log(format_args!("closed to new clients"));
+    // Nobody may be there to hear it.
     let _ = close.send(true);
-    // All room free again: no connection is left, so no answer is owed.
+    // All room free again: no connection is left, so no answer is owed. The taking, which holds some of the
+    // room while it waits for a client, has ended above; else this would never come true.
     let _ = room.acquire_many(most as u32).await;
     Ok(())
 }
@@ -73,7 +65,11 @@
     closing: watch::Receiver<bool>,
 ) {
     loop {
-        // At the limit the next client waits in the backlog.
+        // A connection that waits in the backlog has been taken as far as its client can tell, so the one that
+        // is there for longest makes room before there is none.
+        if room.available_permits() <= sidecar.most_clients / 8 {
+            sidecar.crowded.notify_one();
+        }
         let Ok(permit) = room.acquire().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -87,6 +83,7 @@
             Err(problem) if is_exhausted(&problem) => {
                 log(format_args!("no descriptor for a client: {problem}"));
                 sidecar.connections.drop_oldest();
+                sidecar.crowded.notify_one();
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             // The client has gone between its coming and its being taken.
@@ -111,16 +108,19 @@
     tokio::select! {
         // How a connection ends is the client's affair: a transaction that was on it is dropped with it.
         _ = connection.as_mut() => return,
-        _ = closing.wait_for(|c| *c) => connection.as_mut().graceful_shutdown(),
+        _ = closing.wait_for(|c| *c) => {}
+        () = sidecar.crowded.notified() => {}
     }
-    let _ = connection.await;
+    // Closes at once where it lies idle, else with its answer. A request that never comes whole ends it too.
+    connection.as_mut().graceful_shutdown();
+    let _ = tokio::time::timeout(sidecar.longest + LINGER, connection).await;
 }
 
 /// One request and its answer.
 async fn answer(sidecar: &Rc<Sidecar>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let now = sidecar.clock.now();
     if request.uri().path() == "/ready" && request.method() == Method::GET {
-        let ready = sidecar.pool.is_known();
+        let ready = sidecar.pool.is_known() && !sidecar.stopping.get();
         return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
@@ -146,10 +146,11 @@
     let now = sidecar.clock.now();
     new.time_left = new.time_left.saturating_sub(MARGIN + (now - came));
     let mut headers = head.headers;
-    for name in &HOP {
-        headers.remove(name);
-    }
-    let onward = Onward { method: head.method, uri: head.uri, headers, body };
+    flow::end_to_end(&mut headers);
+    // An absolute target names this sidecar; the node is to see the path alone.
+    let path = head.uri.into_parts().path_and_query;
+    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    let onward = Onward { method: head.method, uri, headers, body };
     match transaction::run(sidecar, now, new, onward).await {
         Answer::Served(response) => response,
         Answer::Refused { retry_after } => {
@@ -174,7 +175,7 @@
 }
 
 /// Takes out of a request what the module needs of it.
-fn read(sidecar: &Sidecar, uri: &hyper::Uri, headers: &HeaderMap) -> Result<NewRequest, &'static str> {
+fn read(sidecar: &Sidecar, uri: &Uri, headers: &HeaderMap) -> Result<NewRequest, &'static str> {
     let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let class = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     // A class that the settings do not name is the module's to refuse.
--- /dev/null
+++ b/tests/sidecar/main.rs
@@ -0,0 +1,334 @@
+//! The real sidecar, started as a process and talked to over sockets.
+
+mod rig;
+use rig::*;
+use rstest::rstest;
+use std::process::{Command, Stdio};
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let mut client = sidecar.client();
+    client.write(request(
+        "submit-check",
+        1500,
+        "Cookie: a=b; key=7f3a9c21e0b4d655\r\nX-Size-Hint: 90000\r\n",
+    ));
+    let mut conn = node.accept();
+    for round in 0..2 {
+        let got = conn.read().expect("a request");
+        assert_eq!(got.start, "POST /submit-check?q=1 HTTP/1.1");
+        assert_eq!(got.header("x-trace-id"), Some("9b1f03aa5c7e2d41"));
+        assert_eq!(got.header("idempotency-key"), Some("5c0f6e1a"));
+        assert_eq!(got.body, b"paper");
+        let left: u64 = got.header("x-expires-in-ms").expect("is passed on").parse().expect("whole");
+        assert!((1..1500).contains(&left), "{left} ms are not what is left of 1500");
+        conn.write("HTTP/1.1 200 OK\r\nContent-Encoding: odd\r\nContent-Length: 4\r\n\r\n\x00\x01\r\n");
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"\x00\x01\r\n"[..]));
+        // Without it the body could not be understood.
+        assert_eq!(answer.header("content-encoding"), Some("odd"));
+        if round == 0 {
+            // The next one goes over the same two connections.
+            client.write(request("submit-check", 1500, ""));
+        }
+    }
+    assert!(node.try_accept().is_none());
+}
+
+/// What may have run must not run twice where the class forbids it, and is tried again where it may be.
+#[rstest]
+#[case::error("submit-check", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::unproven("submit-check", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::disproven("submit-check", "HTTP/1.1 503 Busy\r\nX-Never-Ran: 0\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::proven("submit-check", "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::late("submit-check", "HTTP/1.1 504 Over\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::proof_on_500(
+    "submit-check",
+    "HTTP/1.1 500 Oops\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n",
+    false
+)]
+#[case::silence("submit-check", "", false)]
+#[case::half("submit-check", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false)]
+#[case::garbage("submit-check", "no such thing\r\n\r\n", false)]
+#[case::long("submit-check", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", false)]
+#[case::repeatable_error("recheck", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::repeatable_reset("recheck", "", true)]
+fn an_attempt_is_repeated_only_where_that_is_safe(
+    #[case] class: &str,
+    #[case] reply: &str,
+    #[case] repeated: bool,
+) {
+    let nodes = [Node::new(), Node::new()];
+    let sidecar = Sidecar::start(&nodes.each_ref().map(Node::address));
+    let mut client = sidecar.ask(class, 5000);
+    let (first, mut conn) = accept_any(&[&nodes[0], &nodes[1]]);
+    assert!(conn.read().is_some());
+    conn.write(reply);
+    drop(conn);
+    if repeated {
+        let mut conn = nodes[1 - first].accept();
+        assert!(conn.read().is_some());
+        conn.answer("200 OK", "made");
+    }
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.status(), if repeated { 200 } else { 502 });
+    assert!(nodes.iter().all(|n| n.try_accept().is_none()), "it was sent once more");
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let gone = Node::new().address();
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[gone, node.address()]);
+    // Whichever is tried first, the request ends at the one that is there.
+    for _ in 0..8 {
+        sidecar.serves(&[&node]);
+    }
+}
+
+#[rstest]
+#[case::time_out(true)]
+#[case::client_gone(false)]
+fn an_abandoned_attempt_closes_its_connection_and_nothing_is_sent_over_it_again(#[case] time_out: bool) {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let mut client = sidecar.ask("submit-check", if time_out { 300 } else { 6000 });
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    if time_out {
+        assert_eq!(client.read().expect("an answer").status(), 502);
+    }
+    drop(client);
+    assert!(conn.read().is_none(), "its connection is still open");
+    sidecar.serves(&[&node]);
+}
+
+#[test]
+fn a_connection_that_the_node_has_closed_costs_no_request() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    for _ in 0..5 {
+        // Each round ends with the node's close of a connection that lies idle.
+        sidecar.serves(&[&node]);
+    }
+}
+
+#[rstest]
+#[case::no_time("X-Trace-Id: 1\r\n\r\n", 400)]
+#[case::odd_time("X-Trace-Id: 1\r\nX-Expires-In-Ms: soon\r\n\r\n", 400)]
+#[case::no_id("X-Expires-In-Ms: 500\r\n\r\n", 400)]
+#[case::odd_header("X Y: 1\r\n\r\n", 400)]
+#[case::long_body("X-Trace-Id: 1\r\nX-Expires-In-Ms: 500\r\nContent-Length: 65537\r\n\r\n", 413)]
+#[case::unknown_class("X-Trace-Id: 1\r\nX-Expires-In-Ms: 500\r\n\r\n", 503)]
+fn a_bad_request_is_answered_and_does_no_harm(#[case] rest: &str, #[case] status: u16) {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let class = if status == 503 { "no-such-class" } else { "submit-check" };
+    let mut client = sidecar.client();
+    client.write(format!("POST /{class} HTTP/1.1\r\nHost: s\r\n{rest}"));
+    if status == 413 {
+        client.write(vec![b'x'; 65537]);
+    }
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.status(), status);
+    // A client that is refused is told at once when to come back.
+    assert_eq!(answer.header("retry-after"), (status == 503).then_some("1.5"));
+    assert!(node.try_accept().is_none());
+    sidecar.serves(&[&node]);
+}
+
+#[rstest]
+#[case::none("", "RELAY_CONFIG")]
+#[case::no_json("{", "configuration")]
+#[case::no_listen(r#"{"discovery":"127.0.0.1:1","seed":"1"}"#, "listen")]
+#[case::odd_seed(r#""seed":"xyz""#, "seed")]
+#[case::odd_address(r#""discovery":"nowhere""#, "discovery")]
+#[case::odd_setting(r#""settings":{"group_size":"many"}"#, "settings.group_size")]
+#[case::senseless(r#""settings":0"#, "settings")]
+fn a_bad_configuration_ends_it_with_one_line_that_names_the_field(#[case] part: &str, #[case] field: &str) {
+    let sound = r#""listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1""#;
+    let config = if part.starts_with('"') {
+        let key = part.split(':').next().expect("a key");
+        let kept: Vec<&str> = sound.split(',').filter(|p| !p.starts_with(key)).collect();
+        format!("{{{part},{}}}", kept.join(","))
+    } else {
+        part.to_string()
+    };
+    let mut command = Command::new(env!("CARGO_BIN_EXE_madderloom"));
+    command.env_remove("RELAY_CONFIG").stderr(Stdio::piped());
+    if !part.is_empty() {
+        command.env("RELAY_CONFIG", write_config(&config));
+    }
+    let done = command.output().expect("it starts and ends");
+    let errors = String::from_utf8(done.stderr).expect("text");
+    assert!(!done.status.success());
+    assert_eq!(errors.lines().count(), 1, "{errors}");
+    assert!(errors.contains(field), "{errors}");
+}
+
+/// A watch that the test answers: its first line, and what it asked for.
+fn watch(sidecar: &Sidecar) -> (Conn, String) {
+    let mut conn = sidecar.discovery.accept();
+    let asked = conn.read().expect("a request").start;
+    conn.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    (conn, asked)
+}
+
+fn tell(conn: &mut Conn, line: &str) {
+    conn.write(format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+}
+
+/// Waits until requests reach this node, and no other any more.
+fn settles_on(sidecar: &Sidecar, nodes: &[&Node], wanted: usize) {
+    let mut in_a_row = 0;
+    for _ in 0..400 {
+        let mut client = sidecar.ask("recheck", 1900);
+        let (at, mut conn) = accept_any(nodes);
+        assert!(conn.read().is_some());
+        conn.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        in_a_row = if at == wanted { in_a_row + 1 } else { 0 };
+        if in_a_row == 30 {
+            return;
+        }
+    }
+    panic!("requests go on to a node that wants none");
+}
+
+#[test]
+fn the_watch_tells_what_changes_and_is_asked_again_from_where_it_broke() {
+    let nodes = [Node::new(), Node::new()];
+    let [first, second] = nodes.each_ref().map(Node::address);
+    let sidecar = Sidecar::start(&[first, second]);
+    let both = [&nodes[0], &nodes[1]];
+    let (mut conn, asked) = watch(&sidecar);
+    assert_eq!(asked, "GET /v1/endpoints?watch=1&after=41 HTTP/1.1");
+    tell(&mut conn, &listing(43, false, &[("n0", first, "terminating")]).to_string());
+    settles_on(&sidecar, &both, 1);
+    // Heartbeats, a line in two pieces, an older change that must not undo a newer one.
+    tell(&mut conn, "");
+    let line = listing(44, true, &[("n0", first, "in_service")]).to_string() + "\n";
+    for piece in [&line[..30], &line[30..]] {
+        conn.write(format!("{:x}\r\n{piece}\r\n", piece.len()));
+    }
+    tell(&mut conn, &listing(42, false, &[("n1", second, "in_service")]).to_string());
+    settles_on(&sidecar, &both, 0);
+    // Garbage ends the watch; what was known is kept, and asked is from there.
+    tell(&mut conn, "{\"index\":50,\"snapshot\":true,\"endpoints\":[{}]}");
+    let (mut conn, asked) = watch(&sidecar);
+    assert_eq!(asked, "GET /v1/endpoints?watch=1&after=44 HTTP/1.1");
+    settles_on(&sidecar, &both, 0);
+    // A watch that ends, too, is asked for again.
+    conn.write("0\r\n\r\n");
+    let (mut conn, _) = watch(&sidecar);
+    tell(
+        &mut conn,
+        &listing(45, false, &[("n1", second, "in_service"), ("n0", first, "terminated")]).to_string(),
+    );
+    settles_on(&sidecar, &both, 1);
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_asked_for_again_in_time() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let (mut conn, _) = watch(&sidecar);
+    tell(&mut conn, "");
+    let since = std::time::Instant::now();
+    let (_next, asked) = watch(&sidecar);
+    assert!(asked.contains("after=41"));
+    // The site holds it to know all after 10 s without asking.
+    assert!(since.elapsed().as_secs() < 10);
+    drop(conn);
+}
+
+#[test]
+fn a_planned_stop_finishes_what_was_taken_and_still_answers_who_comes() {
+    let node = Node::new();
+    let mut sidecar = Sidecar::start(&[node.address()]);
+    let mut idle = sidecar.client();
+    let mut early = sidecar.ask("submit-check", 5000);
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    let stopped = Command::new("kill").arg(sidecar.child.id().to_string()).status().expect("kill runs");
+    assert!(stopped.success());
+    sidecar.wait_for("stopping");
+    // One comes on a new connection, one on a connection that was there: both are served, and told to go.
+    let mut late = sidecar.ask("submit-check", 5000);
+    idle.write(request("submit-check", 5000, ""));
+    for _ in 0..2 {
+        let mut conn = node.accept();
+        assert!(conn.read().is_some());
+        conn.answer("200 OK", "made");
+    }
+    for client in [&mut late, &mut idle] {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    // What was taken before is waited for.
+    sidecar.wait_for("closed");
+    conn.answer("200 OK", "made");
+    assert_eq!(early.read().expect("an answer").status(), 200);
+    assert_eq!(sidecar.child.wait().expect("it ends").code(), Some(0));
+}
+
+#[rstest]
+#[case::by_its_own_count(Options { sockets: 100, ..Options::default() })]
+#[case::by_the_system(Options { before: "ulimit -n 40", ..Options::default() })]
+fn clients_beyond_the_descriptors_are_served_all_the_same(#[case] options: Options) {
+    let node = Node::new();
+    let sidecar = Sidecar::with(&[node.address()], options);
+    // More connections than it can hold; each has been used, and lies idle until it is closed for others.
+    let mut clients = Vec::new();
+    for _ in 0..120 {
+        let mut client = sidecar.ask("no-such-class", 1900);
+        assert_eq!(client.read().expect("an answer").status(), 503);
+        clients.push(client);
+    }
+    sidecar.serves(&[&node]);
+}
+
+#[rstest]
+#[case::named_as_in_the_settings("rif")]
+#[case::named_as_in_the_protocol("inflight")]
+fn where_it_may_ask_it_sends_to_the_node_that_holds_least(#[case] name: &str) {
+    let nodes = [Node::new(), Node::new()];
+    let options = Options { group_size: 16, ..Options::default() };
+    let sidecar = Sidecar::with(&nodes.each_ref().map(Node::address), options);
+    let both = [&nodes[0], &nodes[1]];
+    for busy in [0, 1, 0, 1] {
+        let mut client = sidecar.ask("submit-check", 5000);
+        let mut idle_conn = None;
+        for _ in 0..2 {
+            let (at, mut conn) = accept_any(&both);
+            assert_eq!(conn.read().expect("a probe").start, "GET /status/load HTTP/1.1");
+            let held = if at == busy { 50 } else { 0 };
+            conn.answer("200 OK", &format!("TEXT {name}={held}, busy=0.5, novel=x"));
+            if at != busy {
+                idle_conn = Some(conn);
+            }
+        }
+        let mut conn = idle_conn.expect("both are asked");
+        assert!(conn.read().expect("it is sent here").start.starts_with("POST /submit-check"));
+        conn.answer("200 OK", "made");
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+}
+
+#[test]
+fn it_is_ready_once_it_has_a_list() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[]);
+    let ready = |sidecar: &Sidecar| {
+        let mut client = sidecar.client();
+        client.write("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+        client.read().expect("an answer").status()
+    };
+    assert_eq!(ready(&sidecar), 503);
+    let (mut conn, _) = watch(&sidecar);
+    tell(&mut conn, &listing(42, true, &[("n0", node.address(), "in_service")]).to_string());
+    while ready(&sidecar) == 503 {}
+    sidecar.serves(&[&node]);
+}
--- /dev/null
+++ b/tests/sidecar/rig.rs
@@ -0,0 +1,243 @@
+//! The real program as a process, and its client, nodes and discovery played by the test on loopback.
+//! Every wait is for something to happen; `PATIENCE` only ends a test in which it never does.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings of a small site, as a configuration holds them. Instances that are many may probe.
+pub fn settings(group_size: u32) -> serde_json::Value {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "effect": effect, "key_scope": "all", "window": 4000000,
+            "on_time": 2000000, "give_up": 6000000, "worth": 10.0, "late_worth": 0.0})
+    };
+    serde_json::json!({
+        "areas": ["a", "b"], "kinds": ["m1"], "group_size": group_size, "my_zone": 0, "period": 5000,
+        "discovery": "subscribe", "services": [class("submit-check", "unsafe"), class("recheck", "keyed")],
+        "limits": {"cancel": true, "conn_idle": 60000000, "connect_timeout": 250000, "max_attempts": 6,
+            "retry_after": true, "max_retry_after": 1500000, "probes": true},
+        "load_report": {"fields": ["rif", "busy"], "how": "probe"}, "tariffs": {"probe": 0.005},
+        "safety": {"ask_within": 10000000, "cold": 1000000, "cold_from": 0.3, "fall": 1000000}})
+}
+
+pub fn listing(index: u64, snapshot: bool, entries: &[(&str, SocketAddr, &str)]) -> serde_json::Value {
+    let entry = |(name, address, status): &(&str, SocketAddr, &str)| {
+        serde_json::json!({"name": name, "address": address.to_string(), "zone": "a", "type": "m1",
+            "group": 0, "status": status, "weight": 1.0, "since_ms": 0})
+    };
+    let endpoints: Vec<_> = entries.iter().map(entry).collect();
+    serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": endpoints})
+}
+
+/// A configuration in a file of its own.
+pub fn write_config(config: &str) -> std::path::PathBuf {
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("sidecar-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("the file is written");
+    path
+}
+
+/// A listener whose connections the test takes when it wants them.
+pub struct Node(pub TcpListener);
+
+impl Node {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener.set_nonblocking(true).expect("it may not block");
+        Node(listener)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("it is bound")
+    }
+
+    pub fn try_accept(&self) -> Option<Conn> {
+        match self.0.accept() {
+            Ok((stream, _)) => Some(Conn::new(stream)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            Err(e) => panic!("accept: {e}"),
+        }
+    }
+
+    pub fn accept(&self) -> Conn {
+        accept_any(&[self]).1
+    }
+}
+
+/// The first connection to come to any of these, and to which.
+pub fn accept_any(nodes: &[&Node]) -> (usize, Conn) {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        if let Some(found) = nodes.iter().enumerate().find_map(|(at, node)| Some((at, node.try_accept()?))) {
+            return found;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("nobody connects");
+}
+
+/// One end of a connection.
+pub struct Conn(BufReader<TcpStream>);
+
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_nonblocking(false).expect("it may block");
+        stream.set_read_timeout(Some(PATIENCE)).expect("reads end");
+        Conn(BufReader::new(stream))
+    }
+
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.0.get_mut().write_all(bytes.as_ref()).expect("the other side reads");
+    }
+
+    /// The next message; none where the connection ends first.
+    pub fn read(&mut self) -> Option<Message> {
+        let start = self.line()?;
+        let mut headers = Vec::new();
+        loop {
+            match self.line()? {
+                line if line.is_empty() => break,
+                line => {
+                    let (name, value) = line.split_once(':').expect("a header");
+                    headers.push((name.to_string(), value.trim().to_string()));
+                }
+            }
+        }
+        let mut message = Message { start, headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+        message.body.resize(length, 0);
+        self.0.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    pub fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(line.trim_end().to_string()),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => None,
+            Err(e) => panic!("read: {e}"),
+        }
+    }
+
+    pub fn answer(&mut self, status: &str, body: &str) {
+        self.write(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+}
+
+/// A sidecar at work.
+pub struct Sidecar {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub errors: BufReader<ChildStderr>,
+    pub discovery: Node,
+}
+
+pub struct Options {
+    pub group_size: u32,
+    pub sockets: usize,
+    /// What the shell is to do before it starts the program.
+    pub before: &'static str,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { group_size: 4, sockets: 1024, before: ":" }
+    }
+}
+
+impl Sidecar {
+    /// A sidecar that knows these nodes; their names are `n0`, `n1`, ...
+    pub fn start(nodes: &[SocketAddr]) -> Self {
+        Sidecar::with(nodes, Options::default())
+    }
+
+    pub fn with(nodes: &[SocketAddr], options: Options) -> Self {
+        let discovery = Node::new();
+        let names: Vec<String> = (0..nodes.len()).map(|at| format!("n{at}")).collect();
+        let entries: Vec<_> =
+            names.iter().zip(nodes).map(|(name, at)| (name.as_str(), *at, "in_service")).collect();
+        let config = serde_json::json!({
+            "name": "n3", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(),
+            "seed": "8c1f30d27a5be964", "known": listing(41, true, &entries),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.sockets},
+            "settings": settings(options.group_size)});
+        let script = format!("{}; exec {}", options.before, env!("CARGO_BIN_EXE_madderloom"));
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &script])
+            .env("RELAY_CONFIG", write_config(&config.to_string()))
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut errors = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        errors.read_line(&mut line).expect("it says where it listens");
+        let address = line.trim_end().strip_prefix("listening on ").expect("it listens").parse();
+        Sidecar { child, address: address.expect("an address"), errors, discovery }
+    }
+
+    pub fn client(&self) -> Conn {
+        Conn::new(TcpStream::connect(self.address).expect("it accepts"))
+    }
+
+    /// Sends a request on a connection of its own.
+    pub fn ask(&self, class: &str, left_ms: u64) -> Conn {
+        let mut client = self.client();
+        client.write(request(class, left_ms, ""));
+        client
+    }
+
+    /// Waits for a line on standard error that holds this.
+    pub fn wait_for(&mut self, text: &str) {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert_ne!(self.errors.read_line(&mut line).expect("text"), 0, "it ends without saying {text}");
+        }
+    }
+
+    /// Whether a request is served by the node that is next to get one.
+    pub fn serves(&self, nodes: &[&Node]) {
+        let mut client = self.ask("recheck", 1900);
+        let (_, mut conn) = accept_any(nodes);
+        assert!(conn.read().is_some());
+        conn.answer("200 OK", "made");
+        assert_eq!(client.read().expect("an answer").body, b"made");
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A request as clients send it; `more` holds further header lines.
+pub fn request(class: &str, left_ms: u64, more: &str) -> String {
+    format!(
+        "POST /{class}?q=1 HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\n\
+         X-Expires-In-Ms: {left_ms}\r\nIdempotency-Key: 5c0f6e1a\r\n{more}Content-Length: 5\r\n\r\npaper"
+    )
+}
