Trust no idle connection to a node that a whole attempt heard nothing from

A machine that is cut off keeps its open connections silent, so every request that went out over one was lost after its whole time: up to six before the module ejects the node. A new connection that does not come up is proof that nothing ran, and the request may go elsewhere. A node that answered anything meanwhile keeps its connections. The test's cut_off case failed without this, only_slow did not.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -49,6 +49,8 @@
 /// All connections to servers.
 pub(super) struct Connections {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// When an answer last came from an address.
+    heard: RefCell<HashMap<SocketAddr, Instant>>,
     open: Rc<Cell<usize>>,
     most: usize,
     idle_for: Duration,
@@ -75,6 +77,7 @@
     pub(super) fn new(idle: Micros, connect_timeout: Micros, most: usize) -> Self {
         Connections {
             idle: RefCell::default(),
+            heard: RefCell::default(),
             open: Rc::default(),
             most,
             // The other side closes at this age at the latest: a request written then would be lost.
@@ -136,6 +139,7 @@
 
     /// Puts a connection by for the next flow. Its answer must have been read whole.
     pub(super) fn keep(&self, mut lease: Lease) {
+        self.heard.borrow_mut().insert(lease.address, Instant::now());
         if lease.sender.is_closed() {
             return;
         }
@@ -144,12 +148,22 @@
         idle.entry(lease.address).or_default().push(Idle { lease, since: Instant::now() });
     }
 
+    /// Nothing came for a flow that was sent then. If nothing has come from there at all since, the machine may
+    /// be cut off: open connections stay open and silent then, and each would cost a request its whole time.
+    /// A new one that does not come up proves at once that nothing ran.
+    pub(super) fn suspect(&self, address: SocketAddr, sent: Instant) {
+        if self.heard.borrow().get(&address).is_none_or(|heard| *heard < sent) {
+            self.idle.borrow_mut().remove(&address);
+        }
+    }
+
     /// Drops what has been idle for too long, or was closed from the other side.
     pub(super) fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, waiting| {
             waiting.retain(|i| i.since.elapsed() < self.idle_for && !i.lease.sender.is_closed());
             !waiting.is_empty()
         });
+        self.heard.borrow_mut().retain(|_, at| at.elapsed() < self.idle_for);
     }
 
     /// Makes room for a new connection.
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -87,10 +87,16 @@
 pub(super) async fn run(mut attempt: Attempt, onward: Rc<Onward>) -> Option<Response<Full<Bytes>>> {
     let (outcome, answer) = {
         let written = Cell::new(false);
+        let (sidecar, sent) = (&attempt.sidecar, attempt.sidecar.clock.instant(attempt.sent));
         let exchange = exchange(&attempt, &onward, &written);
-        match tokio::time::timeout_at(attempt.sidecar.clock.instant(attempt.timeout_at), exchange).await {
+        match tokio::time::timeout_at(sidecar.clock.instant(attempt.timeout_at), exchange).await {
             Ok(done) => done,
-            Err(_) if written.get() => (Outcome::Timeout, None),
+            Err(_) if written.get() => {
+                if let Some(address) = sidecar.pool.address(attempt.server) {
+                    sidecar.connections.suspect(address, sent);
+                }
+                (Outcome::Timeout, None)
+            }
             // The connection never came up, so nothing can have run.
             Err(_) => (Outcome::ConnectFailed, None),
         }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -332,3 +332,44 @@
     while ready(&sidecar) == 503 {}
     sidecar.serves(&[&node]);
 }
+
+/// A machine that is cut off says nothing on connections that were open: what is sent there is lost after its
+/// whole time, while a new connection that never comes up proves at once that nothing ran.
+#[rstest]
+#[case::cut_off(false)]
+#[case::only_slow(true)]
+fn after_silence_the_idle_connections_to_a_node_are_not_trusted(#[case] heard: bool) {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let mut made: Vec<(Conn, Conn)> = Vec::new();
+    for _ in 0..3 {
+        let client = sidecar.ask("recheck", 1900);
+        let mut conn = node.accept();
+        assert!(conn.read().is_some());
+        made.push((client, conn));
+    }
+    for (client, conn) in &mut made {
+        conn.answer("200 OK", "made");
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    // The connection used last is used first.
+    let [(_, oldest), (_, second), (_, newest)] = &mut made[..] else { panic!("three were made") };
+    let mut lost = sidecar.ask("submit-check", 400);
+    assert!(newest.read().is_some());
+    if heard {
+        let mut other = sidecar.ask("recheck", 1900);
+        assert!(second.read().is_some());
+        second.answer("200 OK", "made");
+        assert_eq!(other.read().expect("an answer").status(), 200);
+    }
+    assert_eq!(lost.read().expect("an answer").status(), 502);
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut fresh = None;
+    let conn = if heard { second } else { fresh.insert(node.accept()) };
+    assert!(conn.read().is_some());
+    conn.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    if !heard {
+        assert!(oldest.read().is_none(), "an idle one is still open");
+    }
+}
