Test the idle limit on connections, and give the refused port to nobody by chance

The idle test fails when the age is not looked at. The refused-connection test failed once in four runs side by side: its freed port had been handed to another test.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -79,7 +79,8 @@
 
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
-    let gone = Node::new().address();
+    // A port that nothing is given by chance: a freed one may soon be another test's.
+    let gone = "127.0.0.1:1".parse().expect("an address");
     let node = Node::new();
     let sidecar = Sidecar::start(&[gone, node.address()]);
     // Whichever is tried first, the request ends at the one that is there.
@@ -373,3 +374,19 @@
         assert!(oldest.read().is_none(), "an idle one is still open");
     }
 }
+
+#[test]
+fn a_connection_is_dropped_before_the_node_would_close_it_as_idle() {
+    let node = Node::new();
+    let options = Options { conn_idle_ms: 250, ..Options::default() };
+    let sidecar = Sidecar::with(&[node.address()], options);
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    conn.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    std::thread::sleep(std::time::Duration::from_millis(250));
+    // It still stands open at the node's end, yet the next request takes a new one.
+    sidecar.serves(&[&node]);
+    assert!(conn.read().is_none(), "the old one is still open");
+}
--- a/tests/sidecar/rig.rs
+++ b/tests/sidecar/rig.rs
@@ -9,7 +9,7 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Settings of a small site, as a configuration holds them. Instances that are many may probe.
-pub fn settings(group_size: u32) -> serde_json::Value {
+fn settings(group_size: u32, conn_idle_ms: u64) -> serde_json::Value {
     let class = |name: &str, effect: &str| {
         serde_json::json!({"name": name, "effect": effect, "key_scope": "all", "window": 4000000,
             "on_time": 2000000, "give_up": 6000000, "worth": 10.0, "late_worth": 0.0})
@@ -17,7 +17,7 @@
     serde_json::json!({
         "areas": ["a", "b"], "kinds": ["m1"], "group_size": group_size, "my_zone": 0, "period": 5000,
         "discovery": "subscribe", "services": [class("submit-check", "unsafe"), class("recheck", "keyed")],
-        "limits": {"cancel": true, "conn_idle": 60000000, "connect_timeout": 250000, "max_attempts": 6,
+        "limits": {"cancel": true, "conn_idle": conn_idle_ms * 1000, "connect_timeout": 250000, "max_attempts": 6,
             "retry_after": true, "max_retry_after": 1500000, "probes": true},
         "load_report": {"fields": ["rif", "busy"], "how": "probe"}, "tariffs": {"probe": 0.005},
         "safety": {"ask_within": 10000000, "cold": 1000000, "cold_from": 0.3, "fall": 1000000}})
@@ -157,13 +157,14 @@
 pub struct Options {
     pub group_size: u32,
     pub sockets: usize,
+    pub conn_idle_ms: u64,
     /// What the shell is to do before it starts the program.
     pub before: &'static str,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { group_size: 4, sockets: 1024, before: ":" }
+        Options { group_size: 4, sockets: 1024, conn_idle_ms: 60_000, before: ":" }
     }
 }
 
@@ -182,7 +183,7 @@
             "name": "n3", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(),
             "seed": "8c1f30d27a5be964", "known": listing(41, true, &entries),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.sockets},
-            "settings": settings(options.group_size)});
+            "settings": settings(options.group_size, options.conn_idle_ms)});
         let script = format!("{}; exec {}", options.before, env!("CARGO_BIN_EXE_madderloom"));
         let mut child = Command::new("/bin/sh")
             .args(["-c", &script])
