--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -390,3 +390,19 @@
     sidecar.serves(&[&node]);
     assert!(conn.read().is_none(), "the old one is still open");
 }
+
+/// The module sets a timer for the very time at which an attempt runs out. Heard of first, it would have the
+/// attempt called off, and a node that hangs would never be held to fail.
+#[test]
+fn a_node_that_hangs_is_ejected_for_its_time_outs() {
+    let node = Node::new();
+    let mut sidecar = Sidecar::start(&[node.address()]);
+    let mut silent = Vec::new();
+    for _ in 0..6 {
+        let mut client = sidecar.ask("submit-check", 100);
+        silent.push(node.accept());
+        assert_eq!(client.read().expect("an answer").status(), 502);
+    }
+    sidecar.child.kill().expect("it still runs");
+    sidecar.wait_for("ejected n0: Timeout");
+}
