--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -67,7 +67,7 @@
         let Site { settings, layout: _, classes, zones, kinds, conn_idle, connect_timeout, max_open, .. } =
             config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let share = (config.limits.sockets.saturating_sub(OWN_DESCRIPTORS) / 2).max(1);
+        let share = (config.limits.sockets.saturating_sub(OWN_DESCRIPTORS) / 2).clamp(1, 1 << 16);
         let balancer = Balancer::new(settings, config.seed).map_err(|e| format!("configuration: {e}"))?;
         let sidecar = Rc::new(Sidecar {
             balancer: RefCell::new(balancer),
