On SIGHUP, follow the discovery that the configuration's file now names

Checked in the code: Pool's address was fixed at the start, and news() drops a list whose index is lower, which a new discovery's may be (src/net/pool.rs). Now the file is read again, its discovery goes before RELAY_DISCOVERY, the list is kept, the new one is asked from 0, the old watch ends. A bad file is one log line. The test was seen to fail without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,8 @@
 use madderloom::net::{Config, Sidecar};
 use std::io::Write;
 use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 fn main() -> ExitCode {
     match run() {
@@ -22,16 +24,27 @@
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         // In a task of its own: what is awaited here is polled again whenever any task has been.
-        let serving = tokio::task::spawn_local(Sidecar::new(config)?.serve(stop()?));
+        let (sidecar, stop, mut changed) =
+            (Sidecar::new(config)?, stop()?, listen_for(SignalKind::hangup())?);
+        let own = Rc::clone(&sidecar);
+        tokio::task::spawn_local(async move {
+            while changed.recv().await.is_some() {
+                own.reload();
+            }
+        });
+        let serving = tokio::task::spawn_local(sidecar.serve(stop));
         serving.await.map_err(|e| e.to_string())?
     })
 }
 
+fn listen_for(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|e| format!("signals: {e}"))
+}
+
 /// Ends when the program is told to stop.
 fn stop() -> Result<impl Future<Output = ()>, String> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let of = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-    let (mut planned, mut by_hand) = (of(SignalKind::terminate())?, of(SignalKind::interrupt())?);
+    let mut planned = listen_for(SignalKind::terminate())?;
+    let mut by_hand = listen_for(SignalKind::interrupt())?;
     Ok(async move {
         tokio::select! {
             _ = planned.recv() => {}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -56,9 +56,7 @@
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. Other `RELAY_*` variables go before what it says.
     pub fn load() -> Result<Self, String> {
-        let path = std::env::var("RELAY_CONFIG").map_err(|e| format!("RELAY_CONFIG: {e}"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        let mut config = Config::from_json(&text)?;
+        let mut config = Config::read()?;
         for (variable, address) in
             [("RELAY_LISTEN", &mut config.listen), ("RELAY_DISCOVERY", &mut config.discovery)]
         {
@@ -71,6 +69,13 @@
         Ok(config)
     }
 
+    /// Reads the file alone. At its change it is newer than the variables, which stay as they were.
+    pub(super) fn read() -> Result<Self, String> {
+        let path = std::env::var("RELAY_CONFIG").map_err(|e| format!("RELAY_CONFIG: {e}"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+        Config::from_json(&text)
+    }
+
     /// Reads the file's text; an error is one line that names the field.
     fn from_json(text: &str) -> Result<Self, String> {
         let mut reader = serde_json::Deserializer::from_str(text);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -97,6 +97,15 @@
         virtual_server::run(&self, stop).await
     }
 
+    /// Takes over what may change in the file of the configuration while the program runs: where discovery is.
+    /// A file that makes no sense changes nothing.
+    pub fn reload(self: &Rc<Self>) {
+        match Config::read() {
+            Ok(config) => pool::turn_to(self, config.discovery),
+            Err(problem) => log(format_args!("not read again: {problem}")),
+        }
+    }
+
     /// Hands the module one event and carries out what it says. Never called while the module is borrowed.
     fn handle(self: &Rc<Self>, now: Micros, event: Event<'_>) {
         let mut actions = self.actions.take();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -69,7 +69,7 @@
 
 /// The servers as this sidecar knows them, and its watch.
 pub(super) struct Pool {
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
     zones: Vec<String>,
     kinds: Vec<String>,
     index: Cell<u64>,
@@ -80,7 +80,7 @@
 impl Pool {
     pub(super) fn new(discovery: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Self {
         let (index, members, watch) = Default::default();
-        Pool { discovery, zones, kinds, index, members, watch }
+        Pool { discovery: Cell::new(discovery), zones, kinds, index, members, watch }
     }
 
     /// Where a server is to be found.
@@ -154,6 +154,17 @@
     sidecar.handle(now, Event::Members(members));
 }
 
+/// Follows another discovery from now on. The list is kept until that one speaks; its versions have nothing to
+/// do with those of the former, so it is asked from the beginning.
+pub(super) fn turn_to(sidecar: &Rc<Sidecar>, discovery: SocketAddr) {
+    let former = sidecar.pool.discovery.replace(discovery);
+    log(format_args!("configuration read again: discovery is at {discovery}"));
+    if former != discovery {
+        sidecar.pool.index.set(0);
+        subscribe(sidecar);
+    }
+}
+
 /// Opens the watch, in place of one that is open.
 pub(super) fn subscribe(sidecar: &Rc<Sidecar>) {
     let own = Rc::clone(sidecar);
@@ -179,9 +190,9 @@
 
 /// Follows the watch for as long as it holds.
 async fn follow(sidecar: &Rc<Sidecar>) -> Result<Infallible, String> {
-    let pool = &sidecar.pool;
+    let (pool, discovery) = (&sidecar.pool, sidecar.pool.discovery.get());
     let silent = |_| "no word for too long".to_string();
-    let stream = timeout(SILENCE, TcpStream::connect(pool.discovery)).await.map_err(silent)?;
+    let stream = timeout(SILENCE, TcpStream::connect(discovery)).await.map_err(silent)?;
     let stream = stream.map_err(|e| e.to_string())?;
     let made = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = made.map_err(|e| e.to_string())?;
@@ -190,7 +201,7 @@
         let _ = connection.await;
     }));
     let request = Request::get(format!("/v1/endpoints?watch=1&after={}", pool.index.get()))
-        .header(header::HOST, pool.discovery.to_string())
+        .header(header::HOST, discovery.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|e| e.to_string())?;
     let answer = timeout(SILENCE, sender.send_request(request)).await.map_err(silent)?;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -170,8 +170,8 @@
 }
 
 /// A watch that the test answers: its first line, and what it asked for.
-fn watch(sidecar: &Sidecar) -> (Conn, String) {
-    let mut conn = sidecar.discovery.accept();
+fn watch(discovery: &Node) -> (Conn, String) {
+    let mut conn = discovery.accept();
     let asked = conn.read().expect("a request").start;
     conn.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     (conn, asked)
@@ -204,7 +204,7 @@
     let [first, second] = nodes.each_ref().map(Node::address);
     let sidecar = Sidecar::start(&[first, second]);
     let both = [&nodes[0], &nodes[1]];
-    let (mut conn, asked) = watch(&sidecar);
+    let (mut conn, asked) = watch(&sidecar.discovery);
     assert_eq!(asked, "GET /v1/endpoints?watch=1&after=41 HTTP/1.1");
     tell(&mut conn, &listing(43, false, &[("n0", first, "terminating")]).to_string());
     settles_on(&sidecar, &both, 1);
@@ -218,12 +218,12 @@
     settles_on(&sidecar, &both, 0);
     // Garbage ends the watch; what was known is kept, and asked is from there.
     tell(&mut conn, "{\"index\":50,\"snapshot\":true,\"endpoints\":[{}]}");
-    let (mut conn, asked) = watch(&sidecar);
+    let (mut conn, asked) = watch(&sidecar.discovery);
     assert_eq!(asked, "GET /v1/endpoints?watch=1&after=44 HTTP/1.1");
     settles_on(&sidecar, &both, 0);
     // A watch that ends, too, is asked for again.
     conn.write("0\r\n\r\n");
-    let (mut conn, _) = watch(&sidecar);
+    let (mut conn, _) = watch(&sidecar.discovery);
     tell(
         &mut conn,
         &listing(45, false, &[("n1", second, "in_service"), ("n0", first, "terminated")]).to_string(),
@@ -231,14 +231,35 @@
     settles_on(&sidecar, &both, 1);
 }
 
+/// SIGHUP ended the program. Now it follows the discovery that the file names, though `RELAY_DISCOVERY` still
+/// names the old one, and believes it though its version is lower; what it knew serves until then.
+#[test]
+fn on_sighup_it_follows_the_discovery_that_the_file_names() {
+    let (nodes, next) = ([Node::new(), Node::new()], Node::new());
+    let both = [&nodes[0], &nodes[1]];
+    let mut sidecar = Sidecar::start(&[nodes[0].address()]);
+    let (mut old, _) = watch(&sidecar.discovery);
+    sidecar.reconfigure(|_| "{".to_string());
+    sidecar.wait_for("not read again: configuration");
+    sidecar.serves(&both);
+    let (from, to) = (sidecar.discovery.address().to_string(), next.address().to_string());
+    sidecar.reconfigure(|sound| sound.replace(&from, &to));
+    let (mut conn, asked) = watch(&next);
+    assert_eq!(asked, "GET /v1/endpoints?watch=1&after=0 HTTP/1.1");
+    assert!(old.line().is_none(), "the old watch is still open");
+    sidecar.serves(&both[..1]);
+    tell(&mut conn, &listing(3, true, &[("n1", nodes[1].address(), "in_service")]).to_string());
+    settles_on(&sidecar, &both, 1);
+}
+
 #[test]
 fn a_watch_that_falls_silent_is_asked_for_again_in_time() {
     let node = Node::new();
     let sidecar = Sidecar::start(&[node.address()]);
-    let (mut conn, _) = watch(&sidecar);
+    let (mut conn, _) = watch(&sidecar.discovery);
     tell(&mut conn, "");
     let since = std::time::Instant::now();
-    let (_next, asked) = watch(&sidecar);
+    let (_next, asked) = watch(&sidecar.discovery);
     assert!(asked.contains("after=41"));
     // The site holds it to know all after 10 s without asking.
     assert!(since.elapsed().as_secs() < 10);
@@ -253,8 +274,7 @@
     let mut early = sidecar.ask("submit-check", 5000);
     let mut conn = node.accept();
     assert!(conn.read().is_some());
-    let stopped = Command::new("kill").arg(sidecar.child.id().to_string()).status().expect("kill runs");
-    assert!(stopped.success());
+    sidecar.signal("TERM");
     sidecar.wait_for("stopping");
     // One comes on a new connection, one on a connection that was there: both are served, and told to go.
     let mut late = sidecar.ask("submit-check", 5000);
@@ -328,7 +348,7 @@
         client.read().expect("an answer").status()
     };
     assert_eq!(ready(&sidecar), 503);
-    let (mut conn, _) = watch(&sidecar);
+    let (mut conn, _) = watch(&sidecar.discovery);
     tell(&mut conn, &listing(42, true, &[("n0", node.address(), "in_service")]).to_string());
     while ready(&sidecar) == 503 {}
     sidecar.serves(&[&node]);
--- a/tests/sidecar/rig.rs
+++ b/tests/sidecar/rig.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -33,11 +34,11 @@
 }
 
 /// A configuration in a file of its own.
-pub fn write_config(config: &str) -> std::path::PathBuf {
+pub fn write_config(config: &str) -> PathBuf {
     use std::sync::atomic::{AtomicU32, Ordering};
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("sidecar-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the file is written");
     path
 }
@@ -152,6 +153,8 @@
     pub address: SocketAddr,
     pub errors: BufReader<ChildStderr>,
     pub discovery: Node,
+    /// The configuration that it was started with, and the file of it.
+    config: (String, PathBuf),
 }
 
 pub struct Options {
@@ -185,9 +188,11 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.sockets},
             "settings": settings(options.group_size, options.conn_idle_ms)});
         let script = format!("{}; exec {}", options.before, env!("CARGO_BIN_EXE_madderloom"));
+        let path = write_config(&config.to_string());
         let mut child = Command::new("/bin/sh")
             .args(["-c", &script])
-            .env("RELAY_CONFIG", write_config(&config.to_string()))
+            .env("RELAY_CONFIG", &path)
+            .env("RELAY_DISCOVERY", discovery.address().to_string())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -195,7 +200,24 @@
         let mut line = String::new();
         errors.read_line(&mut line).expect("it says where it listens");
         let address = line.trim_end().strip_prefix("listening on ").expect("it listens").parse();
-        Sidecar { child, address: address.expect("an address"), errors, discovery }
+        Sidecar {
+            child,
+            address: address.expect("an address"),
+            errors,
+            discovery,
+            config: (config.to_string(), path),
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Makes another configuration of the one that it was started with, and tells the sidecar of it.
+    pub fn reconfigure(&self, edit: impl FnOnce(&str) -> String) {
+        std::fs::write(&self.config.1, edit(&self.config.0)).expect("the file is written");
+        self.signal("HUP");
     }
 
     pub fn client(&self) -> Conn {
