Tie connections to servers, reuse them only once quiet, cut answers that stall

Seen in the code: idle lists and the times of the last word went by address (src/net/connections.rs), which a new server may have been given; a connection could carry a request in the same turn in which its answer was read, before a late copy or close could be seen; an answer shorter than its length waited out the whole deadline (src/net/flow.rs). Each of the three has a test, seen to fail before. Heads of answers are bounded to 16 KiB of buffer.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -2,7 +2,7 @@
 //! side would close them, and no more of them than there are descriptors for.
 
 use super::log;
-use crate::Micros;
+use crate::{Micros, ServerId};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,6 +16,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// A connection is used again only when nothing more has come behind its answer for this long: bytes that came
+/// late, a copy of the answer or its close, would be taken for the answer to the next request.
+const QUIET: Duration = Duration::from_millis(20);
+/// The head of an answer, and what is read ahead of its body, hold this much at most.
+const HEAD: usize = 16 << 10;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A connection in the hands of one flow. Dropped, it is closed; only [`Connections::keep`] saves it.
@@ -23,7 +29,8 @@
     pub(super) sender: Sender,
     /// It has carried a request before, so it may have been closed from the other side meanwhile.
     pub(super) used: bool,
-    address: SocketAddr,
+    /// Whose it is. An address may be given to another server while this one's connections stand.
+    server: ServerId,
     task: AbortHandle,
 }
 
@@ -48,9 +55,9 @@
 
 /// All connections to servers.
 pub(super) struct Connections {
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    /// When an answer last came from an address.
-    heard: RefCell<HashMap<SocketAddr, Instant>>,
+    idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
+    /// When an answer last came from a server.
+    heard: RefCell<HashMap<ServerId, Instant>>,
     open: Rc<Cell<usize>>,
     most: usize,
     idle_for: Duration,
@@ -86,29 +93,26 @@
         }
     }
 
-    /// A connection to this address: the one used last, since the others may then grow old, or a new one.
-    pub(super) async fn take(&self, address: SocketAddr) -> Result<Lease, NoConnection> {
-        while let Some(mut lease) = self.take_idle(address) {
-            // An answer may have been read just now, and its connection be a moment from ready.
+    /// A connection to this server: of those seen quiet the one used last, since the others may then grow old,
+    /// or a new one.
+    pub(super) async fn take(&self, server: ServerId, address: SocketAddr) -> Result<Lease, NoConnection> {
+        while let Some(mut lease) = self.take_idle(server) {
             if lease.sender.ready().await.is_ok() {
                 return Ok(lease);
             }
         }
-        self.open(address).await
+        self.open(server, address).await
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Lease> {
+    fn take_idle(&self, server: ServerId) -> Option<Lease> {
         let mut idle = self.idle.borrow_mut();
-        let waiting = idle.get_mut(&address)?;
-        let found = waiting.pop().filter(|i| i.since.elapsed() < self.idle_for);
-        if found.is_none() {
-            // What lies under an old one is older still.
-            idle.remove(&address);
-        }
-        found.map(|i| i.lease)
+        let waiting = idle.get_mut(&server)?;
+        waiting.retain(|i| !i.lease.sender.is_closed() && i.since.elapsed() < self.idle_for);
+        let quiet = waiting.iter().rposition(|i| i.since.elapsed() >= QUIET)?;
+        Some(waiting.remove(quiet).lease)
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Lease, NoConnection> {
+    async fn open(&self, server: ServerId, address: SocketAddr) -> Result<Lease, NoConnection> {
         if self.open.get() >= self.most {
             self.drop_oldest();
             if self.open.get() > self.most {
@@ -127,36 +131,42 @@
         };
         // Only a delay is lost where this cannot be set.
         let _ = stream.set_nodelay(true);
-        let made = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let made = http1::Builder::new().max_buf_size(HEAD).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = made.map_err(|_| NoConnection::Failed)?;
         let task = tokio::task::spawn_local(async move {
             let _counted = counted;
             // How it ended is told to the flow that used it.
             let _ = connection.await;
         });
-        Ok(Lease { sender, used: false, address, task: task.abort_handle() })
+        Ok(Lease { sender, used: false, server, task: task.abort_handle() })
     }
 
     /// Puts a connection by for the next flow. Its answer must have been read whole.
     pub(super) fn keep(&self, mut lease: Lease) {
-        self.heard.borrow_mut().insert(lease.address, Instant::now());
+        self.heard.borrow_mut().insert(lease.server, Instant::now());
         if lease.sender.is_closed() {
             return;
         }
         lease.used = true;
         let mut idle = self.idle.borrow_mut();
-        idle.entry(lease.address).or_default().push(Idle { lease, since: Instant::now() });
+        idle.entry(lease.server).or_default().push(Idle { lease, since: Instant::now() });
     }
 
     /// Nothing came for a flow that was sent then. If nothing has come from there at all since, the machine may
     /// be cut off: open connections stay open and silent then, and each would cost a request its whole time.
     /// A new one that does not come up proves at once that nothing ran.
-    pub(super) fn suspect(&self, address: SocketAddr, sent: Instant) {
-        if self.heard.borrow().get(&address).is_none_or(|heard| *heard < sent) {
-            self.idle.borrow_mut().remove(&address);
+    pub(super) fn suspect(&self, server: ServerId, sent: Instant) {
+        if self.heard.borrow().get(&server).is_none_or(|heard| *heard < sent) {
+            self.idle.borrow_mut().remove(&server);
         }
     }
 
+    /// Drops what lies idle for a server that gets nothing new any more.
+    pub(super) fn forget(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+        self.heard.borrow_mut().remove(&server);
+    }
+
     /// Drops what has been idle for too long, or was closed from the other side.
     pub(super) fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, waiting| {
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -10,6 +10,10 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// An answer is written once it is made, so its body comes right behind its head or not at all.
+const STALLED: Duration = Duration::from_millis(250);
 
 const EXPIRES: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
@@ -92,9 +96,7 @@
         match tokio::time::timeout_at(sidecar.clock.instant(attempt.timeout_at), exchange).await {
             Ok(done) => done,
             Err(_) if written.get() => {
-                if let Some(address) = sidecar.pool.address(attempt.server) {
-                    sidecar.connections.suspect(address, sent);
-                }
+                sidecar.connections.suspect(attempt.server, sent);
                 (Outcome::Timeout, None)
             }
             // The connection never came up, so nothing can have run.
@@ -113,7 +115,7 @@
     let left = attempt.timeout_at.saturating_sub(attempt.sent).div_ceil(1_000);
     let mut request = message(onward, address, left);
     let (lease, answer) = loop {
-        let mut lease = match sidecar.connections.take(address).await {
+        let mut lease = match sidecar.connections.take(attempt.server, address).await {
             Ok(lease) => lease,
             Err(NoConnection::Failed) => return (Outcome::ConnectFailed, None),
             Err(NoConnection::Exhausted) => return (Outcome::Moot, None),
@@ -135,13 +137,16 @@
         }
     };
     let (head, body) = answer.into_parts();
-    match Limited::new(body, BODY).collect().await {
-        Ok(body) => {
-            sidecar.connections.keep(lease);
+    match tokio::time::timeout(STALLED, Limited::new(body, BODY).collect()).await {
+        Ok(Ok(body)) => {
+            // A server that has left or moved meanwhile gets nothing more over it.
+            if sidecar.pool.address(attempt.server) == Some(address) {
+                sidecar.connections.keep(lease);
+            }
             judge(head.status, head.headers, body.to_bytes())
         }
-        // Broken off, or longer than an answer may be.
-        Err(_) => (Outcome::Reset, None),
+        // Broken off, longer than an answer may be, or shorter than its head says.
+        _ => (Outcome::Reset, None),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -34,6 +34,8 @@
 
 /// A body, a client's or a server's, holds this much at most.
 const BODY: usize = 64 << 10;
+/// Between looks after what lies idle.
+const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither a client's nor a server's; the rest is shared out equally.
 const OWN_DESCRIPTORS: usize = 16;
 
@@ -94,6 +96,13 @@
     pub async fn serve(self: Rc<Self>, stop: impl Future<Output = ()>) -> Result<(), String> {
         let own = Rc::clone(&self);
         tokio::task::spawn_local(async move { timers::run(&own).await });
+        let own = Rc::clone(&self);
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(SWEEP).await;
+                own.connections.sweep();
+            }
+        });
         virtual_server::run(&self, stop).await
     }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -119,10 +119,12 @@
         }
     }
 
-    /// Takes in a list or some changes, and gives the same in the module's words.
-    fn take_in(&self, listing: Listing) -> Vec<Listed> {
+    /// Takes in a list or some changes, and gives the same in the module's words, with the servers that had
+    /// an address and get nothing new there any more.
+    fn take_in(&self, listing: Listing) -> (Vec<Listed>, Vec<ServerId>) {
         let listed: Vec<Listed> = listing.endpoints.iter().map(|e| self.listed(e)).collect();
         let mut members = self.members.borrow_mut();
+        let former: Vec<_> = members.iter().map(|(id, m)| (*id, m.address)).collect();
         if listing.snapshot {
             members.clear();
         }
@@ -134,7 +136,10 @@
             }
         }
         self.index.set(listing.index);
-        listed
+        let draining = |id| listed.iter().any(|l| l.server == id && l.state == ServerState::Draining);
+        let moved = |(id, at): &(ServerId, SocketAddr)| members.get(id).is_none_or(|m| m.address != *at);
+        let left = former.into_iter().filter(|m| moved(m) || draining(m.0)).map(|m| m.0).collect();
+        (listed, left)
     }
 }
 
@@ -149,7 +154,8 @@
         // Changes older than the list that is held would undo newer ones.
         return;
     }
-    let listed = sidecar.pool.take_in(listing);
+    let (listed, left) = sidecar.pool.take_in(listing);
+    left.into_iter().for_each(|server| sidecar.connections.forget(server));
     let members = if full { Members::Full(&listed) } else { Members::Changes(&listed) };
     sidecar.handle(now, Event::Members(members));
 }
@@ -234,7 +240,5 @@
         if unread.len() > LINE {
             return Err("a line is too long".to_string());
         }
-        // It wakes every 2 s: a good time to look after what lies idle.
-        sidecar.connections.sweep();
     }
 }
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -25,7 +25,7 @@
     let address = sidecar.pool.address(server)?;
     let request = Request::get("/status/load").header(header::HOST, address.to_string());
     let request = request.body(Full::<Bytes>::default()).ok()?;
-    let mut lease = sidecar.connections.take(address).await.ok()?;
+    let mut lease = sidecar.connections.take(server, address).await.ok()?;
     let (head, body) = lease.sender.send_request(request).await.ok()?.into_parts();
     let body = Limited::new(body, BODY).collect().await.ok()?.to_bytes();
     sidecar.connections.keep(lease);
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -31,6 +31,7 @@
         assert_eq!(answer.header("content-encoding"), Some("odd"));
         if round == 0 {
             // The next one goes over the same two connections.
+            quiet();
             client.write(request("submit-check", 1500, ""));
         }
     }
@@ -169,6 +170,11 @@
     assert!(errors.contains(field), "{errors}");
 }
 
+/// Long enough for a connection to be used again, and far under what ends it.
+fn quiet() {
+    std::thread::sleep(std::time::Duration::from_millis(200));
+}
+
 /// A watch that the test answers: its first line, and what it asked for.
 fn watch(discovery: &Node) -> (Conn, String) {
     let mut conn = discovery.accept();
@@ -374,6 +380,7 @@
         assert_eq!(client.read().expect("an answer").status(), 200);
     }
     // The connection used last is used first.
+    quiet();
     let [(_, oldest), (_, second), (_, newest)] = &mut made[..] else { panic!("three were made") };
     let mut lost = sidecar.ask("submit-check", 400);
     assert!(newest.read().is_some());
@@ -395,6 +402,57 @@
     }
 }
 
+/// Bytes that come behind an answer, also late, were taken for the answer to the next request.
+#[test]
+fn what_comes_behind_an_answer_is_no_answer_to_the_next_request() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let mut client = sidecar.client();
+    let mut kept = Vec::new();
+    for _ in 0..20 {
+        client.write(request("recheck", 1900, ""));
+        let mut conn = node.accept();
+        assert!(conn.read().is_some());
+        conn.answer("200 OK", "made");
+        assert_eq!(client.read().expect("an answer").body, b"made");
+        conn.answer("200 OK", "copy");
+        kept.push(conn);
+    }
+}
+
+/// The address of a server that has gone may be given to a new one: what was open belongs to the old machine.
+#[test]
+fn a_new_server_at_an_old_address_gets_connections_of_its_own() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let (mut watch, _) = watch(&sidecar.discovery);
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut old = node.accept();
+    assert!(old.read().is_some());
+    old.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let change = [("n0", node.address(), "terminated"), ("n1", node.address(), "in_service")];
+    tell(&mut watch, &listing(42, false, &change).to_string());
+    assert!(old.read().is_none(), "the old one is still open");
+    sidecar.serves(&[&node]);
+}
+
+/// An answer shorter than its head says, on a connection that stays open, took all the time that was left.
+#[test]
+fn an_answer_that_stops_halfway_is_given_up_early() {
+    let nodes = [Node::new(), Node::new()];
+    let sidecar = Sidecar::start(&nodes.each_ref().map(Node::address));
+    let mut client = sidecar.ask("recheck", 1_900_000);
+    let (first, mut conn) = accept_any(&[&nodes[0], &nodes[1]]);
+    assert!(conn.read().is_some());
+    conn.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    let mut other = nodes[1 - first].accept();
+    assert!(conn.read().is_none(), "its connection is still open");
+    assert!(other.read().is_some());
+    other.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").body, b"made");
+}
+
 #[test]
 fn a_connection_is_dropped_before_the_node_would_close_it_as_idle() {
     let node = Node::new();
