Take neither failures nor one server's late answers for overload

Two causes in src/decide.rs: finish() counted every failure as a full aim of delay, so servers that reset half of their connections shut the gate; and the delay was a mean over ten answers (WEIGHTS.0), some 70 ms of a busy sidecar's traffic, which a pause of one server filled. Failures other than time-outs and full queues no longer count, and the mean runs over a second of answers (10 to 200).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,7 +36,9 @@
 pub(crate) const COST: (f64, f64) = (0.125, 0.3); // a class's usual work: first by its aim, then a quantile
 pub(crate) const SLOW: (f64, f64) = (0.5, 0.95); // its slow answers, likewise
 pub(crate) const STEPS: (f64, f64, f64) = (0.5, 0.9, 0.1); // of a quantile: first, shrinking by, to the last
-pub(crate) const WEIGHTS: (f64, f64) = (0.1, 0.02); // of the latest value in a class's delay, in other means
+pub(crate) const WEIGHT: f64 = 0.02; // of the latest value in a mean
+pub(crate) const DELAY_SPAN: f64 = 1e6; // a class's delay is that of its answers in this time...
+pub(crate) const DELAYS: (f64, f64) = (10.0, 200.0); // ...of so many at least, and at most
 const DELAY: f64 = 0.45; // a class may have open what it serves in this part of its aim...
 const OPENING: i32 = 3; // ...and more by this power as its delay is shorter; less, too, of what is to spare
 const QUEUE: f64 = 0.6; // but never more than it serves in this part: answers tell of a delay late
@@ -248,7 +250,7 @@
         // A wave fills the queues before the first slow answer comes: what is open is bounded at once. The
         // gate opens by degrees: a flood let in by a few fast answers starts the next overload. In parts of
         // a request, by chance: one open at each of a thousand instances jams a fleet of a hundred.
-        let slack = DELAY / seen.delay.at;
+        let slack = DELAY / seen.delay;
         let (gate, part) = (slack.powi(OPENING), DELAY * part);
         let room = (part * gate.max(slack.min(1.0))).min(QUEUE) * served + (part * gate).min(1.0) * SPARE;
         let over = f64::from(seen.open) + self.random.rand_float() >= room;
@@ -395,7 +397,7 @@
     }
 
     /// The final answer: a refusal where another try can do no harm, else a failure.
-    fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn finish(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let safe = self.settings.classes[request.class].effect == Effect::Safe;
         if safe || request.first_run().is_none() {
@@ -403,7 +405,11 @@
         } else {
             actions.push(Action::Fail { request: id });
         }
-        self.classes[request.class].delay.add(1.0);
+        // A failure is no queue: to take it for one would refuse what idle servers can do.
+        let last = request.attempts.last().and_then(|a| a.outcome);
+        if !matches!(last, Some(Outcome::Error | Outcome::Reset | Outcome::ConnectFailed)) {
+            self.classes[request.class].delayed(now, 1.0);
+        }
         self.settle(id, actions);
     }
 
@@ -411,7 +417,7 @@
     fn review(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.settled) else { return };
         if now >= request.give_up {
-            return self.finish(id, actions);
+            return self.finish(now, id, actions);
         }
         let at = if request.live() == 0 && !self.send(now, id, actions) { now + LOOK } else { Micros::MAX };
         let Some(request) = self.requests.get(&id) else { return };
@@ -430,7 +436,8 @@
         self.measure(now, class, size, closed, actions);
         if closed.outcome == Outcome::Ok && !settled {
             let (seen, aim) = (&mut self.classes[class], self.settings.classes[class].aim as f64);
-            seen.delay.add((now.saturating_sub(came) as f64 / aim).min(1.0)); // more would shut the class
+            let part = now.saturating_sub(came) as f64 / aim;
+            seen.delayed(now, part.min(1.0)); // more would shut the class
             seen.served.add(now, 1.0);
             self.served.add(now, size);
         }
@@ -440,7 +447,7 @@
             // Retries come out of a budget: overload must not feed on itself.
             self.retry_budget -= 1.0;
         } else if live == 0 {
-            self.finish(closed.request, actions);
+            self.finish(now, closed.request, actions);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,13 +90,22 @@
     /// Lately served requests, arrived work, and mean time to the end as a part of the aim.
     pub served: Fading,
     pub arrived: Fading,
-    pub delay: Mean,
+    pub delay: f64,
     /// When one was last refused for overload.
     pub refused: Option<Micros>,
     /// The longest time that clients left for a first try.
     pub first_left: Micros,
 }
 
+impl ClassSeen {
+    /// Takes a request's time to the end into the mean. It is one over time: over a few answers, one slow server
+    /// would look like a slow service where answers are many.
+    pub fn delayed(&mut self, now: Micros, part_of_aim: f64) {
+        let answers = (self.served.rate(now) * DELAY_SPAN).clamp(DELAYS.0, DELAYS.1);
+        self.delay += (part_of_aim - self.delay) / answers;
+    }
+}
+
 /// An attempt that is out at a server.
 pub(crate) struct Out {
     pub request: RequestId,
@@ -302,12 +311,12 @@
                 // Answers that take seconds are few: over a short span a slow class would look unserved.
                 served: Fading::over(RATE_SPAN.max(AIMS * aim)),
                 arrived: Fading::over(LANE_SPAN),
-                delay: Mean { at: 0.0, step: WEIGHTS.0 },
+                delay: 0.0,
                 refused: None,
                 first_left: 0,
             }
         };
-        let mean = Mean { at: COST.0 * settings.classes[0].aim as f64, step: WEIGHTS.1 };
+        let mean = Mean { at: COST.0 * settings.classes[0].aim as f64, step: WEIGHT };
         Ok(Balancer {
             shortest_aim: settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64,
             random: Rand64::new(u128::from(seed)),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -151,6 +151,39 @@
     assert!((12..40).contains(&taken), "{taken} taken at once where 40 are served in an aim");
 }
 
+/// Twenty at a time, each over after 140 ms as `end` says of its place; gives back how many were refused early.
+fn in_batches(rig: &mut Rig, batches: usize, end: impl Fn(usize) -> Outcome) -> usize {
+    let mut early = 0;
+    for _ in 0..batches {
+        let batch: Vec<_> = (0..20).map(|_| rig.request(0)).collect();
+        rig.now += 140 * MS;
+        for (place, (id, actions)) in batch.iter().enumerate() {
+            early += usize::from(refused(actions));
+            if let Some(server) = sent(actions) {
+                rig.close(*id, 0, server, end(place), 140 * MS);
+            }
+        }
+    }
+    early
+}
+
+/// Servers that broke a part of their connections had idle ones refused: a failure counted as a full wait.
+#[test]
+fn failures_are_not_taken_for_a_queue() {
+    let mut rig = Rig::new(settings(&[Effect::Unsafe]), &fleet(4));
+    let end = |place| if place % 4 == 0 { Outcome::Reset } else { Outcome::Ok };
+    assert_eq!(in_batches(&mut rig, 40, end), 0, "refused though nothing waits");
+}
+
+/// The delay was a mean over ten answers: among hundreds a second, a pause of one server closed the gate.
+#[test]
+fn some_late_answers_among_many_are_no_slow_service() {
+    let mut rig = Rig::new(settings(&[Effect::Unsafe]), &fleet(4));
+    in_batches(&mut rig, 40, |_| Outcome::Ok);
+    in_batches(&mut rig, 1, |place| if place < 4 { Outcome::Ok } else { Outcome::Timeout });
+    assert_eq!(in_batches(&mut rig, 1, |_| Outcome::Ok), 0, "refused for one bad moment");
+}
+
 #[test]
 fn a_slow_request_gets_no_copy_while_its_server_answers_others() {
     let mut rig = Rig::new(settings(&[Effect::Safe]), &[listed(0), listed(1)]);
