Turn bad clients away in time and pass nothing on that makes no sense

Now: 2 s for a head or for silence, 0.9 s more for a body, 16 KiB of buffer, bodies in total a quarter of the memory, 4xx with a close for what makes no sense, Retry-After on every 503.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -34,6 +34,9 @@
     /// File descriptors.
     #[serde(default = "usual_sockets")]
     pub sockets: usize,
+    /// Memory.
+    #[serde(default = "usual_memory")]
+    pub memory_mb: usize,
 }
 
 /// What the system lets this process have: it may be less than the platform says.
@@ -47,9 +50,13 @@
     1024
 }
 
+fn usual_memory() -> usize {
+    64
+}
+
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: usual_sockets() }
+        Limits { sockets: usual_sockets(), memory_mb: usual_memory() }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,7 +17,7 @@
 pub use config::{Config, Limits};
 
 use crate::settings::Site;
-use crate::{Action, Balancer, Closed, Event, Micros, Note, Outcome, RequestId};
+use crate::{Action, Balancer, Class, Closed, Effect, Event, Micros, Note, Outcome, RequestId};
 use clock::Clock;
 use connections::Connections;
 use foldhash::quality::FixedState;
@@ -31,6 +31,7 @@
 use timers::Timers;
 use tokio::sync::Notify;
 use transaction::{Step, Steps};
+use virtual_server::Held;
 
 /// A body, a client's or a server's, holds this much at most.
 const BODY: usize = 64 << 10;
@@ -39,6 +40,15 @@
 /// Descriptors that are neither a client's nor a server's; the rest is shared out equally.
 const OWN_DESCRIPTORS: usize = 16;
 
+/// The bodies of open requests together hold this part of the memory at most.
+const BODIES: usize = 4;
+
+/// A class as requests name it.
+struct ClassName {
+    name: String,
+    effect: Effect,
+}
+
 /// One sidecar.
 pub struct Sidecar {
     balancer: RefCell<Balancer>,
@@ -47,7 +57,10 @@
     pool: Pool,
     connections: Connections,
     listen: SocketAddr,
-    classes: Vec<String>,
+    classes: Vec<ClassName>,
+    /// The advice on when to come back for requests that do not reach the module.
+    retry_after: Option<Micros>,
+    held: Held,
     max_open: usize,
     /// Connections of clients that are held at once, and the signal for one to make room.
     most_clients: usize,
@@ -69,6 +82,10 @@
         let Site { settings, layout: _, classes, zones, kinds, conn_idle, connect_timeout, max_open, .. } =
             config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let limits = settings.limits;
+        let retry_after = limits.retry_after.then_some(limits.max_retry_after);
+        let named = |(name, c): (String, &Class)| ClassName { name, effect: c.effect };
+        let classes = classes.into_iter().zip(&settings.classes).map(named).collect();
         let share = (config.limits.sockets.saturating_sub(OWN_DESCRIPTORS) / 2).clamp(1, 1 << 16);
         let balancer = Balancer::new(settings, config.seed).map_err(|e| format!("configuration: {e}"))?;
         let sidecar = Rc::new(Sidecar {
@@ -79,6 +96,8 @@
             connections: Connections::new(conn_idle, connect_timeout, share),
             listen: config.listen,
             classes,
+            retry_after,
+            held: Held::new((config.limits.memory_mb << 20) / BODIES),
             max_open,
             most_clients: share,
             crowded: Notify::new(),
@@ -158,7 +177,7 @@
     fn note(&self, note: Note) {
         match note {
             Note::Overload(class) => {
-                let class = self.classes.get(class as usize).map_or("?", String::as_str);
+                let class = self.classes.get(class as usize).map_or("?", |c| &c.name);
                 log(format_args!("overload: refusing {class} early"));
             }
             Note::Ejected(server, outcome) => {
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -4,13 +4,15 @@
 use super::flow::{self, Onward};
 use super::transaction::{self, Answer};
 use super::{BODY, Sidecar, log};
-use crate::{Micros, NewRequest};
+use crate::{Effect, Micros, NewRequest};
 use bytes::Bytes;
 use foldhash::quality::FixedState;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming, server::conn::http1};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::hash::BuildHasher;
 use std::rc::Rc;
@@ -23,10 +25,20 @@
 /// A client counts its time from the sending, which is a little before the reading.
 const MARGIN: Micros = 1_000;
 
+/// A client that has sent no whole head for this long since it connected, or since its last answer, is silent,
+/// idle or hostile: its descriptor goes to others. A connection with a request open is never closed by this.
+const HEAD_TIME: Duration = Duration::from_secs(2);
+/// How long the rest of a request may take behind its head.
+const BODY_TIME: Duration = Duration::from_millis(900);
+/// A head, and what is read ahead of a body, hold this much at most.
+const HEAD: usize = 16 << 10;
+
 const TRACE_ID: HeaderName = HeaderName::from_static("x-trace-id");
 const EXPIRES: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const SECOND_TRY: HeaderName = HeaderName::from_static("x-second-try");
 const SIZE_HINT: HeaderName = HeaderName::from_static("x-size-hint");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
 /// Serves clients until `stop` ends and what was taken is answered.
 pub(super) async fn run(sidecar: &Rc<Sidecar>, stop: impl Future<Output = ()>) -> Result<(), String> {
     let at = sidecar.listen;
@@ -103,7 +115,9 @@
         }
         Ok::<_, Infallible>(response)
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(HEAD);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
         // How a connection ends is the client's affair: a transaction that was on it is dropped with it.
@@ -116,33 +130,86 @@
     let _ = tokio::time::timeout(sidecar.longest + LINGER, connection).await;
 }
 
+/// What the requests that are open hold, so that no two have one id and their bodies fit in memory.
+pub(super) struct Held {
+    ids: RefCell<HashSet<HeaderValue, FixedState>>,
+    bodies: Cell<usize>,
+    most_bodies: usize,
+}
+
+impl Held {
+    pub(super) fn new(most_bodies: usize) -> Self {
+        Held { ids: RefCell::default(), bodies: Cell::new(0), most_bodies }
+    }
+}
+
+/// One request's part of that; dropped with it.
+struct Hold<'a> {
+    of: &'a Held,
+    id: HeaderValue,
+    body: usize,
+}
+
+impl<'a> Hold<'a> {
+    fn new(of: &'a Held, id: &HeaderValue, body: usize) -> Result<Self, Reject> {
+        if of.bodies.get() + body > of.most_bodies {
+            return Err(Reject::Refused("too much is open"));
+        }
+        if !of.ids.borrow_mut().insert(id.clone()) {
+            return Err(Reject::Senseless(StatusCode::CONFLICT, "a request with this X-Trace-Id is open"));
+        }
+        of.bodies.set(of.bodies.get() + body);
+        Ok(Hold { of, id: id.clone(), body })
+    }
+}
+
+impl Drop for Hold<'_> {
+    fn drop(&mut self) {
+        self.of.ids.borrow_mut().remove(&self.id);
+        self.of.bodies.set(self.of.bodies.get() - self.body);
+    }
+}
+
+/// Why a request goes no further than here.
+enum Reject {
+    /// It makes no sense. What else comes on its connection may be a part of it, so the connection is closed.
+    Senseless(StatusCode, &'static str),
+    /// There is no room for it now.
+    Refused(&'static str),
+}
+
+const fn senseless(problem: &'static str) -> Reject {
+    Reject::Senseless(StatusCode::BAD_REQUEST, problem)
+}
+
 /// One request and its answer.
 async fn answer(sidecar: &Rc<Sidecar>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let now = sidecar.clock.now();
+    let came = sidecar.clock.now();
     if request.uri().path() == "/ready" && request.method() == Method::GET {
         let ready = sidecar.pool.is_known() && !sidecar.stopping.get();
         return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
-    let mut new = match read(sidecar, &head.uri, &head.headers) {
-        Ok(new) => new,
-        Err(problem) => return plain(StatusCode::BAD_REQUEST, problem),
+    let taken = async {
+        let new = read(sidecar, &head.method, &head.uri, &head.headers)?;
+        let size = length(&body, &head.headers)?;
+        let id = head.headers.get(TRACE_ID).ok_or(senseless("X-Trace-Id is missing"))?;
+        let hold = Hold::new(&sidecar.held, id, size)?;
+        let body = if size > 0 { whole(body).await? } else { Bytes::new() };
+        if sidecar.transactions.borrow().len() >= sidecar.max_open {
+            return Err(Reject::Refused("too many requests are open"));
+        }
+        Ok((new, body, hold))
     };
-    let body = if body.is_end_stream() {
-        Bytes::new()
-    } else {
-        match Limited::new(body, BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body holds more than 64 KiB");
-            }
-            Err(_) => return plain(StatusCode::BAD_REQUEST, "the body has broken off"),
+    let (mut new, body, _hold) = match taken.await {
+        Ok(taken) => taken,
+        Err(Reject::Refused(problem)) => return refusal(problem, sidecar.retry_after),
+        Err(Reject::Senseless(status, problem)) => {
+            let mut response = plain(status, problem);
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            return response;
         }
     };
-    if sidecar.transactions.borrow().len() >= sidecar.max_open {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "too many requests are open");
-    }
-    let came = now;
     let now = sidecar.clock.now();
     new.time_left = new.time_left.saturating_sub(MARGIN + (now - came));
     let mut headers = head.headers;
@@ -153,13 +220,7 @@
     let onward = Onward { method: head.method, uri, headers, body };
     match transaction::run(sidecar, now, new, onward).await {
         Answer::Served(response) => response,
-        Answer::Refused { retry_after } => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            if let Some(wait) = retry_after.and_then(seconds) {
-                response.headers_mut().insert(header::RETRY_AFTER, wait);
-            }
-            response
-        }
+        Answer::Refused { retry_after } => refusal("refused", retry_after),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
@@ -170,28 +231,63 @@
     response
 }
 
+fn refusal(text: &'static str, retry_after: Option<Micros>) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+    if let Some(wait) = retry_after.and_then(seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, wait);
+    }
+    response
+}
+
 fn seconds(span: Micros) -> Option<HeaderValue> {
     HeaderValue::from_maybe_shared(Bytes::from((span as f64 / 1e6).to_string())).ok()
 }
 
+/// How long the body is, known before any of it is read. Where a request has both a length and chunks, hyper
+/// shows the chunks alone, while to another reader the rest may hide a request: so a length must be given.
+fn length(body: &Incoming, headers: &HeaderMap) -> Result<usize, Reject> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err(Reject::Senseless(StatusCode::LENGTH_REQUIRED, "Content-Length is missing"));
+    }
+    let size = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+    size.filter(|size| *size <= BODY)
+        .ok_or(Reject::Senseless(StatusCode::PAYLOAD_TOO_LARGE, "the body holds more than 64 KiB"))
+}
+
+async fn whole(body: Incoming) -> Result<Bytes, Reject> {
+    match tokio::time::timeout(BODY_TIME, body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(senseless("the body has broken off")),
+        Err(_) => Err(Reject::Senseless(StatusCode::REQUEST_TIMEOUT, "the body has not come")),
+    }
+}
+
 /// Takes out of a request what the module needs of it.
-fn read(sidecar: &Sidecar, uri: &Uri, headers: &HeaderMap) -> Result<NewRequest, &'static str> {
+fn read(sidecar: &Sidecar, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<NewRequest, Reject> {
     let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-    let class = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    // A class that the settings do not name is the module's to refuse.
-    let class = sidecar.classes.iter().position(|c| c == class).map_or(u32::MAX, |at| at as u32);
-    if text(&TRACE_ID).is_none_or(str::is_empty) {
-        return Err("X-Trace-Id is missing");
+    let class = uri.path().split('/').nth(1).unwrap_or_default();
+    let at = sidecar.classes.iter().position(|c| c.name == class);
+    let at = at.ok_or(Reject::Senseless(StatusCode::NOT_FOUND, "there is no such class"))?;
+    let effect = sidecar.classes[at].effect;
+    if *method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
+        return Err(Reject::Senseless(StatusCode::METHOD_NOT_ALLOWED, "the class wants another method"));
+    }
+    if text(&TRACE_ID).is_none_or(str::is_empty) || headers.get_all(TRACE_ID).iter().nth(1).is_some() {
+        return Err(senseless("X-Trace-Id is missing, or there are several"));
+    }
+    // Without it, servers could not tell a repeat from another request.
+    if matches!(effect, Effect::Keyed { .. }) && text(&IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
+        return Err(senseless("Idempotency-Key is missing"));
     }
-    let left: u64 = text(&EXPIRES)
-        .ok_or("X-Expires-In-Ms is missing")?
-        .parse()
-        .map_err(|_| "X-Expires-In-Ms is not a whole number")?;
+    let left = text(&EXPIRES).ok_or(senseless("X-Expires-In-Ms is missing"))?;
+    let whole = left.bytes().all(|b| b.is_ascii_digit());
+    let left: Micros =
+        left.parse().ok().filter(|_| whole).ok_or(senseless("X-Expires-In-Ms is not a whole number"))?;
     let id = sidecar.last_request.get() + 1;
     sidecar.last_request.set(id);
     Ok(NewRequest {
         id,
-        class,
+        class: at as u32,
         tenant: 0,
         key: headers.get_all(header::COOKIE).iter().find_map(key),
         time_left: left.min(DAY_MS) * 1_000,
