Send to the first server that serves in time, else to the quickest of the next

Now the hash family's next few regions are gone through until one would serve the request within 0.3 of what is left of its aim; else the quickest of five is taken, 1 in 20 the first, to measure it again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,6 +21,10 @@
 pub(crate) const POOL: usize = 8; // intervals kept
 const SUBREGIONS: usize = 8; // of an interval for each server, at least: so shares are exact enough
 const HASHES: u32 = 64; // functions of the hash family tried for one selection
+const CHOICES: usize = 5; // regions so met first, of which a request goes to the first...
+const FIT: f64 = 0.3; // of the aim
+const TRIALS: f64 = 0.05; // of them go to the first all the same: what is held to be slow is measured again
+const BETTER: f64 = 0.75; // ...but for one that would serve it in this part of the time
 const CROSSING: f64 = 33.0; // requests that a crossing of zones weighs as, times its price in worth
 const FAILURES: u32 = 6; // ejects a server: time-outs count 1, errors 2, lost connections 3, in a row
 const EJECTION: (Micros, Micros) = (1_000_000, 8_000_000); // first, and last after doubling at failed trials
@@ -58,7 +62,6 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Bar {
     Free,         // it does not: it may take the request
-    Crowded,      // it holds more than its share of the work known to be out, or is too slow for this request
     Ejected,      // it failed and awaits its trial
     Tried,        // an attempt of this request was there already
     Cold,         // the work it may be given while it is cold is spent
@@ -70,8 +73,6 @@
 pub(crate) struct Interval {
     ids: Vec<ServerId>,
     tuned: Micros,
-    /// The sum of the weights that it was tuned to.
-    weights: f64,
     /// For each subregion: the place of its owner in `ids`, and how much of it is covered.
     cells: Vec<(u16, u32)>,
 }
@@ -81,7 +82,7 @@
 
     pub(crate) fn new(ids: Vec<ServerId>) -> Self {
         let cells = (SUBREGIONS * ids.len().max(1)).next_power_of_two();
-        Interval { ids, tuned: 0, weights: 0.0, cells: vec![(0, 0); cells] }
+        Interval { ids, tuned: 0, cells: vec![(0, 0); cells] }
     }
 
     pub(crate) fn lookup(&self, offset: u64) -> Option<ServerId> {
@@ -95,7 +96,6 @@
     /// each from the subregion that it covers in part, so that it keeps one such at the most.
     pub(crate) fn tune(&mut self, weights: &[f64]) {
         let total: f64 = weights.iter().sum();
-        self.weights = total;
         let half = self.cells.len() as i64 / 2 * i64::from(Self::CELL);
         let mut change: Vec<i64> = weights.iter().map(|w| (w / total * half as f64) as i64).collect();
         change[0] += half - change.iter().sum::<i64>();
@@ -213,8 +213,8 @@
     fn least_held(&self, now: Micros, request: &Request) -> Option<ServerId> {
         let asked = request.looked.iter().filter_map(|id| self.servers.get(id));
         let rated = asked.filter(|s| s.long.is_some()).map(|s| {
-            let (bar, load) = self.bar(now, s, request, f64::INFINITY);
-            (bar, load + request.size / s.value.max(f64::MIN_POSITIVE), s.listed.server)
+            let (bar, time) = self.bar(now, s, request);
+            (bar, time, s.listed.server)
         });
         let best = rated.min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(Ordering::Equal));
         best.filter(|(bar, ..)| *bar <= Bar::Tried).map(|(.., id)| id)
@@ -305,7 +305,6 @@
             server.out.push(Out { request: id, attempt, size: request.size, sent: now, due });
             server.out_size += request.size;
             (server.cold_budget, server.cold_filled) = (server.cold_left(now) - request.size, now);
-            self.busy.insert(server.listed.server);
             request.looked.clear();
             request.attempts.push(Attempt { to: server.listed, sent: now, outcome: None });
             let to = server.listed.server;
@@ -326,52 +325,56 @@
         let lane = std::mem::take(&mut self.lanes[usize::from(long)]);
         self.tune(now, &lane);
         let interval = self.pool.get(&lane);
-        let weights = interval.map_or(0.0, |i| i.weights);
-        let busy = self.busy.iter().filter_map(|id| self.servers.get(id)).filter(|s| s.long == Some(long));
-        // All but the first that is asked may come from any zone.
-        let load = if request.looked.is_empty() { busy.map(|s| s.out_size).sum() } else { f64::INFINITY };
+        // Servers that are asked are compared by what they tell, not here.
+        let trial = !request.looked.is_empty() || self.random.rand_float() < TRIALS;
+        let choices = if trial { 1 } else { CHOICES };
+        let class = &self.settings.classes[request.class];
+        let in_time = FIT * (request.came + class.aim).saturating_sub(now) as f64;
+        let (mut met, mut taken): (usize, Option<(f64, ServerId)>) = (0, None);
         let mut best: Option<(Bar, f64, ServerId)> = None;
         for hash in request.next_hash..request.next_hash + HASHES {
             let offset = FixedState::with_seed(u64::from(hash)).hash_one(request.key);
             let owner = interval.and_then(|i| i.lookup(offset));
             let Some(id) = owner.filter(|id| !request.looked.contains(id)) else { continue };
-            let (bar, load) = self.bar(now, &self.servers[&id], request, load / weights);
-            if bar <= Bar::Tried && best.is_none_or(|(b, l, _)| (bar, load) < (b, l)) {
-                best = Some((bar, load, id));
+            let (bar, time) = self.bar(now, &self.servers[&id], request);
+            if bar <= Bar::Tried && best.is_none_or(|(b, t, _)| (bar, time) < (b, t)) {
+                best = Some((bar, time, id));
             }
             if bar == Bar::Free {
-                request.next_hash = hash + 1;
-                break;
+                taken = taken.filter(|(least, _)| time >= BETTER * least).or(Some((time, id)));
+                met += 1;
+                if met == choices || time <= in_time {
+                    request.next_hash = hash + 1;
+                    break;
+                }
             }
         }
         self.lanes[usize::from(long)] = lane;
-        best.map(|(_, _, id)| id)
+        taken.map(|(_, id)| id).or(best.map(|(.., id)| id))
     }
 
-    /// Why this server counts as empty space for this request, and how loaded it is for its weight.
-    fn bar(&self, now: Micros, server: &Server, request: &Request, mean_load: f64) -> (Bar, f64) {
+    /// Why this server counts as empty space for this request, and how long it would take for it by its weight,
+    /// with what it holds.
+    fn bar(&self, now: Micros, server: &Server, request: &Request) -> (Bar, f64) {
         let listed = &server.listed;
         let crossing = if listed.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
         let held = server.out_size.max(server.reported(now) * self.mean_size.at);
         let work = held + CROSSING * crossing * self.mean_size.at;
-        let load = work / server.value.max(f64::MIN_POSITIVE);
+        let time = (work + request.size) / server.value.max(f64::MIN_POSITIVE);
         let outside = match (request.first_run(), self.settings.classes[request.class].effect) {
             (Some(first), Effect::Keyed { scope: Scope::Zone, .. }) => first.to.zone != listed.zone,
             (Some(first), Effect::Keyed { scope: Scope::Cell, .. }) => first.to.cell != listed.cell,
             _ => false,
         };
         let cold = server.warmth(now, &self.settings.rules) < 1.0 && server.cold_left(now) < request.size;
-        // At its measured rate it would not answer a heavy request before the end; a faster one may.
-        let too_slow = request.size > server.value * request.give_up.saturating_sub(now) as f64;
         let on_trial = server.ejected_until.is_some_and(|until| now < until || !server.out.is_empty());
         let bars = [
             (outside, Bar::OutsideGroup),
             (cold, Bar::Cold),
             (request.attempts.iter().any(|a| a.to.server == listed.server), Bar::Tried),
             (on_trial, Bar::Ejected),
-            (too_slow || work > 0.0 && load > mean_load, Bar::Crowded),
         ];
-        (bars.iter().find(|(holds, _)| *holds).map_or(Bar::Free, |(_, bar)| *bar), load)
+        (bars.iter().find(|(holds, _)| *holds).map_or(Bar::Free, |(_, bar)| *bar), time)
     }
 
     /// Nothing more is decided: an attempt still out is called off unless it streams.
@@ -455,9 +458,6 @@
         let Some(server) = self.servers.get_mut(&closed.server) else { return };
         server.out.retain(|o| (o.request, o.attempt) != (closed.request, closed.attempt));
         server.out_size = server.out.iter().map(|o| o.size).sum();
-        if server.out.is_empty() {
-            self.busy.remove(&closed.server);
-        }
         let elapsed = closed.elapsed as f64;
         match closed.outcome {
             Outcome::Moot => return,
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use foldhash::quality::FixedState;
 use oorandom::Rand64;
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 /// A quantile followed by multiplicative steps, large ones at first.
 #[derive(Clone, Copy)]
@@ -274,8 +274,6 @@
     /// Requests taken in lately.
     pub(crate) arrivals: Fading,
     pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// The servers with work out.
-    pub(crate) busy: BTreeSet<ServerId>,
     /// The servers that take new work, sorted: the key into the pool.
     pub(crate) ready: Vec<ServerId>,
     /// The ready servers, or where long classes have servers of their own: those of the short, of the long.
@@ -325,7 +323,6 @@
             reached: 0,
             arrivals: Fading::over(HEARD.1),
             servers: BTreeMap::new(),
-            busy: BTreeSet::new(),
             ready: Vec::new(),
             lanes: [Vec::new(), Vec::new()],
             lanes_set: 0,
