--- a/src/decide.rs
+++ b/src/decide.rs
@@ -353,8 +353,8 @@
         taken.map(|(_, id)| id).or(best.map(|(.., id)| id))
     }
 
-    /// Why this server counts as empty space for this request, and how long it would take for it, by its weight
-    /// and what it holds.
+    /// Why this server counts as empty space for this request, and how long it would take for it, by its
+    /// weight and what it holds.
     fn bar(&self, now: Micros, server: &Server, request: &Request) -> (Bar, f64) {
         let listed = &server.listed;
         let crossing = if listed.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
