In a crowd close the longest idle client; prove by a held last byte that nothing ran

Now the one that lies idle for longest goes, never one with a request open or younger than 50 ms. The test fails with the old order. Seen to fail without the hold.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -2,9 +2,8 @@
 //! side would close them, and no more of them than there are descriptors for.
 
 use super::log;
+use super::parcel::Parcel;
 use crate::{Micros, ServerId};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -19,10 +18,12 @@
 /// A connection is used again only when nothing more has come behind its answer for this long: bytes that came
 /// late, a copy of the answer or its close, would be taken for the answer to the next request.
 const QUIET: Duration = Duration::from_millis(20);
+/// How long connections are held to be frail after one has broken.
+const FRAIL: Duration = Duration::from_secs(10);
 /// The head of an answer, and what is read ahead of its body, hold this much at most.
 const HEAD: usize = 16 << 10;
 
-type Sender = SendRequest<Full<Bytes>>;
+type Sender = SendRequest<Parcel>;
 
 /// A connection in the hands of one flow. Dropped, it is closed; only [`Connections::keep`] saves it.
 pub(super) struct Lease {
@@ -58,6 +59,8 @@
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     /// When an answer last came from a server.
     heard: RefCell<HashMap<ServerId, Instant>>,
+    /// When one last broke.
+    broke: Cell<Option<Instant>>,
     open: Rc<Cell<usize>>,
     most: usize,
     idle_for: Duration,
@@ -85,6 +88,7 @@
         Connections {
             idle: RefCell::default(),
             heard: RefCell::default(),
+            broke: Cell::new(None),
             open: Rc::default(),
             most,
             // The other side closes at this age at the latest: a request written then would be lost.
@@ -161,6 +165,15 @@
         }
     }
 
+    /// A connection broke under a request. For a while others are held to be as frail.
+    pub(super) fn broke(&self) {
+        self.broke.set(Some(Instant::now()));
+    }
+
+    pub(super) fn are_frail(&self) -> bool {
+        self.broke.get().is_some_and(|at| at.elapsed() < FRAIL)
+    }
+
     /// Drops what lies idle for a server that gets nothing new any more.
     pub(super) fn forget(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -1,6 +1,7 @@
 //! One server-side flow: an attempt at a server, from its connection to its one outcome.
 
 use super::connections::NoConnection;
+use super::parcel::Parcel;
 use super::{BODY, Sidecar};
 use crate::{Closed, Event, Micros, Outcome, RequestId, ServerId};
 use bytes::Bytes;
@@ -43,6 +44,7 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    pub(super) unsafe_to_repeat: bool,
 }
 
 /// An attempt that owes the module its outcome. It tells it once: at its end, or when it is dropped.
@@ -90,7 +92,7 @@
 /// Makes the attempt. An answer is there if, and only if, its outcome was that it was served.
 pub(super) async fn run(mut attempt: Attempt, onward: Rc<Onward>) -> Option<Response<Full<Bytes>>> {
     let (outcome, answer) = {
-        let written = Cell::new(false);
+        let written = Rc::default();
         let (sidecar, sent) = (&attempt.sidecar, attempt.sidecar.clock.instant(attempt.sent));
         let exchange = exchange(&attempt, &onward, &written);
         match tokio::time::timeout_at(sidecar.clock.instant(attempt.timeout_at), exchange).await {
@@ -109,18 +111,21 @@
 
 type Ended = (Outcome, Option<Response<Full<Bytes>>>);
 
-async fn exchange(attempt: &Attempt, onward: &Onward, written: &Cell<bool>) -> Ended {
+async fn exchange(attempt: &Attempt, onward: &Onward, written: &Rc<Cell<bool>>) -> Ended {
     let sidecar = &attempt.sidecar;
     let Some(address) = sidecar.pool.address(attempt.server) else { return (Outcome::Moot, None) };
     let left = attempt.timeout_at.saturating_sub(attempt.sent).div_ceil(1_000);
-    let mut request = message(onward, address, left);
+    // What may have run must not run twice: a break that comes before the last byte proves that it has not.
+    let held = onward.unsafe_to_repeat && sidecar.connections.are_frail();
+    let mut request = message(onward, address, left, Parcel::new(onward.body.clone(), held, written));
+    let unheld = written.replace(false);
     let (lease, answer) = loop {
         let mut lease = match sidecar.connections.take(attempt.server, address).await {
             Ok(lease) => lease,
             Err(NoConnection::Failed) => return (Outcome::ConnectFailed, None),
             Err(NoConnection::Exhausted) => return (Outcome::Moot, None),
         };
-        written.set(true);
+        written.set(unheld);
         match lease.sender.try_send_request(request).await {
             Ok(answer) => break (lease, answer),
             Err(mut failed) => match failed.take_message() {
@@ -131,8 +136,15 @@
                     request = unsent;
                 }
                 Some(_) => return (Outcome::ConnectFailed, None),
-                // Some of it may have been written, so all of it may: an unsafe request must not go out again.
-                None => return (Outcome::Reset, None),
+                None => {
+                    // An answer that cannot be read says nothing of the connections.
+                    if !failed.error().is_parse() {
+                        sidecar.connections.broke();
+                    }
+                    // With the last byte on its way all may have been written: an unsafe request must not go out again.
+                    let outcome = if written.get() { Outcome::Reset } else { Outcome::ConnectFailed };
+                    return (outcome, None);
+                }
             },
         }
     };
@@ -150,8 +162,8 @@
     }
 }
 
-fn message(onward: &Onward, address: SocketAddr, left_ms: u64) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(onward.body.clone()));
+fn message(onward: &Onward, address: SocketAddr, left_ms: u64, body: Parcel) -> Request<Parcel> {
+    let mut request = Request::new(body);
     *request.method_mut() = onward.method.clone();
     *request.uri_mut() = onward.uri.clone();
     *request.headers_mut() = onward.headers.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod connections;
 mod flow;
+mod parcel;
 mod pool;
 mod probe;
 mod timers;
@@ -29,9 +30,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timers::Timers;
-use tokio::sync::Notify;
 use transaction::{Step, Steps};
-use virtual_server::Held;
+use virtual_server::{Clients, Held};
 
 /// A body, a client's or a server's, holds this much at most.
 const BODY: usize = 64 << 10;
@@ -62,9 +62,9 @@
     retry_after: Option<Micros>,
     held: Held,
     max_open: usize,
-    /// Connections of clients that are held at once, and the signal for one to make room.
+    /// Connections of clients that are held at once, and those that are there.
     most_clients: usize,
-    crowded: Notify,
+    clients: Clients,
     /// The longest that a client waits.
     longest: Duration,
     /// The transactions that are not over, and where each hears what it is to do.
@@ -100,7 +100,7 @@
             held: Held::new((config.limits.memory_mb << 20) / BODIES),
             max_open,
             most_clients: share,
-            crowded: Notify::new(),
+            clients: Clients::default(),
             longest: Duration::from_micros(longest),
             transactions: RefCell::default(),
             last_request: Cell::new(0),
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -12,13 +12,14 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming, server::conn::http1};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::hash::BuildHasher;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::time::Instant;
 
 /// How long after it is told to stop the program still takes what comes.
 const LINGER: Duration = Duration::from_millis(800);
@@ -28,6 +29,8 @@
 /// A client that has sent no whole head for this long since it connected, or since its last answer, is silent,
 /// idle or hostile: its descriptor goes to others. A connection with a request open is never closed by this.
 const HEAD_TIME: Duration = Duration::from_secs(2);
+/// A connection that was opened, or whose last answer went, so little ago may have a request on the way.
+const YOUNG: Duration = Duration::from_millis(50);
 /// How long the rest of a request may take behind its head.
 const BODY_TIME: Duration = Duration::from_millis(900);
 /// A head, and what is read ahead of a body, hold this much at most.
@@ -78,11 +81,13 @@
 ) {
     loop {
         // A connection that waits in the backlog has been taken as far as its client can tell, so the one that
-        // is there for longest makes room before there is none.
+        // lies idle for longest makes room before there is none.
         if room.available_permits() <= sidecar.most_clients / 8 {
-            sidecar.crowded.notify_one();
+            sidecar.clients.make_room();
         }
-        let Ok(permit) = room.acquire().await else { return };
+        // With no room, one that was too young to go is old enough a little later.
+        let Ok(acquired) = tokio::time::timeout(YOUNG, room.acquire()).await else { continue };
+        let Ok(permit) = acquired else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 permit.forget();
@@ -95,7 +100,7 @@
             Err(problem) if is_exhausted(&problem) => {
                 log(format_args!("no descriptor for a client: {problem}"));
                 sidecar.connections.drop_oldest();
-                sidecar.crowded.notify_one();
+                sidecar.clients.make_room();
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             // The client has gone between its coming and its being taken.
@@ -108,8 +113,11 @@
 async fn converse(sidecar: &Rc<Sidecar>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     // Only a delay is lost where this cannot be set.
     let _ = stream.set_nodelay(true);
-    let service = hyper::service::service_fn(|request| async move {
+    let client = sidecar.clients.enter();
+    let service = hyper::service::service_fn(|request| async {
+        client.idle_since.set(None);
         let mut response = answer(sidecar, request).await;
+        client.idle_since.set(Some(Instant::now()));
         if sidecar.stopping.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -123,13 +131,71 @@
         // How a connection ends is the client's affair: a transaction that was on it is dropped with it.
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|c| *c) => {}
-        () = sidecar.crowded.notified() => {}
+        () = client.make_room.notified() => {}
     }
     // Closes at once where it lies idle, else with its answer. A request that never comes whole ends it too.
     connection.as_mut().graceful_shutdown();
     let _ = tokio::time::timeout(sidecar.longest + LINGER, connection).await;
 }
 
+/// The connections of clients.
+#[derive(Default)]
+pub(super) struct Clients {
+    there: RefCell<BTreeMap<u64, Rc<Client>>>,
+    entered: Cell<u64>,
+}
+
+/// One of them.
+struct Client {
+    /// Since when it has no request open; nothing while it has.
+    idle_since: Cell<Option<Instant>>,
+    make_room: Notify,
+}
+
+/// A connection's place among those of the clients; left with its end.
+struct Entered<'a> {
+    of: &'a Clients,
+    number: u64,
+    client: Rc<Client>,
+}
+
+impl Clients {
+    fn enter(&self) -> Entered<'_> {
+        let number = self.entered.replace(self.entered.get() + 1);
+        let client =
+            Rc::new(Client { idle_since: Cell::new(Some(Instant::now())), make_room: Notify::new() });
+        self.there.borrow_mut().insert(number, Rc::clone(&client));
+        Entered { of: self, number, client }
+    }
+
+    /// Has the connection closed that lies idle for longest. One with a request open stays, and so does one so
+    /// young that its request may be on the way: what was never read would have failed by that.
+    fn make_room(&self) {
+        let there = self.there.borrow();
+        let idle = there.values().filter_map(|c| Some((c.idle_since.get()?, c)));
+        let oldest = idle.filter(|(since, _)| since.elapsed() >= YOUNG).min_by_key(|(since, _)| *since);
+        if let Some((_, client)) = oldest {
+            // It goes once, also where it takes a moment.
+            client.idle_since.set(None);
+            client.make_room.notify_one();
+        }
+    }
+}
+
+impl std::ops::Deref for Entered<'_> {
+    type Target = Client;
+
+    fn deref(&self) -> &Client {
+        &self.client
+    }
+}
+
+impl Drop for Entered<'_> {
+    fn drop(&mut self) {
+        self.of.there.borrow_mut().remove(&self.number);
+    }
+}
+
 /// What the requests that are open hold, so that no two have one id and their bodies fit in memory.
 pub(super) struct Held {
     ids: RefCell<HashSet<HeaderValue, FixedState>>,
@@ -217,7 +283,8 @@
     // An absolute target names this sidecar; the node is to see the path alone.
     let path = head.uri.into_parts().path_and_query;
     let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    let onward = Onward { method: head.method, uri, headers, body };
+    let unsafe_to_repeat = sidecar.classes[new.class as usize].effect == Effect::Unsafe;
+    let onward = Onward { method: head.method, uri, headers, body, unsafe_to_repeat };
     match transaction::run(sidecar, now, new, onward).await {
         Answer::Served(response) => response,
         Answer::Refused { retry_after } => refusal("refused", retry_after),
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -399,6 +399,33 @@
     sidecar.serves(&[&node]);
 }
 
+/// In a crowd, connections were closed in the order of their coming, open and new ones too: what was on its way
+/// over a new one was never read.
+#[test]
+fn in_a_crowd_of_connections_those_with_a_request_stay() {
+    let node = Node::new();
+    let sidecar = Sidecar::with(&[node.address()], Options { sockets: 116, ..Options::default() });
+    // 50 places. Half are taken by requests that are open, the rest again and again by connections that are idle.
+    let mut open: Vec<Conn> = (0..25).map(|_| sidecar.ask("submit-check", 6000)).collect();
+    let mut idle = Vec::new();
+    for _ in 0..60 {
+        let mut client = sidecar.client();
+        client.write("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+        let ready = client.read().expect("what is asked over a new connection is answered");
+        assert_eq!((ready.status(), ready.header("connection")), (200, None));
+        idle.push(client);
+    }
+    for _ in 0..25 {
+        let mut conn = node.accept();
+        assert!(conn.read().is_some());
+        conn.answer("200 OK", "made");
+    }
+    for client in &mut open {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
+}
+
 #[rstest]
 #[case::named_as_in_the_settings("rif")]
 #[case::named_as_in_the_protocol("inflight")]
@@ -522,6 +549,35 @@
     sidecar.serves(&[&node]);
 }
 
+/// A node that has dropped a connection without a word resets it as the next request comes. Nothing can have run
+/// then, but that was known only if the connection broke before the last byte was written.
+#[test]
+fn once_connections_break_a_break_before_the_last_byte_proves_that_nothing_ran() {
+    let node = Node::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        loop {
+            // Every other connection is reset at the first byte; the rest of the request is left unread.
+            let mut broken = node.accept();
+            broken.byte();
+            drop(broken);
+            tell.send("broke").expect("the test goes on");
+            let mut conn = node.accept();
+            assert!(conn.read().is_some());
+            tell.send("served").expect("the test goes on");
+            conn.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    // The reset may come too late for one request, but hardly for a hundred.
+    let repeated = (0..100).any(|_| {
+        let status = sidecar.ask("submit-check", 5000).read().expect("an answer").status();
+        let events: Vec<_> = told.try_iter().collect();
+        status == 200 && events == ["broke", "served"]
+    });
+    assert!(repeated, "what cannot have run was given up");
+}
+
 /// An answer shorter than its head says, on a connection that stays open, took all the time that was left.
 #[test]
 fn an_answer_that_stops_halfway_is_given_up_early() {
--- a/tests/sidecar/rig.rs
+++ b/tests/sidecar/rig.rs
@@ -132,6 +132,11 @@
         Some(message)
     }
 
+    /// Waits for one byte and reads it, with nothing behind it.
+    pub fn byte(&mut self) {
+        self.0.get_mut().read_exact(&mut [0]).expect("a byte");
+    }
+
     pub fn line(&mut self) -> Option<String> {
         let mut line = String::new();
         match self.0.read_line(&mut line) {
