End clients' connections with their answers once they hold a quarter of the descriptors

The fault is in src/net/virtual_server.rs: nothing closed idle connections of clients before the sidecar's own room ran out. Past a quarter of the descriptors, answers now carry Connection: close, and the connection that lies idle for longest goes.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -64,6 +64,8 @@
     max_open: usize,
     /// Connections of clients that are held at once, and those that are there.
     most_clients: usize,
+    /// So many of them are a crowd.
+    many_clients: usize,
     clients: Clients,
     /// The longest that a client waits.
     longest: Duration,
@@ -100,6 +102,7 @@
             held: Held::new((config.limits.memory_mb << 20) / BODIES),
             max_open,
             most_clients: share,
+            many_clients: config.limits.sockets / 4,
             clients: Clients::default(),
             longest: Duration::from_micros(longest),
             transactions: RefCell::default(),
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -82,7 +82,7 @@
     loop {
         // A connection that waits in the backlog has been taken as far as its client can tell, so the one that
         // lies idle for longest makes room before there is none.
-        if room.available_permits() <= sidecar.most_clients / 8 {
+        if sidecar.is_crowded() || room.available_permits() <= sidecar.most_clients / 8 {
             sidecar.clients.make_room();
         }
         // With no room, one that was too young to go is old enough a little later.
@@ -118,7 +118,7 @@
         client.idle_since.set(None);
         let mut response = answer(sidecar, request).await;
         client.idle_since.set(Some(Instant::now()));
-        if sidecar.stopping.get() {
+        if sidecar.stopping.get() || sidecar.is_crowded() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok::<_, Infallible>(response)
@@ -138,6 +138,14 @@
     let _ = tokio::time::timeout(sidecar.longest + LINGER, connection).await;
 }
 
+impl Sidecar {
+    /// All clients together hold a third of the descriptors at most. Each keeps its connections to itself, so once
+    /// they are near that, what some keep idle is what others lack: answers then end their connections.
+    fn is_crowded(&self) -> bool {
+        self.clients.there.borrow().len() > self.many_clients
+    }
+}
+
 /// The connections of clients.
 #[derive(Default)]
 pub(super) struct Clients {
