Count over the whole fleet what its instances do, from their debug logs

What each instance does harmlessly and all do at once shows in no one's log. At the level debug a sidecar now writes a line for each list entry, request, attempt, connection, probe, refusal and call to discovery; madderloom-lab count adds these up for all instances, by steps of time or by server. At other levels it costs a look at the level.

--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -2,12 +2,14 @@
 
 mod check;
 mod compare;
+mod count;
 mod list;
 mod report;
 mod run;
 
 pub use check::Check;
 pub use compare::Compare;
+pub use count::Count;
 pub use list::List;
 pub use report::Report;
 pub use run::Run;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod cli;
 pub mod compare;
+pub mod count;
 pub mod expect;
 pub mod experiment;
 pub mod figures;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 
 use clap::{Parser, Subcommand};
-use madderloom_lab::cli::{Check, Compare, List, Report, Run};
+use madderloom_lab::cli::{Check, Compare, Count, List, Report, Run};
 use madderloom_lab::hop::{Hop, PassThrough};
 use madderloom_lab::sockets::itself::AsSidecar;
 use madderloom_lab::up::Up;
@@ -29,6 +29,8 @@
     Run(Run),
     /// Compares arms, seed by seed
     Compare(Compare),
+    /// Adds up what all instances of a fleet did, from their logs
+    Count(Count),
     /// Writes one HTML page of a folder of results
     Report(Report),
     /// Shows a small fleet at work on this machine, and what it makes of a fault
@@ -49,6 +51,7 @@
         Command::Check(check) => check.run(),
         Command::Run(run) => run.run(),
         Command::Compare(compare) => compare.run(),
+        Command::Count(count) => count.run(),
         Command::Report(report) => report.run(),
         Command::Up(up) => up.run(),
         Command::Hop(hop) => hop.run().map(|()| ExitCode::SUCCESS),
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -221,7 +221,9 @@
         // Not to fail: nobody closes it.
         let opening = of_server.opening.acquire().await.map_err(|_| NoConnection::Failed)?;
         let (seat, place) = self.seat(&of_server).ok_or(NoConnection::Exhausted)?;
-        let stream = match self.common.within(self.connect_timeout, TcpStream::connect(address)).await {
+        let came = self.common.within(self.connect_timeout, TcpStream::connect(address)).await;
+        super::trail::opened(self.common.clock.now(), server, matches!(came, Some(Ok(_))));
+        let stream = match came {
             Some(Ok(stream)) => stream,
             Some(Err(problem)) if is_exhausted(&problem) => {
                 tracing::warn!("no descriptor for a connection: {problem}");
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 mod routing;
 mod service;
 mod teller;
+mod trail;
 mod transaction;
 mod turns;
 mod view;
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -8,6 +8,7 @@
 use super::pool::{self, Listing, Pool};
 use super::probe;
 use super::teller::{EndedAttempt, Teller};
+use super::trail;
 use super::transaction::{Step, Steps};
 use super::turns::Charged;
 use super::warm::Remembered;
@@ -316,9 +317,11 @@
         if let (Event::Closed(closed), Some(keeper)) = (&event, self.keeper.borrow_mut().as_mut()) {
             keeper.closed(now, closed);
         }
+        trail::event(self, now, &event);
         let mut actions = self.actions.take();
         self.balancer.borrow_mut().handle(now, event, &mut actions);
         for action in actions.drain(..) {
+            trail::action(now, &action);
             self.dispatch(now, action);
         }
         self.actions.set(actions);
