Use few servers for each of many instances, and give cold servers their part at once

Causes: (1) reach() gave every instance all servers wherever probes are allowed, also where their price forbids them (asks is 0 at 0.08): each instance must see a late answer of its own, and a hundred do so one request too late each. (2) cold_left() < request.size: an instance owed a cold server less than one request in all its cold time, so none ever sent; the budget also took the server's part of all servers, not of those that the instance uses.

Now one of 16 instances or more that does not ask meets each of its servers twice a second, on 8 servers at least; a cold server's budget may go below nothing, starts by chance so that all instances together give what it bears, and is 1.5 times its usual part.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -59,8 +59,11 @@
 const LONG_PART: f64 = 0.8; // servers for long classes, by their part of the work: they have time to queue
 pub(crate) const LANE_SPAN: f64 = 60e6; // over which that part is counted
 pub(crate) const HEARD: (f64, f64) = (4e6, 20e6); // a server is to be heard from in this, by arrivals over...
-const REACH: usize = 8; // ...that; but so many servers are used at least
+const MET: f64 = 0.5e6; // ...that; one of many that asks nobody meets each in this
+const REACH: usize = 8; // but so many servers are used at least
 const SAVED: f64 = 0.5; // of a cold server's budget for a `fall`: more would let a burst spend it at once
+const AT_ONCE: f64 = 24.0; // instances that may give a cold server a request as it starts
+const PACE: f64 = 1.5; // of what a cold server would bear of a warm one's usual work is given to it at most
 pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list
 
 /// Why a server counts as empty space for a request. Up to `Tried`, the least barred of those met is
@@ -180,12 +183,19 @@
             Members::Changes(list) => list,
         };
         self.ask_wait = ASK_AGAIN.0;
+        let all = list.len().max(self.ready.len()).max(1);
+        let users = f64::from(self.settings.group_size) * self.reach(now).min(all) as f64 / all as f64;
+        let at_once = AT_ONCE / users;
         for listed in list {
-            let server = self.servers.entry(listed.server).or_insert_with(|| Server::new(*listed, now));
+            // Where each instance may give a cold server less than one request in all, some give one at once
+            // and some late, by chance: all together give what it bears from the first moment on.
+            let owed = listed.started.map_or(0.0, |_| self.random.rand_float() - at_once);
+            let owed = owed * self.mean_size.at;
+            let server = self.servers.entry(listed.server).or_insert_with(|| Server::new(*listed, now, owed));
             if listed.started > server.listed.started {
                 // A crashed server comes back cold: nothing measured of its last life holds.
                 let out = std::mem::take(&mut server.out);
-                *server = Server { out, out_size: server.out_size, ..Server::new(*listed, now) };
+                *server = Server { out, out_size: server.out_size, ..Server::new(*listed, now, owed) };
             }
             server.listed = *listed;
         }
@@ -404,7 +414,7 @@
             (Some(first), Effect::Keyed { scope: Scope::Cell, .. }) => first.to.cell != listed.cell,
             _ => false,
         };
-        let cold = server.warmth(now, &self.settings.rules) < 1.0 && server.cold_left(now) < request.size;
+        let cold = server.warmth(now, &self.settings.rules) < 1.0 && server.cold_left(now) <= 0.0;
         let on_trial = server.ejected_until.is_some_and(|until| now < until || !server.out.is_empty());
         let bars = [
             (outside, Bar::OutsideGroup),
@@ -579,10 +589,17 @@
     }
 
     /// What answers seldom cannot be measured: hung and slow servers are met again and again. An instance
-    /// that may not ask keeps to as many as it hears from, of its own choice: together they use all.
+    /// that does not ask keeps to as many as it hears from, of its own choice: together they use all. Of a
+    /// hundred that all use a server, each sends it one more before its first late answer, and jams it; few
+    /// that meet it often hold back at once, since what they have out there themselves is its queue.
     fn reach(&self, now: Micros) -> usize {
-        let heard = (self.arrivals.get(now) / HEARD.1 * HEARD.0) as usize;
-        if self.settings.limits.probes { usize::MAX } else { heard.max(REACH).next_power_of_two() }
+        let many = self.settings.group_size >= BLIND;
+        if self.settings.limits.probes && (self.asks > 1 || !many) {
+            return usize::MAX;
+        }
+        let span = if many && self.settings.limits.probes { MET } else { HEARD.0 };
+        let heard = (self.arrivals.get(now) / HEARD.1 * span) as usize;
+        heard.max(REACH).next_power_of_two()
     }
 
     fn long(&self, class: usize) -> bool {
@@ -599,7 +616,8 @@
         // Where the whole fleet is cold nothing was served: all instances together begin at one a `fall`.
         let first = self.mean_size.at / rules.fall.max(1) as f64 / f64::from(self.settings.group_size);
         // Over the whole span also where this instance is younger: a cold server's budget errs low.
-        let per_server = self.served.get(now) / RATE_SPAN / self.ready.len() as f64;
+        let used = lane.len() + self.lanes.iter().map(Vec::len).sum::<usize>(); // this one is not in there
+        let per_server = self.served.get(now) / RATE_SPAN / used as f64;
         let long = self.servers.get(&lane[0]).and_then(|s| s.long);
         let prior = PRIOR * self.mean_time.at;
         // A quiet instance hears from few of many servers: what it has measured of a kind tells of the rest.
@@ -616,17 +634,19 @@
             let time = server.time_sum + overdue.sum::<f64>() + prior;
             let kind = kinds.entry(server.listed.kind).or_default();
             let usual = (kind.size + mean * prior) / (kind.time + prior);
-            let mean = usual * server.listed.capacity / (kind.capacity / kind.servers);
+            let own = usual * server.listed.capacity / (kind.capacity / kind.servers);
             server.loses = server.share_lost(now);
             let warmth = server.warmth(now, &rules);
-            server.value = ((server.size_sum + mean * prior) / time) * warmth;
+            server.value = ((server.size_sum + own * prior) / time) * warmth;
             weights.push(server.value);
             let kept = if std::mem::take(&mut server.answered) { KEEP } else { 1.0 };
             (server.size_sum, server.time_sum) = (kept * server.size_sum, kept * server.time_sum);
-            // A cold server is given what it would bear of a warm one's usual work, none saved up.
+            // A cold server is given what it would bear of a warm one's usual work and a part more: the warm
+            // can't do it all. Hardly any is saved up. A request takes the budget below nothing, so that an
+            // instance whose part is less than one request in all that time sends some too.
             (server.cold_budget, server.cold_filled) = (server.cold_left(now), now);
-            server.cold_rate = (warmth * per_server).max(first);
-            server.cold_most = (warmth * per_server * rules.fall as f64 * SAVED).max(self.mean_size.at);
+            server.cold_rate = (PACE * warmth * per_server * (own / mean)).max(first);
+            server.cold_most = server.cold_rate * rules.fall as f64 * SAVED;
         }
         if self.pool.len() >= POOL && !self.pool.contains_key(lane) {
             let oldest = self.pool.iter().min_by_key(|(_, i)| i.tuned).map(|(key, _)| key.clone());
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -169,7 +169,7 @@
 }
 
 impl Server {
-    pub fn new(listed: Listed, now: Micros) -> Self {
+    pub fn new(listed: Listed, now: Micros, owed: f64) -> Self {
         Server {
             listed,
             out: Vec::new(),
@@ -186,7 +186,7 @@
             loses: 0.0,
             ejected_until: None,
             ejection: 0,
-            cold_budget: 0.0,
+            cold_budget: -owed,
             cold_filled: now,
             cold_rate: 0.0,
             cold_most: 0.0,
--- a/crates/balancer/tests/mechanism.rs
+++ b/crates/balancer/tests/mechanism.rs
@@ -587,3 +587,26 @@
     }
     assert!(unserved < 6, "{unserved} of 600");
 }
+
+/// A hundred instances that all use a server send it a hundred requests before any of them has seen it answer late.
+#[test]
+fn one_of_many_instances_that_asks_nobody_keeps_to_few_servers_and_all_together_use_all() {
+    let mut settings = settings(&[Effect::Safe]);
+    (settings.group_size, settings.limits.probes, settings.prices.probe) = (100, true, 0.08);
+    let mut users = std::collections::BTreeMap::new();
+    for seed in 0..100 {
+        let mut rig = Rig::new(settings.clone(), &fleet(60));
+        rig.balancer = Balancer::new(settings.clone(), seed).expect("settings are sound");
+        rig.event(Event::Members(Members::Full(&fleet(60))));
+        // Fifteen a second.
+        let mut used = std::collections::BTreeSet::new();
+        for _ in 0..150 {
+            used.extend(rig.serve(0, 66 * MS));
+        }
+        assert!(used.len() <= 16, "one uses {} servers", used.len());
+        used.into_iter().for_each(|server| *users.entry(server).or_insert(0) += 1);
+    }
+    assert_eq!(users.len(), 60, "servers that nobody uses");
+    let most = users.values().copied().max().unwrap_or(0);
+    assert!(most <= 35, "{most} of 100 instances use one server");
+}
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -195,3 +195,37 @@
     }
     assert!(total > 0, "nothing was ever sent to a fleet that started together");
 }
+
+/// Of a hundred instances each owes a cold server less than one request in all the time that it is cold. If each waited
+/// until it owed a whole one, the server would stand idle and the warm ones would bear its work.
+#[test]
+fn a_hundred_quiet_instances_together_use_a_cold_server_and_do_not_push_it_over() {
+    let mut settings = settings(&[Effect::Safe]);
+    (settings.group_size, settings.rules.fall) = (100, 2 * S);
+    let start = 1_000 * S;
+    let young = Listed { started: Some(start), ..listed(0) };
+    let fleet: Vec<_> = std::iter::once(young).chain((1..8).map(listed)).collect();
+    let (mut cold, mut all) = ([0; 4], [0; 4]);
+    for seed in 0..100 {
+        let mut rig = Rig::new(settings.clone(), &fleet[1..]);
+        rig.balancer = Balancer::new(settings.clone(), seed).expect("settings are sound");
+        (rig.now, rig.hint) = (start - 20 * S, Some(50 * MS));
+        rig.event(Event::Members(Members::Full(&fleet[1..])));
+        rig.stream(20, S, 10 * MS, |_| (0, 0));
+        rig.event(Event::Members(Members::Changes(&[young])));
+        // One request a second for 8 s: its part is one of eight, of which a cold server is to have less.
+        for second in 0..8 {
+            rig.now = start + second * S;
+            let server = rig.serve(0, 10 * MS);
+            all[second as usize / 2] += u32::from(server.is_some());
+            cold[second as usize / 2] += u32::from(server == Some(ServerId(0)));
+        }
+    }
+    let usual = all.map(|all| all / 8);
+    assert!(
+        cold[0] > 0 && cold.iter().sum::<u32>() >= usual[0] / 2,
+        "{cold:?} of {usual:?} went to the cold server"
+    );
+    // Three times the fifth that it can do at its start would push it over.
+    assert!(cold[0] * 5 < usual[0] * 3, "{cold:?} of {usual:?} went to the cold server");
+}
