--- a/crates/cli/tests/sidecar/main.rs
+++ b/crates/cli/tests/sidecar/main.rs
@@ -40,6 +40,22 @@
     assert!(node.try_accept().is_none());
 }
 
+/// Of these lines of a whole fleet it is counted what all instances did together.
+#[test]
+fn at_the_level_debug_each_attempt_and_connection_is_a_line_of_the_log() {
+    let node = Node::new();
+    let options = Options { arguments: "--log-level debug", ..Options::default() };
+    let mut sidecar = Sidecar::with(&[node.address()], options);
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    conn.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    for line in ["request 1", "send 1", "open: up true", "ended 1: Ok"] {
+        sidecar.wait_for(line);
+    }
+}
+
 /// What may have run must not run twice where the class forbids it, and is tried again where it may be.
 #[rstest]
 #[case::error("submit-check", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false)]
--- a/crates/cli/tests/sidecar/rig.rs
+++ b/crates/cli/tests/sidecar/rig.rs
@@ -178,11 +178,14 @@
     pub memory_mb: usize,
     /// What the shell is to do before it starts the program.
     pub before: &'static str,
+    /// What stands on its command line behind `serve`.
+    pub arguments: &'static str,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { group_size: 4, sockets: 1024, conn_idle_ms: 60_000, memory_mb: 192, before: ":" }
+        let (before, arguments) = (":", "");
+        Options { group_size: 4, sockets: 1024, conn_idle_ms: 60_000, memory_mb: 192, before, arguments }
     }
 }
 
@@ -202,7 +205,8 @@
             "seed": "8c1f30d27a5be964", "known": listing(41, true, &entries),
             "limits": {"cores": 1.0, "memory_mb": options.memory_mb, "sockets": options.sockets},
             "settings": settings(options.group_size, options.conn_idle_ms)});
-        let script = format!("{}; exec {} serve", options.before, env!("CARGO_BIN_EXE_madderloom"));
+        let program = env!("CARGO_BIN_EXE_madderloom");
+        let script = format!("{}; exec {program} serve {}", options.before, options.arguments);
         let path = write_config(&config.to_string());
         let mut child = Command::new("/bin/sh")
             .args(["-c", &script])
@@ -213,8 +217,17 @@
             .expect("the program starts");
         let mut errors = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
-        errors.read_line(&mut line).expect("it says where it listens");
-        let address = line.trim_end().strip_prefix("listening on ").expect("it listens").parse();
+        let address = loop {
+            line.clear();
+            assert_ne!(
+                errors.read_line(&mut line).expect("text"),
+                0,
+                "it ends without saying where it listens"
+            );
+            if let Some(address) = line.trim_end().strip_prefix("listening on ") {
+                break address.parse();
+            }
+        };
         Sidecar {
             child,
             address: address.expect("an address"),
