Spell a server's number in one place, and say less twice in the trail and the reach

The trail checked the log's level beside macros that check it themselves. In reach() a condition was asked that the return above it had settled. Two tests built a rig and replaced its balancer; Rig::seeded does it. Behaviour and assertions are as they were.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -189,8 +189,8 @@
         for listed in list {
             // Where each instance may give a cold server less than one request in all, some give one at once
             // and some late, by chance: all together give what it bears from the first moment on.
-            let owed = listed.started.map_or(0.0, |_| self.random.rand_float() - at_once);
-            let owed = owed * self.mean_size.at;
+            let by_chance = |_| (self.random.rand_float() - at_once) * self.mean_size.at;
+            let owed = listed.started.map_or(0.0, by_chance);
             let server = self.servers.entry(listed.server).or_insert_with(|| Server::new(*listed, now, owed));
             if listed.started > server.listed.started {
                 // A crashed server comes back cold: nothing measured of its last life holds.
@@ -593,11 +593,11 @@
     /// hundred that all use a server, each sends it one more before its first late answer, and jams it; few
     /// that meet it often hold back at once, since what they have out there themselves is its queue.
     fn reach(&self, now: Micros) -> usize {
-        let many = self.settings.group_size >= BLIND;
-        if self.settings.limits.probes && (self.asks > 1 || !many) {
+        let may_ask = self.settings.limits.probes;
+        if may_ask && (self.asks > 1 || self.settings.group_size < BLIND) {
             return usize::MAX;
         }
-        let span = if many && self.settings.limits.probes { MET } else { HEARD.0 };
+        let span = if may_ask { MET } else { HEARD.0 };
         let heard = (self.arrivals.get(now) / HEARD.1 * span) as usize;
         heard.max(REACH).next_power_of_two()
     }
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -21,6 +21,13 @@
     }
 }
 
+/// The number in 16 hexadecimal digits, as logs and events name a server whose name is not known.
+impl fmt::Display for ServerId {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "{:016x}", self.0)
+    }
+}
+
 /// What a balancer is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -61,7 +61,11 @@
 
 impl Rig {
     pub fn new(settings: Settings, servers: &[Listed]) -> Self {
-        let balancer = Balancer::new(settings, 7).expect("settings are sound");
+        Rig::seeded(settings, 7, servers)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64, servers: &[Listed]) -> Self {
+        let balancer = Balancer::new(settings, seed).expect("settings are sound");
         let mut rig = Rig { balancer, now: 1_000 * S, actions: Vec::new(), hint: None, next: 0 };
         rig.event(Event::Members(Members::Full(servers)));
         rig
--- a/crates/balancer/tests/mechanism.rs
+++ b/crates/balancer/tests/mechanism.rs
@@ -595,9 +595,7 @@
     (settings.group_size, settings.limits.probes, settings.prices.probe) = (100, true, 0.08);
     let mut users = std::collections::BTreeMap::new();
     for seed in 0..100 {
-        let mut rig = Rig::new(settings.clone(), &fleet(60));
-        rig.balancer = Balancer::new(settings.clone(), seed).expect("settings are sound");
-        rig.event(Event::Members(Members::Full(&fleet(60))));
+        let mut rig = Rig::seeded(settings.clone(), seed, &fleet(60));
         // Fifteen a second.
         let mut used = std::collections::BTreeSet::new();
         for _ in 0..150 {
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -202,15 +202,13 @@
 fn a_hundred_quiet_instances_together_use_a_cold_server_and_do_not_push_it_over() {
     let mut settings = settings(&[Effect::Safe]);
     (settings.group_size, settings.rules.fall) = (100, 2 * S);
-    let start = 1_000 * S;
+    let start = 1_020 * S;
     let young = Listed { started: Some(start), ..listed(0) };
-    let fleet: Vec<_> = std::iter::once(young).chain((1..8).map(listed)).collect();
+    let warm: Vec<_> = (1..8).map(listed).collect();
     let (mut cold, mut all) = ([0; 4], [0; 4]);
     for seed in 0..100 {
-        let mut rig = Rig::new(settings.clone(), &fleet[1..]);
-        rig.balancer = Balancer::new(settings.clone(), seed).expect("settings are sound");
-        (rig.now, rig.hint) = (start - 20 * S, Some(50 * MS));
-        rig.event(Event::Members(Members::Full(&fleet[1..])));
+        let mut rig = Rig::seeded(settings.clone(), seed, &warm);
+        rig.hint = Some(50 * MS);
         rig.stream(20, S, 10 * MS, |_| (0, 0));
         rig.event(Event::Members(Members::Changes(&[young])));
         // One request a second for 8 s: its part is one of eight, of which a cold server is to have less.
--- a/crates/lab/src/count.rs
+++ b/crates/lab/src/count.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// A line, as far as it is of use.
 #[derive(Deserialize)]
@@ -116,7 +116,7 @@
     let (mut busy, mut told) = (BTreeMap::<u64, Busy>::new(), HashMap::<String, Told>::new());
     let (mut servers, mut times) = (HashMap::<String, OfServer>::new(), HashMap::<String, (u64, u64)>::new());
     for log in logs {
-        let (mut of_use, mut sent_to) = (false, std::collections::HashSet::<String>::new());
+        let (mut of_use, mut sent_to) = (false, HashSet::<String>::new());
         for line in log.lines() {
             let object = line.find('{').map(|at| &line[at..]);
             let Some(line) = object.and_then(|object| serde_json::from_str::<Line<'_>>(object).ok()) else {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -173,7 +173,7 @@
 
     pub(super) fn name(&self, server: ServerId) -> Box<str> {
         let members = self.members.borrow();
-        members.get(&server).map_or_else(|| format!("{:016x}", server.0).into(), |m| m.name.clone())
+        members.get(&server).map_or_else(|| server.to_string().into(), |m| m.name.clone())
     }
 
     /// Whether its list comes from there.
--- a/crates/sidecar/src/teller.rs
+++ b/crates/sidecar/src/teller.rs
@@ -71,7 +71,7 @@
 
     /// The name of a server that is listed or remembered.
     pub(super) fn name(&self, id: ServerId) -> Box<str> {
-        self.servers.get(&id).map_or_else(|| format!("{:016x}", id.0).into(), |known| known.name.clone())
+        self.servers.get(&id).map_or_else(|| id.to_string().into(), |known| known.name.clone())
     }
 
     /// Where a server is, or was last, and how it was listed.
--- a/crates/sidecar/src/trail.rs
+++ b/crates/sidecar/src/trail.rs
@@ -15,31 +15,24 @@
 //! instance.
 
 use super::service::Service;
-use madderloom_balancer::{Action, Event, Members, Micros, ServerId};
-
-fn is_on() -> bool {
-    tracing::enabled!(tracing::Level::DEBUG)
-}
+use madderloom_balancer::{Action, Closed, Event, Listed, Members, Micros, ServerId};
+use tracing::{Level, debug, enabled};
 
 /// What the module is told.
 pub(super) fn event(service: &Service, now: Micros, event: &Event<'_>) {
-    if !is_on() {
-        return;
-    }
     match event {
-        Event::Members(Members::Full(list) | Members::Changes(list)) => {
-            for listed in *list {
-                let (server, state, kind) = (listed.server.0, listed.state, listed.kind);
-                let (name, started) = (service.pool.name(listed.server), listed.started.unwrap_or(0));
-                tracing::debug!(t = now, what = "listed", server = %format_args!("{server:016x}"), %name, ?state, kind, started, "listed {name}: {state:?}");
+        // Names are looked up where they are written alone.
+        Event::Members(Members::Full(list) | Members::Changes(list)) if enabled!(Level::DEBUG) => {
+            for Listed { server, state, kind, started, .. } in *list {
+                let (name, started) = (service.pool.name(*server), started.unwrap_or(0));
+                debug!(t = now, what = "listed", %server, %name, ?state, kind, started, "listed {name}: {state:?}");
             }
         }
         Event::Request(new) => {
-            tracing::debug!(t = now, what = "request", class = new.class, "request {}", new.id);
+            debug!(t = now, what = "request", class = new.class, "request {}", new.id);
         }
-        Event::Closed(closed) => {
-            let (server, outcome, us) = (closed.server.0, closed.outcome, closed.elapsed);
-            tracing::debug!(t = now, what = "ended", server = %format_args!("{server:016x}"), ?outcome, us, "ended {}: {outcome:?} after {us} us", closed.request);
+        Event::Closed(Closed { request, server, outcome, elapsed: us, .. }) => {
+            debug!(t = now, what = "ended", %server, ?outcome, us, "ended {request}: {outcome:?} after {us} us");
         }
         _ => {}
     }
@@ -47,26 +40,17 @@
 
 /// What the module has done.
 pub(super) fn action(now: Micros, action: &Action) {
-    if !is_on() {
-        return;
-    }
     match action {
-        Action::Send { request, server, .. } => {
-            tracing::debug!(t = now, what = "send", server = %format_args!("{:016x}", server.0), "send {request}");
-        }
-        Action::Probe(server) => {
-            tracing::debug!(t = now, what = "probe", server = %format_args!("{:016x}", server.0), "probe");
-        }
-        Action::Refuse { request, .. } => tracing::debug!(t = now, what = "refuse", "refuse {request}"),
-        Action::Fail { request } => tracing::debug!(t = now, what = "fail", "fail {request}"),
-        Action::Subscribe => tracing::debug!(t = now, what = "ask", "ask discovery"),
+        Action::Send { request, server, .. } => debug!(t = now, what = "send", %server, "send {request}"),
+        Action::Probe(server) => debug!(t = now, what = "probe", %server, "probe"),
+        Action::Refuse { request, .. } => debug!(t = now, what = "refuse", "refuse {request}"),
+        Action::Fail { request } => debug!(t = now, what = "fail", "fail {request}"),
+        Action::Subscribe => debug!(t = now, what = "ask", "ask discovery"),
         _ => {}
     }
 }
 
 /// A connection to a server was asked for.
 pub(super) fn opened(now: Micros, server: ServerId, up: bool) {
-    if is_on() {
-        tracing::debug!(t = now, what = "open", server = %format_args!("{:016x}", server.0), up, "open: up {up}");
-    }
+    debug!(t = now, what = "open", %server, up, "open: up {up}");
 }
--- a/crates/timeline/src/departure.rs
+++ b/crates/timeline/src/departure.rs
@@ -37,7 +37,7 @@
 }
 
 fn hex<W: serde::Serializer>(server: &ServerId, writer: W) -> Result<W::Ok, W::Error> {
-    writer.collect_str(&format_args!("{:016x}", server.0))
+    writer.collect_str(server)
 }
 
 /// Where a departure stands.
@@ -115,7 +115,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let class = self.class.map(|class| format!("class {class}"));
         let name = match self.subject {
-            Subject::Server(server) => format!("{:016x}", server.0),
+            Subject::Server(server) => server.to_string(),
             Subject::Zone(zone) => zone.to_string(),
             Subject::Fleet => String::new(),
         };
