--- /dev/null
+++ b/crates/operations/src/duty.rs
@@ -0,0 +1,141 @@
+//! The duty of a sidecar: it serves, it drains and comes back, or it stops.
+//!
+//! While it drains it says that it is not ready, and serves all that comes all the same: whoever sends to it learns of
+//! the drain a little late. Each answer ends its connection. Connections that lie idle are closed after a while, late
+//! enough that a sender that has heard of the drain is not crossed by the close, early enough that none is left when
+//! the drain counts as done. A stop closes the listening socket besides, and the process ends once all is answered.
+
+use crate::Micros;
+
+/// After the beginning of a drain idle connections stay for this long: senders hear of it within 0.1 s and go on for
+/// 0.2 s.
+pub const IDLE_STAYS: Micros = 800_000;
+/// From then on, a connection goes that has been idle for so long.
+pub const IDLE_FOR: Micros = 200_000;
+
+/// What a sidecar does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It serves.
+    Serving,
+    /// It drains, since this time.
+    Draining {
+        /// When it was told to.
+        since: Micros,
+    },
+    /// It stops, since this time, and nothing brings it back.
+    Stopping {
+        /// When it was told to.
+        since: Micros,
+    },
+}
+
+/// A sidecar's duty.
+#[derive(Clone, Debug)]
+pub struct Duty {
+    state: State,
+}
+
+impl Default for Duty {
+    fn default() -> Self {
+        Duty { state: State::Serving }
+    }
+}
+
+impl Duty {
+    /// What it does now.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// It is to drain. False where it does already, or stops; the first call counts.
+    pub fn lame_duck(&mut self, now: Micros) -> bool {
+        let serving = self.state == State::Serving;
+        if serving {
+            self.state = State::Draining { since: now };
+        }
+        serving
+    }
+
+    /// It is to go back to work. False where it works already, or stops.
+    pub fn rejoin(&mut self) -> bool {
+        let draining = matches!(self.state, State::Draining { .. });
+        if draining {
+            self.state = State::Serving;
+        }
+        draining
+    }
+
+    /// It is to stop. The first call counts.
+    pub fn stop(&mut self, now: Micros) {
+        if !self.is_stopping() {
+            self.state = State::Stopping { since: now };
+        }
+    }
+
+    /// Whether it wants new work.
+    pub fn is_serving(&self) -> bool {
+        self.state == State::Serving
+    }
+
+    /// Whether it is on its way out for good.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.state, State::Stopping { .. })
+    }
+
+    /// Whether an answer ends its connection.
+    pub fn ends_connections(&self) -> bool {
+        !self.is_serving()
+    }
+
+    /// Connections that have been idle since this time or before are to be closed now; none is to be where it serves.
+    /// A stop has its own end of connections, as it has one of its listening socket.
+    pub fn closes_idle_since(&self, now: Micros) -> Option<Micros> {
+        match self.state {
+            State::Draining { since } if now >= since.saturating_add(IDLE_STAYS) => {
+                Some(now.saturating_sub(IDLE_FOR))
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_drain_begins_once_and_ends_with_a_rejoin() {
+        let mut duty = Duty::default();
+        assert!(duty.lame_duck(1_000) && !duty.lame_duck(9_000_000));
+        assert_eq!(duty.state(), State::Draining { since: 1_000 });
+        assert_eq!(duty.closes_idle_since(1_000 + IDLE_STAYS - 1), None);
+        assert_eq!(duty.closes_idle_since(1_000 + IDLE_STAYS), Some(1_000 + IDLE_STAYS - IDLE_FOR));
+        assert!(duty.rejoin() && !duty.rejoin());
+        assert_eq!(duty.closes_idle_since(Micros::MAX), None);
+    }
+
+    proptest! {
+        /// Whatever is called in whatever order: it wants work just while it neither drains nor stops, a stop is for
+        /// good, and no idle connection is closed before those who hold it can know.
+        #[test]
+        fn any_calls_leave_it_in_one_sound_state(calls in proptest::collection::vec((0..4u8, 0..3_000_000u64), 0..60)) {
+            let (mut duty, mut now, mut drains, mut stopped) = (Duty::default(), 0, None, false);
+            for (call, passed) in calls {
+                now += passed;
+                match call {
+                    0 => { duty.lame_duck(now); if !stopped { drains = drains.or(Some(now)); } }
+                    1 => { duty.rejoin(); if !stopped { drains = None; } }
+                    2 if passed % 5 == 0 => { duty.stop(now); stopped = true; }
+                    _ => {}
+                }
+                prop_assert_eq!(duty.is_stopping(), stopped);
+                prop_assert_eq!(duty.is_serving(), !stopped && drains.is_none());
+                prop_assert_eq!(duty.ends_connections(), !duty.is_serving());
+                let closes = duty.closes_idle_since(now).is_some();
+                prop_assert_eq!(closes, !stopped && drains.is_some_and(|since| now >= since + IDLE_STAYS));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/operations/src/figures.rs
@@ -0,0 +1,96 @@
+//! The figures that a sidecar reports, and the lines in which it does.
+
+use std::fmt::{self, Write};
+
+/// What became of the requests of one class, since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Served.
+    pub fulfilled: u64,
+    /// Refused: trying again does no harm.
+    pub throttled: u64,
+    /// Failed.
+    pub faulted: u64,
+}
+
+impl Ended {
+    /// All of them.
+    pub fn all(&self) -> u64 {
+        self.fulfilled + self.throttled + self.faulted
+    }
+}
+
+/// A sidecar's figures at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// By the names of the classes, those that a newer file has dropped among them.
+    pub operations: Vec<(String, Ended)>,
+    /// Attempts that were written whole to servers, since the process started.
+    pub relayed: u64,
+    /// Requests that were taken and have not ended.
+    pub open_requests: u64,
+    /// Servers in the list.
+    pub registry_entries: u64,
+    /// Of these, those that get nothing now.
+    pub out_of_rotation: u64,
+    /// Files taken at SIGHUP, and those turned down.
+    pub cfg_accepted: u64,
+    /// See above.
+    pub cfg_invalid: u64,
+}
+
+impl fmt::Display for Figures {
+    /// One line each, `app.NAME=NUMBER`, and `eof` behind them.
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (class, ended) in &self.operations {
+            for (name, count) in
+                [("fulfilled", ended.fulfilled), ("throttled", ended.throttled), ("faulted", ended.faulted)]
+            {
+                writeln!(to, "app.operations.{}.{name}={count}", Plain(class))?;
+            }
+        }
+        for (name, count) in [
+            ("relayed", self.relayed),
+            ("open_requests", self.open_requests),
+            ("registry_entries", self.registry_entries),
+            ("out_of_rotation", self.out_of_rotation),
+            ("cfg_accepted", self.cfg_accepted),
+            ("cfg_invalid", self.cfg_invalid),
+        ] {
+            writeln!(to, "app.{name}={count}")?;
+        }
+        to.write_str("eof\n")
+    }
+}
+
+/// A class's name as part of a line: what would end the name or the line is written `_`.
+struct Plain<'a>(&'a str);
+
+impl fmt::Display for Plain<'_> {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.chars().try_for_each(|c| {
+            to.write_char(if c == '=' || c == '.' || c.is_control() || c == ' ' { '_' } else { c })
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_are_lines_that_end_with_eof() {
+        let ended = Ended { fulfilled: 812, throttled: 3, faulted: 1 };
+        let figures = Figures {
+            operations: vec![("submit-check".to_string(), ended), ("a=b\n.c".to_string(), Ended::default())],
+            open_requests: 14,
+            ..Figures::default()
+        };
+        let text = figures.to_string();
+        assert!(text.starts_with("app.operations.submit-check.fulfilled=812\n"));
+        assert!(text.contains("\napp.operations.a_b__c.faulted=0\n"));
+        assert!(text.contains("\napp.open_requests=14\n"));
+        assert!(text.ends_with("\neof\n"));
+        assert!(text.lines().all(|line| line == "eof" || line.matches('=').count() == 1));
+    }
+}
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -140,6 +140,21 @@
         self.parked.borrow().first_key_value().map(|((since, _), _)| *since)
     }
 
+    /// Has those connections closed that have been idle since this time or before, with nothing of a request on them.
+    pub(super) fn close_idle(&self, since: Micros) {
+        let parked = self.parked.borrow();
+        let old = parked.range(..=(since, u64::MAX)).map(|(_, client)| Rc::clone(client));
+        let mut old: Vec<Rc<Client>> = old.collect();
+        drop(parked);
+        let served = self.served.borrow();
+        let idle = |client: &&Rc<Client>| {
+            client.may_be_parked() && client.idle_since.get().is_some_and(|at| at <= since)
+        };
+        old.extend(served.values().filter(idle).cloned());
+        drop(served);
+        old.iter().for_each(|client| client.tell_to_close());
+    }
+
     pub(super) fn close_all(&self) {
         let parked: Vec<Rc<Client>> = self.parked.borrow().values().cloned().collect();
         parked.iter().for_each(|client| client.tell_to_close());
@@ -267,7 +282,7 @@
         client.charged.set(listener.account());
         client.idle_since.set(Some(common.clock.now()));
         client.read.set(false);
-        if common.stopping.get() || listener.is_leaving() || listener.is_crowded() {
+        if common.duty.borrow().ends_connections() || listener.is_leaving() || listener.is_crowded() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok::<_, Infallible>(response)
--- a/crates/sidecar/src/common.rs
+++ b/crates/sidecar/src/common.rs
@@ -10,6 +10,7 @@
 use super::pool::Steering;
 use super::service::Service;
 use super::turns::{Account, Scheduler};
+use madderloom_operations::duty::Duty;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -28,8 +29,13 @@
 pub(super) struct Common {
     pub(super) clock: Clock,
     pub(super) alarms: Alarms,
-    /// It has been told to stop: every answer closes its connection.
-    pub(super) stopping: Cell<bool>,
+    /// Whether it serves, drains or stops.
+    pub(super) duty: RefCell<Duty>,
+    /// The one listening socket is shared with the process that this one replaces, or that will replace it.
+    pub(super) shares_socket: Cell<bool>,
+    /// Files taken at SIGHUP, and those turned down.
+    pub(super) files_taken: Cell<u64>,
+    pub(super) files_refused: Cell<u64>,
     pub(super) bounds: Bounds,
     /// Connections of clients that are there, and how many of them are a crowd.
     pub(super) clients: Cell<usize>,
@@ -120,7 +126,10 @@
         Rc::new(Common {
             alarms: Alarms::new(&clock),
             clock,
-            stopping: Cell::new(false),
+            duty: RefCell::default(),
+            shares_socket: Cell::new(false),
+            files_taken: Cell::new(0),
+            files_refused: Cell::new(0),
             bounds: Bounds::new(totals),
             clients: Cell::new(0),
             many_clients: Cell::new(totals.descriptors / 4),
@@ -140,6 +149,15 @@
         })
     }
 
+    /// Whether there is a service that could serve a request.
+    pub(super) fn can_serve(&self) -> bool {
+        self.services.borrow().iter().any(|service| service.pool.is_known())
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.duty.borrow().is_stopping()
+    }
+
     /// The minute of the local day, from 0 to 1,439.
     pub(super) fn minute_of_day(&self) -> u16 {
         self.day.get_or_init(LocalDay::read).minute()
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -7,7 +7,7 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 /// A sidecar's configuration.
 #[derive(Deserialize)]
@@ -19,6 +19,12 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where on-call staff and the platform ask it, if they do.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it and has left it open for this process.
+    #[serde(skip)]
+    pub(super) inherited: Option<TcpListener>,
     /// For random numbers; new with each start.
     #[serde(deserialize_with = "hex")]
     pub seed: u64,
@@ -65,7 +71,8 @@
 }
 
 impl Config {
-    /// Reads the file that `RELAY_CONFIG` names. Other `RELAY_*` variables go before what it says.
+    /// Reads the file that `RELAY_CONFIG` names. Other `RELAY_*` variables go before what it says. To be called before
+    /// the process opens anything: `RELAY_ACCEPT_FD` names a socket that was left open for it by its number.
     pub fn load() -> Result<Self, String> {
         let mut config = Config::read()?;
         for (variable, address) in
@@ -75,6 +82,14 @@
                 *address = value.parse().map_err(|e| format!("{variable}: {e}: {value}"))?;
             }
         }
+        if let Ok(value) = std::env::var("RELAY_CONTROL") {
+            let address = value.parse().map_err(|e| format!("RELAY_CONTROL: {e}: {value}"))?;
+            config.control = Some(address);
+        }
+        if let Ok(number) = std::env::var("RELAY_ACCEPT_FD") {
+            let socket = madderloom_inherited::listener(&number, config.listen);
+            config.inherited = Some(socket.map_err(|e| format!("RELAY_ACCEPT_FD: {e}"))?);
+        }
         config.limits.sockets = config.limits.sockets.min(allowed_descriptors());
         config.name = std::env::var("RELAY_NAME").unwrap_or(config.name);
         Ok(config)
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -313,7 +313,7 @@
                 Err(problem) => return refused("set", &problem),
             }
         };
-        if self.common.stopping.get() {
+        if self.common.is_stopping() {
             return refused("set", "the instance is stopping");
         }
         // From here on nothing waits, so that nothing sees a half of it.
@@ -467,7 +467,7 @@
     fn look(&mut self, now: Instant, common: &Common) -> Counts {
         self.services.retain(|(service, _)| service.strong_count() > 0);
         for service in common.services.borrow().iter() {
-            let counts = &service.counts;
+            let counts = service.counts.sum();
             let away = counts.refused.get() + counts.failed.get() + counts.turned_away.get();
             let present = Counts { ended: counts.served.get() + away, bad: counts.late.get() + away };
             let known = self.services.iter_mut().find(|(known, _)| known.as_ptr() == Rc::as_ptr(service));
--- /dev/null
+++ b/crates/sidecar/src/drain.rs
@@ -0,0 +1,40 @@
+//! The drain of the process and its end: what the duty decides, carried out on the listeners.
+
+use super::common::Common;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Between looks after what lies idle while it drains.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Begins a drain. One that goes on already goes on.
+pub(super) fn begin(common: &Rc<Common>) {
+    if !common.duty.borrow_mut().lame_duck(common.clock.now()) {
+        return;
+    }
+    tracing::info!("draining: no new work is wanted");
+    let common = Rc::clone(common);
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = common.clock.now();
+            let (serving, close) = {
+                let duty = common.duty.borrow();
+                (duty.is_serving() || duty.is_stopping(), duty.closes_idle_since(now))
+            };
+            if serving {
+                return;
+            }
+            if let Some(since) = close {
+                common.listeners.borrow().iter().for_each(|listener| listener.clients.close_idle(since));
+            }
+        }
+    });
+}
+
+/// Ends a drain; nothing where there is none.
+pub(super) fn end(common: &Common) {
+    if common.duty.borrow_mut().rejoin() {
+        tracing::info!("back to work");
+    }
+}
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -1,6 +1,7 @@
 //! One server-side flow: an attempt at a server, from its connection to its one outcome.
 
 use super::connections::NoConnection;
+use super::counts::count;
 use super::exchange::{self, Broken, Message, Progress, Whole};
 use super::ledger::{Entry, Gate};
 use super::service::Service;
@@ -159,6 +160,9 @@
         };
         let hold = held.then(|| service.common.alarm_in(HOLD));
         let sent = exchange::send(&lease.stream, &message, hold, progress).await;
+        if progress.whole.get() {
+            count(&service.counts.relayed);
+        }
         let mut answer = exchange::Answer::default();
         let head = match sent {
             Ok(_) => answer.head(&mut lease.stream).await,
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -2,10 +2,11 @@
 //! the operator wants that, and answers in GraphQL. Transactions, flows and decisions are those of every request.
 
 use super::client::Client;
+use super::counts::count;
 use super::flow::{Onward, Reading};
 use super::ledger::Entry;
 use super::listener::Listener;
-use super::service::{Service, count};
+use super::service::Service;
 use super::transaction::{self, Answer};
 use super::virtual_server::{
     MARGIN, OpenId, Reject, TRACE_ID, admit, length, next_request, note, seconds, senseless, time_left, whole,
@@ -61,7 +62,7 @@
     let (left, bytes, _held) = match taken.await {
         Ok(taken) => taken,
         Err(reject) => {
-            note(service, &reject, body.take(), manner);
+            note(service, None, &reject, body.take(), manner);
             return rejected(reject, media);
         }
     };
@@ -70,7 +71,7 @@
         Ok(to_send) => to_send,
         Err(None) => return rejected(NO_ROUTE, media),
         Err(Some(rejection)) => {
-            count(&service.counts.senseless);
+            count(&service.counts.unclassed().senseless);
             return response(rejection.reply(media));
         }
     };
@@ -134,9 +135,10 @@
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let (service, classed) = (self.service, &message.classed);
         if service.transactions.borrow().len() >= service.max_open {
-            count(&service.counts.turned_away);
+            count(&service.class_counts(classed.class).turned_away);
             return Err(Fault::refused(service.retry_after));
         }
+        let _open = service.counts.open();
         let now = service.common.clock.now();
         let usual =
             service.site.settings.classes.get(classed.class as usize).map_or(0, |class| class.deadline);
@@ -163,15 +165,15 @@
         };
         match transaction::run(service, now, new, onward).await {
             Answer::Served(response) => {
-                count(&service.counts.served);
+                count(&service.class_counts(classed.class).served);
                 Ok(response)
             }
             Answer::Refused { retry_after } => {
-                count(&service.counts.refused);
+                count(&service.class_counts(classed.class).refused);
                 Err(Fault::refused(retry_after))
             }
             Answer::Failed => {
-                count(&service.counts.failed);
+                count(&service.class_counts(classed.class).failed);
                 Err(Fault::failed())
             }
         }
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -3,9 +3,10 @@
 use super::client::{self, Clients, YOUNG};
 use super::common::Common;
 use super::connections::is_exhausted;
+use super::counts::Counts;
 use super::limits::{Allowance, Member};
 use super::routing::Routing;
-use super::service::{Counts, Parts, Service};
+use super::service::{Parts, Service};
 use super::turns::{self, Account, Charged, InTurn};
 use madderloom_balancer::Micros;
 use madderloom_operator::MemberLimits;
@@ -186,6 +187,10 @@
                 // The sender lives as long as this listener.
                 let _ = leaving.wait_for(|leaving| *leaving).await;
                 // Clients go on connecting for a while, and what has reached this machine has been taken.
+                // Where the socket is shared, the other process takes them, and all that waits to be taken.
+                if self.common.shares_socket.get() {
+                    return;
+                }
                 tokio::select! {
                     () = tokio::time::sleep(LINGER) => return,
                     // A newer file has it stay.
@@ -202,6 +207,10 @@
         drop(socket);
         let of = self.label();
         tracing::info!("{of}closed to new clients");
+        if self.common.shares_socket.get() {
+            // What comes on open connections meanwhile ends them with its answer, which no close can cross.
+            tokio::time::sleep(LINGER).await;
+        }
         self.clients.close_all();
         // No connection is left, so no answer is owed.
         while self.seats.numbers().used > 0 {
@@ -213,6 +222,10 @@
 
     /// Takes connections for as long as it is asked to.
     async fn accept_loop(self: &Rc<Self>, socket: &TcpListener) {
+        // Until it can serve, the process that it is to replace takes all.
+        while self.common.shares_socket.get() && !self.common.can_serve() {
+            self.common.alarm_in(AGAIN).await;
+        }
         loop {
             self.common.keep_to_memory(2);
             // A connection that waits in the backlog has been taken as far as its client can tell, so the one that
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -194,6 +194,11 @@
         self.index.get()
     }
 
+    /// How many servers are in the list.
+    pub(super) fn count(&self) -> usize {
+        self.members.borrow().len()
+    }
+
     /// Whether there is a server to send to at all.
     pub(super) fn is_known(&self) -> bool {
         !self.members.borrow().is_empty()
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -9,6 +9,7 @@
 use super::ledger::Keeper;
 use super::listener::{Listener, Manner, bind};
 use super::routing::Routing;
+use super::second_address;
 use super::service::{Parts, Service, Spec};
 use super::warm;
 use madderloom_operator::{Kept, MemberLimits, Operator, PLATFORM};
@@ -19,6 +20,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
 /// Between looks after what lies idle.
@@ -69,8 +71,17 @@
         let by_file = config.is_none() && own.is_some_and(|own| own.limits.descriptors.is_some());
         let sockets = if by_file { usize::MAX } else { limits.sockets };
         let descriptors = sockets.min(allowed_descriptors());
+        let (descriptors, memory) =
+            config.as_ref().map_or((descriptors, memory), |c| own_part(c, descriptors, memory));
         let totals = totals(descriptors, memory, own, config.is_some());
         let common = Common::new(totals, operator.is_some());
+        common.shares_socket.set(config.as_ref().is_some_and(|config| config.inherited.is_some()));
+        // Before anything is served: where it cannot be asked, the start fails.
+        if let Some(at) = config.as_ref().and_then(|config| config.control) {
+            let socket = second_address::bind(at)?;
+            tracing::info!(%at, "asked on {at}");
+            tokio::task::spawn_local(second_address::serve(Rc::clone(&common), socket));
+        }
         tokio::task::spawn_local(alarms::run(Rc::clone(&common)));
         let state = own.and_then(|operator| operator.state.clone());
         let kept = state.as_ref().map(|state| state.usual).unwrap_or_default();
@@ -127,7 +138,7 @@
         });
         stop.await;
         tracing::info!("stopping");
-        self.common.stopping.set(true);
+        self.common.duty.borrow_mut().stop(self.common.clock.now());
         self.end_control();
         self.common.listeners.borrow().iter().for_each(|listener| listener.leave());
         while !self.common.listeners.borrow().is_empty() {
@@ -143,6 +154,14 @@
     }
 }
 
+/// What of the platform's limits this process keeps to. Where it shares its clients' socket, the process that it replaces
+/// or that replaces it has the other half; callers at the second address have theirs besides.
+fn own_part(config: &Config, descriptors: usize, memory: u64) -> (usize, u64) {
+    let parts = if config.inherited.is_some() { 2 } else { 1 };
+    let asked = if config.control.is_some() { second_address::DESCRIPTORS } else { 0 };
+    ((descriptors / parts).saturating_sub(asked), memory / parts as u64)
+}
+
 /// How much there is to share.
 pub(super) fn totals(descriptors: usize, memory: u64, operator: Option<&Operator>, platform: bool) -> Totals {
     let Some(operator) = operator else { return Totals::new(descriptors, 0, memory, UNBOUNDED, None) };
@@ -193,7 +212,10 @@
     };
     let service = Service::new(common, spec, parts(bounds.servers.total()))?;
     let listen: SocketAddr = config.listen;
-    let socket = bind(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?;
+    let socket = match config.inherited {
+        Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("RELAY_ACCEPT_FD: {e}"))?,
+        None => bind(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?,
+    };
     let routing = Routing::One(Rc::clone(&service));
     let limits = (None, parts(bounds.clients.total()));
     let place = (listen, socket);
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -2,6 +2,7 @@
 
 use super::admin::{self, AdminServer};
 use super::config::Config;
+use super::counts::count;
 use super::listener::{Listener, Manner, bind};
 use super::pool::{self, Listing};
 use super::process::{Sidecar, totals};
@@ -30,13 +31,19 @@
         let _turn = self.control.turn.lock().await;
         if let Some((service, _)) = &self.platform {
             match Config::read() {
-                Ok(config) => pool::turn_to(service, config.discovery),
-                Err(problem) => tracing::warn!("not read again: {problem}"),
+                Ok(config) => {
+                    count(&self.common.files_taken);
+                    pool::turn_to(service, config.discovery);
+                }
+                Err(problem) => {
+                    count(&self.common.files_refused);
+                    tracing::warn!("not read again: {problem}");
+                }
             }
         }
         let Some(file) = &self.file else { return };
         let read = self.control.read(file.clone()).await;
-        if self.common.stopping.get() {
+        if self.common.is_stopping() {
             return;
         }
         let applied = read.and_then(|read| {
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -3,6 +3,7 @@
 
 use super::common::Common;
 use super::connections::Connections;
+use super::counts::{Counts, Registry};
 use super::levels;
 use super::limits::Allowance;
 use super::pool::{self, Listing, Pool};
@@ -16,8 +17,8 @@
 use hyper::header::HeaderValue;
 use madderloom_balancer::settings::Site;
 use madderloom_balancer::{
-    Action, Balancer, Closed, Effect, Event, Members, Memory, Micros, NewRequest, Note, Outcome, RequestId,
-    ServerId, Snapshot, Timer,
+    Action, Balancer, Class, Closed, Effect, Event, Members, Memory, Micros, NewRequest, Note, Outcome,
+    RequestId, ServerId, Snapshot, Timer,
 };
 use madderloom_graphql::{Front, Policy};
 use madderloom_levels::keeper::Keeper;
@@ -62,29 +63,7 @@
 pub(super) struct ClassName {
     pub(super) name: String,
     pub(super) effect: Effect,
-}
-
-/// What became of requests, since the start.
-#[derive(Default)]
-pub(super) struct Counts {
-    /// Answered by a server.
-    pub(super) served: Cell<u64>,
-    /// Of these, after the time within which an answer is of full worth. Of GraphQL operations none is counted.
-    pub(super) late: Cell<u64>,
-    /// Refused by the module.
-    pub(super) refused: Cell<u64>,
-    /// Failed.
-    pub(super) failed: Cell<u64>,
-    /// Turned away by a limit of this service or of the listener, before the module heard of them.
-    pub(super) turned_away: Cell<u64>,
-    /// Of these, by the bound on requests a second.
-    pub(super) over_rate: Cell<u64>,
-    /// Answered 4xx.
-    pub(super) senseless: Cell<u64>,
-}
-
-pub(super) fn count(counter: &Cell<u64>) {
-    counter.set(counter.get() + 1);
+    pub(super) counts: Rc<Counts>,
 }
 
 /// One service.
@@ -118,7 +97,7 @@
     pub(super) allowance: Allowance,
     /// Its account of the thread's time, for its connections and for the requests that it has.
     pub(super) charged: Rc<Charged>,
-    pub(super) counts: Counts,
+    pub(super) counts: Registry,
     /// What of it outlasts the process.
     pub(super) kept: Cell<Kept>,
     /// What an earlier process measured of servers that are not listed yet.
@@ -140,8 +119,14 @@
         let settings = site.settings.clone();
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let retry_after = settings.limits.retry_after.then_some(settings.limits.max_retry_after);
+        let counts = Registry::default();
         let classes = site.classes.iter().zip(&settings.classes);
-        let classes = classes.map(|(name, c)| ClassName { name: name.clone(), effect: c.effect }).collect();
+        let class = |(name, c): (&String, &Class)| ClassName {
+            name: name.clone(),
+            effect: c.effect,
+            counts: counts.class(name),
+        };
+        let classes = classes.map(class).collect();
         let balancer = Balancer::new(settings, seed).map_err(|e| format!("{label}configuration: {e}"))?;
         let charged = Rc::new(Charged::new(common.account(limits.weight)));
         let bounds = &common.bounds;
@@ -166,7 +151,7 @@
                 limits.rate,
             ),
             charged,
-            counts: Counts::default(),
+            counts,
             kept: Cell::new(kept),
             remembered: RefCell::default(),
             idle: Notify::new(),
@@ -243,6 +228,11 @@
         })
     }
 
+    /// The counts of a class by its place in the settings.
+    pub(super) fn class_counts(&self, class: u32) -> &Counts {
+        self.classes.get(class as usize).map_or(self.counts.unclassed(), |class| &class.counts)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.get()
     }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -2,10 +2,11 @@
 
 use super::common::Common;
 use super::control::Control;
+use super::counts::Counts;
 use super::levels;
 use super::limits::Bound;
 use super::listener::Listener;
-use super::service::{Counts, Service};
+use super::service::Service;
 use super::teller::{Teller, words};
 use super::turns::charged_to;
 use madderloom_balancer::{Effect, Micros, Outcome, ServerId, ServerState, ServerView};
@@ -46,7 +47,7 @@
             "name": self.name,
             "build": env!("CARGO_PKG_VERSION"),
             "up_us": common.clock.up(),
-            "stopping": common.stopping.get(),
+            "stopping": common.is_stopping(),
             "routes": common.routes.get(),
             "files_read": common.files.get(),
             "control": self.control.view(),
@@ -131,7 +132,7 @@
         "list_version": service.pool.version(),
         "classes": classes.collect::<Value>(),
         "servers": snapshot.servers.iter().map(|s| server(service, s, now)).collect::<Value>(),
-        "requests": counts(&service.counts),
+        "requests": counts(&service.counts.sum()),
         "open": service.transactions.borrow().len(),
         "retry_budget": snapshot.retry_budget,
         "service_level": levels::view(service, now),
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -3,13 +3,14 @@
 
 use super::client::Client;
 use super::common::Common;
+use super::counts::count;
 use super::flow::{Onward, Reading};
 use super::graphql;
 use super::ledger::Entry;
 use super::limits::Full;
 use super::listener::{Listener, Manner};
 use super::routing::{ClassFrom, Routing};
-use super::service::{Service, count};
+use super::service::Service;
 use super::transaction::{self, Answer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full as Whole};
@@ -92,8 +93,9 @@
     };
     let manner = listener.manner.get();
     let mut body = Some(body);
+    let at = class_of(&service, class.as_deref(), &head);
     let taken = async {
-        let new = read(&service, class.as_deref(), &head)?;
+        let new = read(&service, at, &head)?;
         let size = length(body.as_ref(), &head.headers, manner.body_size)?;
         let id = head.headers.get(TRACE_ID).ok_or(senseless("X-Trace-Id is missing"))?;
         let held = admit(listener, &service, came, size as u64)?;
@@ -111,11 +113,13 @@
     let (mut new, bytes, _held) = match taken.await {
         Ok(taken) => taken,
         Err(reject) => {
-            note(&service, &reject, body.take(), manner);
+            note(&service, at, &reject, body.take(), manner);
             return rejected(reject);
         }
     };
     client.body_read.set(true);
+    let _open = service.counts.open();
+    let counts = service.class_counts(new.class);
     let now = listener.common.clock.now();
     new.time_left = new.time_left.saturating_sub(MARGIN + (now - came));
     // An absolute target names this sidecar; the node is to see the path alone.
@@ -127,34 +131,41 @@
     let reading = Reading::Plain;
     let entry = if unsafe_to_repeat { Entry::of(&service, &head.headers, None) } else { Ok(None) };
     let Ok(entry) = entry else {
-        count(&service.counts.senseless);
+        count(&counts.senseless);
         return rejected(LONG_ID);
     };
     let (method, headers, body) = (head.method, head.headers, bytes);
     let onward = Onward { method, uri, headers, body, unsafe_to_repeat, reading, entry };
     match transaction::run(&service, now, new, onward).await {
         Answer::Served(response) => {
-            count(&service.counts.served);
+            count(&counts.served);
             if listener.common.clock.now() - came > aim {
-                count(&service.counts.late);
+                count(&counts.late);
             }
             response
         }
         Answer::Refused { retry_after } => {
-            count(&service.counts.refused);
+            count(&counts.refused);
             refusal("refused", retry_after)
         }
         Answer::Failed => {
-            count(&service.counts.failed);
+            count(&counts.failed);
             plain(StatusCode::BAD_GATEWAY, "failed")
         }
     }
 }
 
 /// Counts a request that goes no further, and reads the body that it came with where that is wanted.
-pub(super) fn note(service: &Service, reject: &Reject, unread: Option<Incoming>, manner: Manner) {
+pub(super) fn note(
+    service: &Service,
+    class: Option<usize>,
+    reject: &Reject,
+    unread: Option<Incoming>,
+    manner: Manner,
+) {
     let turned_away = matches!(reject, Reject::Refused(..));
-    count(if turned_away { &service.counts.turned_away } else { &service.counts.senseless });
+    let counts = class.map_or(service.counts.unclassed(), |at| service.class_counts(at as u32));
+    count(if turned_away { &counts.turned_away } else { &counts.senseless });
     if let Some(unread) = unread.filter(|_| turned_away && manner.drains) {
         drain(&service.common, unread, manner);
     }
@@ -166,8 +177,8 @@
     let named = query.and_then(|query| query.split('&').find_map(|pair| pair.strip_prefix("pool=")));
     let mut wanted = routing.reached().iter().filter(|service| named.is_none_or(|name| service.name == name));
     let ready = wanted.any(|service| service.pool.is_known());
-    let stopping = listener.common.stopping.get() || listener.is_leaving();
-    plain(if ready && !stopping { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+    let wanted = listener.common.duty.borrow().is_serving() && !listener.is_leaving();
+    plain(if ready && wanted { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
 }
 
 /// The service that a request is for, and what its class follows from.
@@ -200,7 +211,7 @@
             Full::Open => Reject::Refused("too many requests are open", usual),
             Full::Bodies => Reject::Refused("too much is open", usual),
             Full::Rate(wait) => {
-                count(&service.counts.over_rate);
+                count(&service.counts.unclassed().over_rate);
                 // Clients honour no longer advice than the settings say.
                 Reject::Refused("too many requests have come", usual.map(|most| wait.min(most)))
             }
@@ -271,14 +282,18 @@
     }
 }
 
-/// Takes out of a request what the module needs of it. A route's class goes before that of the path.
-fn read(service: &Service, class: Option<&str>, head: &Parts) -> Result<NewRequest, Reject> {
+/// The class that a request names. A route's class goes before that of the path.
+fn class_of(service: &Service, class: Option<&str>, head: &Parts) -> Option<usize> {
+    let class = class.unwrap_or_else(|| head.uri.path().split('/').nth(1).unwrap_or_default());
+    service.classes.iter().position(|c| c.name == class)
+}
+
+/// Takes out of a request what the module needs of it.
+fn read(service: &Service, class: Option<usize>, head: &Parts) -> Result<NewRequest, Reject> {
     let headers = &head.headers;
     let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let several = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
-    let class = class.unwrap_or_else(|| head.uri.path().split('/').nth(1).unwrap_or_default());
-    let at = service.classes.iter().position(|c| c.name == class);
-    let at = at.ok_or(Reject::Senseless(StatusCode::NOT_FOUND, "there is no such class"))?;
+    let at = class.ok_or(Reject::Senseless(StatusCode::NOT_FOUND, "there is no such class"))?;
     let effect = service.classes[at].effect;
     if head.method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
         return Err(Reject::Senseless(StatusCode::METHOD_NOT_ALLOWED, "the class wants another method"));
