--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -152,6 +152,7 @@
                 self.asking = false;
                 actions.push(Action::Subscribe)
             }
+            Event::Settings(new) => self.retune(now, new),
             Event::Level(reduced) => {
                 self.reduced = reduced.clone();
                 self.retry_budget = self.retry_budget.min(RETRY_BUDGET.1 * reduced.retries);
@@ -226,7 +227,9 @@
         let wait = if worthless { aim.min(new.time_left) } else { new.time_left };
         let wait = (self.reduced.patience * wait as f64) as Micros;
         let key = new.key.unwrap_or_else(|| self.random.rand_u64());
-        let request = Request::new(at, key, size, now, now + wait.saturating_sub(self.settings.tick));
+        let give_up = now + wait.saturating_sub(self.settings.tick);
+        let most = self.settings.limits.max_attempts as usize;
+        let request = Request::new(at, key, size, now, give_up, most);
         // Answers alone do not tell work from queue: only hints, of many requests, may widen what is let in.
         let work = &mut self.classes[at].work;
         work.step = (work.step / (1.0 + work.step)).max(HINTS);
@@ -309,7 +312,8 @@
     fn standing(&self, class: usize) -> f64 {
         let work = |at: usize| if self.settings.worth_by_work { 1.0 } else { self.classes[at].cost.at };
         let worth = |at: usize| self.settings.classes[at].worth / work(at);
-        let sharing = (0..self.classes.len()).filter(|at| self.long(*at) == self.long(class)).map(worth);
+        let beside = |at: &usize| !self.classes[*at].retired && self.long(*at) == self.long(class);
+        let sharing = (0..self.classes.len()).filter(beside).map(worth);
         worth(class) / sharing.fold(f64::MIN_POSITIVE, f64::max)
     }
 
@@ -320,7 +324,7 @@
             (Some(_), Effect::Unsafe) => false,
             (Some(first), Effect::Keyed { window, .. }) => now + self.settings.tick < first.sent + window,
         };
-        let more = request.attempts.len() < self.settings.limits.max_attempts as usize;
+        let more = request.attempts.len() < request.most_attempts;
         harmless && more && now < request.give_up
     }
 
@@ -553,7 +557,7 @@
     /// A short request behind a long one misses its aim. Where the usual work of some class is a large part
     /// of another's aim, each sort has servers of its own: the long ones as many of them, in an order that
     /// all instances agree on, as is their part of the work.
-    fn set_lanes(&mut self, now: Micros) {
+    pub(crate) fn set_lanes(&mut self, now: Micros) {
         self.lanes_set = now;
         let work = |seen: &ClassSeen| seen.arrived.get(now);
         let all: f64 = self.classes.iter().map(work).sum();
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -163,6 +163,20 @@
     Timer(Timer),
     /// Another level of service holds from now on.
     Level(&'a Reduced),
+    /// Other settings hold from now on. What is open goes on by the class that it came with.
+    Settings(&'a Retuned),
+}
+
+/// Other settings for an instance that goes on. A class keeps its place for as long as a request of it is open, so that
+/// its effect and times bind that request to its end; a class that has changed gets a place of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Retuned {
+    /// All settings; as many classes as before, or more.
+    pub settings: Settings,
+    /// For each class, its place before: what was learned there holds for it. None for one that is new.
+    pub learned: Vec<Option<u32>>,
+    /// For each class, whether no new request names it: it stands for those that are open alone.
+    pub retired: Vec<bool>,
 }
 
 /// What is given up for now. The default gives up nothing.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -99,9 +99,46 @@
     pub first_left: Micros,
     /// Its requests that a level has turned away.
     pub given_up: u64,
+    /// No new request names it.
+    pub retired: bool,
 }
 
 impl ClassSeen {
+    /// A class that nothing is known of but its settings.
+    pub fn new(c: &Class) -> Self {
+        let aim = c.aim as f64;
+        ClassSeen {
+            cost: Quantile::new(COST.0 * aim, COST.1),
+            slow: Quantile::new(SLOW.0 * aim, SLOW.1),
+            work: Mean { at: 0.0, step: 1.0 },
+            open: 0,
+            // Answers that take seconds are few: over a short span a slow class would look unserved.
+            served: Fading::over(RATE_SPAN.max(AIMS * aim)),
+            arrived: Fading::over(LANE_SPAN),
+            delay: 0.0,
+            refused: None,
+            first_left: 0,
+            given_up: 0,
+            retired: false,
+        }
+    }
+
+    /// What was learned of a class under other settings. The work stays what it was, parts of the aim do not.
+    fn under(&self, was: &Class, is: &Class) -> Self {
+        let scale = was.aim as f64 / is.aim.max(1) as f64;
+        let work = Mean { at: (self.work.at * scale).min(1.0), step: self.work.step };
+        ClassSeen {
+            work,
+            open: 0,
+            delay: self.delay * scale,
+            refused: None,
+            first_left: 0,
+            given_up: 0,
+            retired: false,
+            ..*self
+        }
+    }
+
     /// Takes a request's time to the end into the mean. It is one over time: over a few answers, one slow server
     /// would look like a slow service where answers are many.
     pub fn delayed(&mut self, now: Micros, part_of_aim: f64) {
@@ -254,12 +291,21 @@
     /// Servers asked for their load before the first attempt.
     pub looked: SmallVec<[ServerId; 4]>,
     pub attempts: SmallVec<[Attempt; 4]>,
+    /// How many it may have.
+    pub most_attempts: usize,
     /// The client has its answer, or a stream is bound: nothing more is decided.
     pub settled: bool,
 }
 
 impl Request {
-    pub fn new(class: usize, key: u64, size: f64, came: Micros, give_up: Micros) -> Self {
+    pub fn new(
+        class: usize,
+        key: u64,
+        size: f64,
+        came: Micros,
+        give_up: Micros,
+        most_attempts: usize,
+    ) -> Self {
         Request {
             class,
             key,
@@ -269,6 +315,7 @@
             next_hash: 0,
             looked: SmallVec::new(),
             attempts: SmallVec::new(),
+            most_attempts,
             settled: false,
         }
     }
@@ -322,25 +369,10 @@
     /// A balancer that knows its settings and no server yet.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let class = |c: &Class| {
-            let aim = c.aim as f64;
-            ClassSeen {
-                cost: Quantile::new(COST.0 * aim, COST.1),
-                slow: Quantile::new(SLOW.0 * aim, SLOW.1),
-                work: Mean { at: 0.0, step: 1.0 },
-                open: 0,
-                // Answers that take seconds are few: over a short span a slow class would look unserved.
-                served: Fading::over(RATE_SPAN.max(AIMS * aim)),
-                arrived: Fading::over(LANE_SPAN),
-                delay: 0.0,
-                refused: None,
-                first_left: 0,
-                given_up: 0,
-            }
-        };
+        let shortest_aim = shortest_aim(&settings, |_| false);
         let mean = Mean { at: COST.0 * settings.classes[0].aim as f64, step: WEIGHT };
         Ok(Balancer {
-            shortest_aim: settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64,
+            shortest_aim,
             random: Rand64::new(u128::from(seed)),
             started: false,
             seed,
@@ -352,12 +384,8 @@
             lanes_set: 0,
             pool: BTreeMap::new(),
             requests: HashMap::with_hasher(FixedState::default()),
-            asks: if settings.limits.probes && settings.group_size >= BLIND {
-                (PROBES.1 / settings.prices.probe).min(PROBES.0) as usize
-            } else {
-                0
-            },
-            classes: settings.classes.iter().map(class).collect(),
+            asks: asks(&settings),
+            classes: settings.classes.iter().map(ClassSeen::new).collect(),
             mean_size: mean,
             mean_time: mean,
             tenants: vec![Fading::over(RATE_SPAN); settings.tenants.len()],
@@ -369,4 +397,44 @@
             settings,
         })
     }
+
+    /// Other settings hold from now on. Of servers and of classes that are still there all that was learned stays.
+    pub(crate) fn retune(&mut self, now: Micros, new: &Retuned) {
+        let former = std::mem::replace(&mut self.settings, new.settings.clone());
+        let mut classes = Vec::with_capacity(self.settings.classes.len());
+        for (at, class) in self.settings.classes.iter().enumerate() {
+            let learned = new.learned.get(at).copied().flatten().map(|from| from as usize);
+            let known = learned.and_then(|from| Some((self.classes.get(from)?, former.classes.get(from)?)));
+            let mut seen = known.map_or_else(|| ClassSeen::new(class), |(seen, was)| seen.under(was, class));
+            if learned == Some(at) {
+                // Its own place: what is open and what clients were seen to do is its own too.
+                seen = ClassSeen { open: self.classes[at].open, ..seen };
+                (seen.refused, seen.first_left) = (self.classes[at].refused, self.classes[at].first_left);
+                seen.given_up = self.classes[at].given_up;
+            }
+            seen.retired = new.retired.get(at).copied().unwrap_or(false);
+            classes.push(seen);
+        }
+        self.classes = classes;
+        self.shortest_aim = shortest_aim(&self.settings, |at| self.classes[at].retired);
+        self.asks = asks(&self.settings);
+        self.tenants.resize(self.settings.tenants.len(), Fading::over(RATE_SPAN));
+        if !self.ready.is_empty() {
+            self.set_lanes(now);
+        }
+    }
+}
+
+fn shortest_aim(settings: &Settings, retired: impl Fn(usize) -> bool) -> f64 {
+    let live = settings.classes.iter().enumerate().filter(|(at, _)| !retired(*at));
+    live.map(|(_, c)| c.aim).min().unwrap_or(0) as f64
+}
+
+/// How many servers to ask for their load: where it may, and is one of so many that what it has out itself tells little.
+fn asks(settings: &Settings) -> usize {
+    if settings.limits.probes && settings.group_size >= BLIND {
+        (PROBES.1 / settings.prices.probe).min(PROBES.0) as usize
+    } else {
+        0
+    }
 }
--- a/crates/cli/tests/services/operators.rs
+++ b/crates/cli/tests/services/operators.rs
@@ -28,6 +28,10 @@
     );
     // A socket that a killed process has left behind is no obstacle.
     drop(std::os::unix::net::UnixListener::bind(&socket).expect("it is bound"));
+    // A process that another test starts at this moment may hold it open until it has become that program.
+    while std::os::unix::net::UnixStream::connect(&socket).is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
     let mut process = Process::start(&file);
     process.wait_for("admin view on ");
     let mode = std::fs::metadata(&socket).expect("it is there").permissions().mode();
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -255,7 +255,7 @@
                 actions.push(Action::Subscribe);
             }
             // Rivals know no levels: the check lets no arm of theirs have any.
-            Event::Level(_) => {}
+            Event::Level(_) | Event::Settings(_) => {}
         }
     }
 }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -340,7 +340,7 @@
 /// How long an answer that was begun may take, and be read for.
 fn longest_answer(listener: &Listener) -> Micros {
     let services = listener.common.services.borrow();
-    let longest = services.iter().map(|service| service.longest).max().unwrap_or_default();
+    let longest = services.iter().map(|service| service.tuned().longest).max().unwrap_or_default();
     (longest + LINGER).as_micros() as Micros
 }
 
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -36,6 +36,57 @@
     pub(super) known: Listing,
     /// The site.
     pub settings: Site,
+    /// Which keys the file has.
+    #[serde(skip)]
+    pub(super) keys: Keys,
+}
+
+/// The keys of a configuration's file.
+#[derive(Default)]
+pub(super) struct Keys(serde_json::Value);
+
+/// What a file may leave out that another had: figures that are told only where they mean something.
+const MAY_BE_ABSENT: [&str; 4] = ["known", "control", "aim_stretch", "domain"];
+
+impl Keys {
+    fn of(text: &str) -> Self {
+        Keys(serde_json::from_str(text).unwrap_or_default())
+    }
+
+    /// The first key of the former file that is not here.
+    fn lacks(&self, former: &Keys) -> Option<String> {
+        lacks(&self.0, &former.0, "")
+    }
+}
+
+fn lacks(present: &serde_json::Value, former: &serde_json::Value, at: &str) -> Option<String> {
+    use serde_json::Value::{Array, Object};
+    match (present, former) {
+        (Object(present), Object(former)) => former.iter().find_map(|(key, value)| {
+            if MAY_BE_ABSENT.contains(&key.as_str()) {
+                return None;
+            }
+            let field = if at.is_empty() { key.clone() } else { format!("{at}.{key}") };
+            match present.get(key) {
+                Some(present) => lacks(present, value, &field),
+                None => Some(field),
+            }
+        }),
+        // Entries may be others; each has what all of the former had.
+        (Array(present), Array(former)) => {
+            let (first, rest) = former.split_first()?;
+            let mut common = first.as_object()?.clone();
+            common.retain(|key, _| rest.iter().all(|other| other.get(key).is_some()));
+            common.values_mut().for_each(|value| *value = serde_json::Value::Null);
+            let common = Object(common);
+            present
+                .iter()
+                .enumerate()
+                .find_map(|(place, entry)| lacks(entry, &common, &format!("{at}[{place}]")))
+        }
+        (_, Object(_)) => Some(at.to_string()),
+        _ => None,
+    }
 }
 
 /// What the platform lets a sidecar have.
@@ -95,11 +146,22 @@
         Ok(config)
     }
 
-    /// Reads the file alone. At its change it is newer than the variables, which stay as they were.
-    pub(super) fn read() -> Result<Self, String> {
+    fn read() -> Result<Self, String> {
         let path = std::env::var("RELAY_CONFIG").map_err(|e| format!("RELAY_CONFIG: {e}"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        Config::from_json(&text).map_err(|e| e.to_string())
+        let mut config = Config::from_json(&text).map_err(|e| e.to_string())?;
+        config.keys = Keys::of(&text);
+        Ok(config)
+    }
+
+    /// Reads the file alone, in place of one that was read before. It is newer than the variables, which stay as they
+    /// were. A key that the former one had must be there: a file that lacks one was not written to its end.
+    pub(super) fn read_again(former: &Keys) -> Result<Self, String> {
+        let config = Config::read()?;
+        match config.keys.lacks(former) {
+            Some(field) => Err(format!("configuration: {field}: is missing, and was there before")),
+            None => Ok(config),
+        }
     }
 
     /// Reads the file's text.
@@ -110,6 +172,13 @@
             Problem::at(e.path().to_string(), line, column, e.inner())
         })?;
         reader.end().map_err(|e| Problem::at(".".into(), e.line(), e.column(), &e))?;
+        let mut names = std::collections::BTreeSet::new();
+        if let Some(at) = config.settings.classes.iter().position(|name| !names.insert(name)) {
+            let field = format!("settings.services[{at}].name");
+            let (line, column) = place(text, &field);
+            let problem = "another class has this name".to_string();
+            return Err(Problem { field, line, column, problem });
+        }
         config.settings.settings.validate().map_err(|e| {
             let field = format!("settings.{}", written_name(&e.field));
             let (line, column) = place(text, &field);
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -164,8 +164,8 @@
     common: Rc<Common>,
     /// What this pool may have open.
     pub(super) seats: Member,
-    idle_for: Micros,
-    connect_timeout: Micros,
+    idle_for: Cell<Micros>,
+    connect_timeout: Cell<Micros>,
     /// Opened since the start.
     opened: Cell<u64>,
 }
@@ -179,13 +179,18 @@
             broke: Cell::new(None),
             common: Rc::clone(common),
             seats,
-            // The other side closes at this age at the latest: a request written then would be lost.
-            idle_for: idle / 10 * 8,
-            connect_timeout,
+            idle_for: Cell::new(stays_for(idle)),
+            connect_timeout: Cell::new(connect_timeout),
             opened: Cell::new(0),
         }
     }
 
+    /// Takes over other times.
+    pub(super) fn change(&self, idle: Micros, connect_timeout: Micros) {
+        self.idle_for.set(stays_for(idle));
+        self.connect_timeout.set(connect_timeout);
+    }
+
     /// A connection to this server: of those seen quiet the one used last, since the others may then grow old,
     /// or a new one.
     pub(super) async fn take(&self, server: ServerId, address: SocketAddr) -> Result<Lease, NoConnection> {
@@ -201,7 +206,7 @@
         let now = self.common.clock.now();
         let waiting = &mut *self.waiting.borrow_mut();
         let of_server = waiting.by_server.get_mut(&server)?;
-        while of_server.front().is_some_and(|idle| now.saturating_sub(idle.since) >= self.idle_for) {
+        while of_server.front().is_some_and(|idle| now.saturating_sub(idle.since) >= self.idle_for.get()) {
             of_server.pop_front();
             waiting.count -= 1;
         }
@@ -221,7 +226,7 @@
         // Not to fail: nobody closes it.
         let opening = of_server.opening.acquire().await.map_err(|_| NoConnection::Failed)?;
         let (seat, place) = self.seat(&of_server).ok_or(NoConnection::Exhausted)?;
-        let came = self.common.within(self.connect_timeout, TcpStream::connect(address)).await;
+        let came = self.common.within(self.connect_timeout.get(), TcpStream::connect(address)).await;
         super::trail::opened(self.common.clock.now(), server, matches!(came, Some(Ok(_))));
         let stream = match came {
             Some(Ok(stream)) => stream,
@@ -300,7 +305,7 @@
     /// To be called once a second.
     pub(super) fn sweep(&self) {
         let now = self.common.clock.now();
-        let old = |since: Micros| now.saturating_sub(since) >= self.idle_for;
+        let old = |since: Micros| now.saturating_sub(since) >= self.idle_for.get();
         let mut waiting = self.waiting.borrow_mut();
         while waiting.oldest().is_some_and(|idle| old(idle.since)) {
             waiting.drop_oldest();
@@ -338,6 +343,11 @@
     }
 }
 
+/// The other side closes at this age at the latest: a request written then would be lost.
+fn stays_for(idle: Micros) -> Micros {
+    idle / 10 * 8
+}
+
 /// Whether an error tells that this process or machine has no descriptor left.
 pub(super) fn is_exhausted(problem: &std::io::Error) -> bool {
     const ENFILE: i32 = 23;
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -87,8 +87,8 @@
         Rc::clone(by_class.entry(name.to_string()).or_default())
     }
 
-    pub(super) fn unclassed(&self) -> &Counts {
-        &self.unclassed
+    pub(super) fn unclassed(&self) -> Rc<Counts> {
+        Rc::clone(&self.unclassed)
     }
 
     /// A request has been taken.
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -119,7 +119,7 @@
             attempt.close(Outcome::Moot);
             return Some(match gate {
                 Gate::MayHaveRun => Answer::Failed,
-                _ => Answer::Refused { retry_after: attempt.service.retry_after },
+                _ => Answer::Refused { retry_after: attempt.service.retry_after() },
             });
         }
         // What the disk took is no server's time.
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -134,14 +134,13 @@
         part: Option<usize>,
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let (service, classed) = (self.service, &message.classed);
-        if service.transactions.borrow().len() >= service.max_open {
+        if service.transactions.borrow().len() >= service.tuned().max_open {
             count(&service.class_counts(classed.class).turned_away);
-            return Err(Fault::refused(service.retry_after));
+            return Err(Fault::refused(service.retry_after()));
         }
         let _open = service.counts.open();
         let now = service.common.clock.now();
-        let usual =
-            service.site.settings.classes.get(classed.class as usize).map_or(0, |class| class.deadline);
+        let usual = service.tuned().at(classed.class).map_or(0, |entry| entry.class.deadline);
         let new = NewRequest {
             id: next_request(service),
             class: classed.class,
--- a/crates/sidecar/src/levels.rs
+++ b/crates/sidecar/src/levels.rs
@@ -53,7 +53,7 @@
     let change = match (keeper.as_mut(), checked) {
         (Some(keeper), Some(checked)) => keeper.turn_to(checked, now),
         (None, Some(checked)) => {
-            let names = service.classes.iter().map(|class| class.name.clone()).collect();
+            let names = service.tuned().site.classes.clone();
             let mut fresh = Keeper::new(checked, names, service.place, now);
             for order in kept_orders(service, now) {
                 // The level may be of an older file.
@@ -88,7 +88,7 @@
     let now = service.common.clock.now();
     let numbers = service.allowance.open();
     let part = |used: f64, most: f64| if most > 0.0 { used / most } else { 1.0 };
-    let own = part(service.transactions.borrow().len() as f64, service.max_open as f64);
+    let own = part(service.transactions.borrow().len() as f64, service.tuned().max_open as f64);
     let outside = Outside {
         failing: service.failing(now),
         open: Some(part(numbers.used as f64, numbers.part.most as f64).max(own)),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,6 +36,7 @@
 mod teller;
 mod trail;
 mod transaction;
+mod tuned;
 mod turns;
 mod view;
 mod virtual_server;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
+use madderloom_balancer::settings::Site;
 use madderloom_balancer::{Event, Listed, Members, Micros, ServerId, ServerState};
 use madderloom_ledger::{ListedMemory, ServerMemory};
 use madderloom_operator::Server;
@@ -145,8 +146,8 @@
 pub(super) struct Pool {
     /// None where the list is fixed.
     discovery: Cell<Option<SocketAddr>>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    /// What discovery calls zones and kinds, by their places in the settings.
+    names: RefCell<(Vec<String>, Vec<String>)>,
     index: Cell<u64>,
     members: RefCell<HashMap<ServerId, Member, FixedState>>,
     watch: RefCell<Option<AbortHandle>>,
@@ -163,7 +164,7 @@
     ) -> Self {
         let (index, members, watch) = Default::default();
         let (discovery, heard) = (Cell::new(discovery), Cell::new(now));
-        Pool { discovery, zones, kinds, index, members, watch, heard }
+        Pool { discovery, names: RefCell::new((zones, kinds)), index, members, watch, heard }
     }
 
     /// Where a server is to be found.
@@ -207,11 +208,11 @@
     /// The servers that take new work, as the next process is to know them until its list has come.
     pub(super) fn listed_memories(&self) -> BTreeMap<ServerId, ServerMemory> {
         let name = |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_default();
-        let members = self.members.borrow();
+        let (members, names) = (self.members.borrow(), self.names.borrow());
         let ready = members.iter().filter(|(_, m)| m.listed.state == ServerState::Ready);
         let memory = |(id, m): (&ServerId, &Member)| {
             let (listed, address) = (&m.listed, m.address);
-            let (zone, kind) = (name(&self.zones, listed.zone), name(&self.kinds, listed.kind));
+            let (zone, kind) = (name(&names.0, listed.zone), name(&names.1, listed.kind));
             let as_listed = ListedMemory { address, zone, kind, group: listed.cell, weight: listed.capacity };
             let (name, started) = (m.name.to_string(), listed.started);
             (*id, ServerMemory { name, listed: Some(as_listed), started, ..ServerMemory::default() })
@@ -223,12 +224,13 @@
         // A name that the settings do not hold stands for one place of its own.
         let place =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let (zones, kinds) = &*self.names.borrow();
         let sound = endpoint.weight.is_finite() && endpoint.weight > 0.0;
         Listed {
             server: ServerId::named(&endpoint.name),
-            zone: place(&self.zones, &endpoint.zone) as u32,
+            zone: place(zones, &endpoint.zone) as u32,
             cell: endpoint.group,
-            kind: place(&self.kinds, &endpoint.kind) as u32,
+            kind: place(kinds, &endpoint.kind) as u32,
             // The clock of the module was set by Unix time; 0 is long ago.
             started: Some(endpoint.since_ms.saturating_mul(1_000)).filter(|t| *t > 0),
             capacity: if sound { endpoint.weight } else { 1.0 },
@@ -300,6 +302,30 @@
     service.handle(service.common.clock.now(), Event::Members(Members::Full(&listed)));
 }
 
+/// The settings name zones and kinds otherwise from now on. Servers are told of anew where their places have changed.
+pub(super) fn rename(service: &Rc<Service>, site: &Site) {
+    let pool = &service.pool;
+    let names = (site.zones.clone(), site.kinds.clone());
+    let former = pool.names.replace(names);
+    let (zones, kinds) = &*pool.names.borrow();
+    if former == (zones.clone(), kinds.clone()) {
+        return;
+    }
+    let moved = |former: &[String], present: &[String], at: u32| {
+        let name = former.get(at as usize);
+        name.and_then(|name| present.iter().position(|n| n == name)).unwrap_or(present.len()) as u32
+    };
+    let mut changes = Vec::new();
+    for member in pool.members.borrow_mut().values_mut() {
+        let listed = &mut member.listed;
+        (listed.zone, listed.kind) =
+            (moved(&former.0, zones, listed.zone), moved(&former.1, kinds, listed.kind));
+        changes.push(service.common.steering.borrow().of(*listed));
+    }
+    changes.sort_unstable_by_key(|listed| listed.server);
+    service.handle(service.common.clock.now(), Event::Members(Members::Changes(&changes)));
+}
+
 /// Tells the module of the servers that are now set otherwise beside their list.
 pub(super) fn steer(service: &Rc<Service>, former: &Steering, present: &Steering) {
     let pairs = |member: &Member| (former.of(member.listed), present.of(member.listed));
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -3,7 +3,7 @@
 use super::admin::AdminServer;
 use super::alarms;
 use super::common::{Common, Totals};
-use super::config::{Config, allowed_descriptors};
+use super::config::{Config, Keys, allowed_descriptors};
 use super::control::Control;
 use super::feed::FOLLOWERS;
 use super::ledger::Keeper;
@@ -46,6 +46,8 @@
     pub(super) name: String,
     /// What the platform's configuration stands for.
     pub(super) platform: Option<(Rc<Service>, Rc<Listener>)>,
+    /// Which keys the platform's configuration had when it was last taken.
+    pub(super) keys: RefCell<Keys>,
     /// Where the operator file is.
     pub(super) file: Option<PathBuf>,
     /// The services of the operator file as it was last read, by their places.
@@ -58,7 +60,10 @@
 impl Sidecar {
     /// A sidecar that listens. Without an operator file it is what the platform's configuration says and nothing
     /// more. To be called in a local set. One of the two must be there.
-    pub fn new(config: Option<Config>, operator: Option<(PathBuf, Operator)>) -> Result<Rc<Self>, String> {
+    pub fn new(
+        mut config: Option<Config>,
+        operator: Option<(PathBuf, Operator)>,
+    ) -> Result<Rc<Self>, String> {
         if config.is_none() && operator.is_none() {
             return Err("RELAY_CONFIG: is not set, and no operator file is named".to_string());
         }
@@ -95,6 +100,7 @@
             (Some(config), _) => config.name.clone(),
             _ => String::new(),
         };
+        let keys = config.as_mut().map(|config| std::mem::take(&mut config.keys)).unwrap_or_default();
         let platform = config.map(|config| platform(&common, config, own.is_some(), kept)).transpose()?;
         let sidecar = Rc::new(Sidecar {
             common,
@@ -102,6 +108,7 @@
             memory,
             seed,
             name,
+            keys: RefCell::new(keys),
             platform,
             file: operator.as_ref().map(|(file, _)| file.clone()),
             services: RefCell::default(),
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -30,9 +30,15 @@
     pub async fn reload(self: &Rc<Self>) {
         let _turn = self.control.turn.lock().await;
         if let Some((service, _)) = &self.platform {
-            match Config::read() {
+            let read = Config::read_again(&self.keys.borrow());
+            match read {
                 Ok(config) => {
                     count(&self.common.files_taken);
+                    self.keys.replace(config.keys);
+                    if config.settings != service.tuned().file {
+                        tracing::info!("settings taken over");
+                        service.retune(config.settings);
+                    }
                     pool::turn_to(service, config.discovery);
                 }
                 Err(problem) => {
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -11,14 +11,15 @@
 use super::teller::{EndedAttempt, Teller};
 use super::trail;
 use super::transaction::{Step, Steps};
+use super::tuned::Tuned;
 use super::turns::Charged;
 use super::warm::Remembered;
 use foldhash::quality::FixedState;
 use hyper::header::HeaderValue;
 use madderloom_balancer::settings::Site;
 use madderloom_balancer::{
-    Action, Balancer, Class, Closed, Effect, Event, Members, Memory, Micros, NewRequest, Note, Outcome,
-    RequestId, ServerId, Snapshot, Timer,
+    Action, Balancer, Closed, Event, Members, Memory, Micros, NewRequest, Note, Outcome, RequestId, ServerId,
+    Snapshot, Timer,
 };
 use madderloom_graphql::{Front, Policy};
 use madderloom_levels::keeper::Keeper;
@@ -59,13 +60,6 @@
     pub(super) bodies: Part,
 }
 
-/// A class as requests name it.
-pub(super) struct ClassName {
-    pub(super) name: String,
-    pub(super) effect: Effect,
-    pub(super) counts: Rc<Counts>,
-}
-
 /// One service.
 pub(super) struct Service {
     pub(super) name: String,
@@ -80,14 +74,10 @@
     pub(super) place: f64,
     pub(super) pool: Pool,
     pub(super) connections: Connections,
-    pub(super) classes: Vec<ClassName>,
+    /// The settings that hold.
+    tuned: RefCell<Rc<Tuned>>,
     /// What it knows of the GraphQL documents that it has seen, if it serves any.
     pub(super) graphql: RefCell<Option<Front>>,
-    /// The advice on when to come back for requests that do not reach the module.
-    pub(super) retry_after: Option<Micros>,
-    pub(super) max_open: usize,
-    /// The longest that a client waits.
-    pub(super) longest: Duration,
     /// The ids of open requests: no two have the same.
     pub(super) ids: RefCell<HashSet<HeaderValue, FixedState>>,
     /// The transactions that are not over, and where each hears what it is to do.
@@ -117,16 +107,8 @@
     pub(super) fn new(common: &Rc<Common>, spec: Spec, parts: Parts) -> Result<Rc<Self>, String> {
         let Spec { name, label, site, discovery, known, limits, levels, graphql, kept, seed } = spec;
         let settings = site.settings.clone();
-        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let retry_after = settings.limits.retry_after.then_some(settings.limits.max_retry_after);
         let counts = Registry::default();
-        let classes = site.classes.iter().zip(&settings.classes);
-        let class = |(name, c): (&String, &Class)| ClassName {
-            name: name.clone(),
-            effect: c.effect,
-            counts: counts.class(name),
-        };
-        let classes = classes.map(class).collect();
+        let tuned = Tuned::new(site.clone(), &counts);
         let balancer = Balancer::new(settings, seed).map_err(|e| format!("{label}configuration: {e}"))?;
         let charged = Rc::new(Charged::new(common.account(limits.weight)));
         let bounds = &common.bounds;
@@ -137,11 +119,8 @@
             place: madderloom_levels::place(seed),
             pool: Pool::new(discovery, site.zones.clone(), site.kinds.clone(), common.clock.now()),
             connections: Connections::new(common, seats, site.conn_idle, site.connect_timeout),
-            classes,
+            tuned: RefCell::new(Rc::new(tuned)),
             graphql: RefCell::new(graphql.map(Front::new)),
-            retry_after,
-            max_open: site.max_open,
-            longest: Duration::from_micros(longest),
             ids: RefCell::default(),
             transactions: RefCell::default(),
             last_request: Cell::new(0),
@@ -221,16 +200,37 @@
 
     /// The time within which an answer is of full worth.
     pub(super) fn aim(&self, request: &NewRequest) -> Micros {
-        let class = self.site.settings.classes.get(request.class as usize);
-        class.map_or(Micros::MAX, |class| {
+        let tuned = self.tuned();
+        tuned.at(request.class).map_or(Micros::MAX, |entry| {
+            let class = &entry.class;
             let stretch = class.aim_stretch * request.cost.unwrap_or(0) as f64;
             class.aim.saturating_add(stretch as Micros)
         })
     }
 
     /// The counts of a class by its place in the settings.
-    pub(super) fn class_counts(&self, class: u32) -> &Counts {
-        self.classes.get(class as usize).map_or(self.counts.unclassed(), |class| &class.counts)
+    pub(super) fn class_counts(&self, class: u32) -> Rc<Counts> {
+        let tuned = self.tuned();
+        tuned.at(class).map_or_else(|| self.counts.unclassed(), |class| Rc::clone(&class.counts))
+    }
+
+    /// The settings that hold now.
+    pub(super) fn tuned(&self) -> Rc<Tuned> {
+        Rc::clone(&self.tuned.borrow())
+    }
+
+    /// Other settings hold from now on, which make sense.
+    pub(super) fn retune(self: &Rc<Self>, site: Site) {
+        let former = self.tuned();
+        let (tuned, retuned) = former.turn_to(site, &self.counts);
+        self.connections.change(tuned.site.conn_idle, tuned.site.connect_timeout);
+        pool::rename(self, &tuned.site);
+        self.tuned.replace(Rc::new(tuned));
+        self.handle(self.common.clock.now(), Event::Settings(&retuned));
+    }
+
+    pub(super) fn retry_after(&self) -> Option<Micros> {
+        self.tuned.borrow().retry_after
     }
 
     pub(super) fn is_leaving(&self) -> bool {
@@ -404,7 +404,8 @@
         self.tell(|teller| teller.noted(self, now, note));
         match note {
             Note::Overload(class) => {
-                let class = self.classes.get(class as usize).map_or("?", |c| &c.name);
+                let tuned = self.tuned();
+                let class = tuned.at(class).map_or("?", |c| &c.name);
                 tracing::warn!(class, "{of}overload: refusing {class} early");
             }
             Note::Ejected(server, outcome) => {
--- a/crates/sidecar/src/teller.rs
+++ b/crates/sidecar/src/teller.rs
@@ -274,7 +274,8 @@
             }
             Subject::Fleet => String::new(),
         };
-        let class = departure.class.and_then(|class| service.classes.get(class as usize));
+        let tuned = service.tuned();
+        let class = departure.class.and_then(|class| tuned.at(class));
         departure.told(&name, class.map(|class| class.name.as_str()))
     }
 
--- /dev/null
+++ b/crates/sidecar/src/tuned.rs
@@ -0,0 +1,174 @@
+//! The settings that hold, as the sockets need them, and how newer ones take their place.
+//!
+//! A class has a place, by which the module knows it, for as long as any request of it is open. A newer file that drops
+//! or changes a class leaves the old one its place until then; what changed gets another, and goes on with what was
+//! learned. So the rules of a request are those that it came under, to its end.
+
+use super::counts::{Counts, Registry};
+use madderloom_balancer::settings::Site;
+use madderloom_balancer::{Class, Effect, Micros, Retuned};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A class as requests name it. Held by each request of it that is open.
+pub(super) struct ClassEntry {
+    pub(super) name: String,
+    /// Its place in the module's settings.
+    pub(super) place: u32,
+    pub(super) class: Class,
+    pub(super) counts: Rc<Counts>,
+}
+
+impl ClassEntry {
+    pub(super) fn effect(&self) -> Effect {
+        self.class.effect
+    }
+}
+
+/// A place among the classes.
+#[derive(Clone)]
+pub(super) struct Place {
+    pub(super) entry: Rc<ClassEntry>,
+    /// No new request names it.
+    pub(super) retired: bool,
+}
+
+/// Settings that hold.
+pub(super) struct Tuned {
+    /// As the file has them, but for the classes, which are by their places.
+    pub(super) site: Site,
+    /// As the file has them.
+    pub(super) file: Site,
+    pub(super) places: Vec<Place>,
+    /// The advice on when to come back for requests that do not reach the module.
+    pub(super) retry_after: Option<Micros>,
+    pub(super) max_open: usize,
+    /// The longest that a client waits.
+    pub(super) longest: Duration,
+}
+
+impl Tuned {
+    /// Those that a service begins with.
+    pub(super) fn new(site: Site, counts: &Registry) -> Self {
+        let classes = site.classes.iter().zip(&site.settings.classes).enumerate();
+        let place = |(at, (name, class)): (usize, (&String, &Class))| Place {
+            entry: Rc::new(ClassEntry {
+                name: name.clone(),
+                place: at as u32,
+                class: class.clone(),
+                counts: counts.class(name),
+            }),
+            retired: false,
+        };
+        let places = classes.map(place).collect();
+        Tuned::of(site.clone(), site, places)
+    }
+
+    fn of(file: Site, site: Site, places: Vec<Place>) -> Self {
+        let limits = &site.settings.limits;
+        let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        Tuned {
+            retry_after: limits.retry_after.then_some(limits.max_retry_after),
+            max_open: site.max_open,
+            longest: Duration::from_micros(longest),
+            site,
+            file,
+            places,
+        }
+    }
+
+    /// Newer ones, and what the module is to be told of them.
+    pub(super) fn turn_to(&self, mut site: Site, counts: &Registry) -> (Tuned, Retuned) {
+        let file = site.clone();
+        let mut places: Vec<Place> = Vec::with_capacity(self.places.len());
+        let mut learned: Vec<Option<u32>> = Vec::new();
+        let asked: Vec<(String, Class)> =
+            site.classes.iter().cloned().zip(site.settings.classes.iter().cloned()).collect();
+        // What stays as it is keeps its place; all else is on its way out.
+        for place in &self.places {
+            let entry = &place.entry;
+            let stays = asked.iter().any(|(name, class)| *name == entry.name && *class == entry.class);
+            learned.push(Some(entry.place));
+            places.push(Place { entry: Rc::clone(entry), retired: place.retired || !stays });
+        }
+        for (name, class) in asked {
+            if places.iter().any(|place| !place.retired && place.entry.name == name) {
+                continue;
+            }
+            let former = self.places.iter().find(|place| !place.retired && place.entry.name == name);
+            let from = former.map(|place| place.entry.place);
+            // One here and one in the settings that hold: nobody else has it.
+            let free = places.iter().position(|place| place.retired && Rc::strong_count(&place.entry) == 2);
+            let at = free.unwrap_or(places.len());
+            let entry = ClassEntry { place: at as u32, class, counts: counts.class(&name), name };
+            let place = Place { entry: Rc::new(entry), retired: false };
+            if at < places.len() {
+                (places[at], learned[at]) = (place, from);
+            } else {
+                places.push(place);
+                learned.push(from);
+            }
+        }
+        site.classes = places.iter().map(|place| place.entry.name.clone()).collect();
+        site.settings.classes = places.iter().map(|place| place.entry.class.clone()).collect();
+        let retired = places.iter().map(|place| place.retired).collect();
+        let retuned = Retuned { settings: site.settings.clone(), learned, retired };
+        (Tuned::of(file, site, places), retuned)
+    }
+
+    /// The class that new requests name so.
+    pub(super) fn named(&self, name: &str) -> Option<Rc<ClassEntry>> {
+        let place = self.places.iter().find(|place| !place.retired && place.entry.name == name);
+        place.map(|place| Rc::clone(&place.entry))
+    }
+
+    /// The class at this place.
+    pub(super) fn at(&self, place: u32) -> Option<&Rc<ClassEntry>> {
+        self.places.get(place as usize).map(|place| &place.entry)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn site(classes: &[(&str, &str, u64)]) -> Site {
+        let class = |(name, effect, give_up): &(&str, &str, u64)| {
+            format!(
+                r#"{{"name":"{name}","effect":"{effect}","on_time":400000,"give_up":{give_up},"worth":1,"window":1}}"#
+            )
+        };
+        let classes: Vec<String> = classes.iter().map(class).collect();
+        let json = format!(
+            r#"{{"group_size":1,"my_zone":0,"period":5000,"discovery":"subscribe","services":[{}],
+            "limits":{{"cancel":true,"max_attempts":3}},"safety":{{"cold":1,"cold_from":0.3,"fall":1}}}}"#,
+            classes.join(",")
+        );
+        Site::from_json(&json).expect("a site")
+    }
+
+    #[test]
+    fn a_class_keeps_its_place_while_a_request_of_it_is_open() {
+        let counts = Registry::default();
+        let first = Tuned::new(site(&[("read", "safe", 900_000), ("file", "unsafe", 900_000)]), &counts);
+        let open = first.named("file").expect("it is there");
+        // "file" changes its effect, "read" stays, "late" is new.
+        let (second, told) = first.turn_to(
+            site(&[("late", "safe", 500_000), ("read", "safe", 900_000), ("file", "keyed", 900_000)]),
+            &counts,
+        );
+        assert_eq!((open.place, open.effect()), (1, Effect::Unsafe));
+        assert_eq!(told.retired, [false, true, false, false]);
+        assert_eq!(told.learned, [Some(0), Some(1), None, Some(1)]);
+        assert_eq!(told.settings.classes[1].effect, Effect::Unsafe);
+        assert_eq!(second.named("file").map(|c| c.place), Some(3));
+        drop(first);
+        // Nobody asks for "late" any more; its place, and that of the request that has ended, are free again.
+        drop(open);
+        let (third, told) = second.turn_to(site(&[("read", "safe", 900_000), ("new", "safe", 1)]), &counts);
+        assert_eq!(third.named("new").map(|c| c.place), Some(1));
+        assert_eq!(told.retired, [false, false, true, true]);
+        assert_eq!(told.learned[1], None);
+        assert!(third.named("late").is_none() && third.named("file").is_none());
+    }
+}
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -111,10 +111,13 @@
 fn pool(service: &Service, now: Micros) -> Value {
     let snapshot = service.snapshot();
     let ago = |at: Micros| now.saturating_sub(at);
-    let classes = service.classes.iter().zip(&snapshot.classes).map(|(class, seen)| {
+    let tuned = service.tuned();
+    let classes = tuned.places.iter().zip(&snapshot.classes).filter(|(place, _)| !place.retired);
+    let classes = classes.map(|(place, seen)| {
+        let class = &place.entry;
         json!({
             "name": class.name,
-            "effect": match class.effect {
+            "effect": match class.effect() {
                 Effect::Safe => "safe",
                 Effect::Keyed { .. } => "keyed",
                 Effect::Unsafe => "unsafe",
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -12,6 +12,7 @@
 use super::routing::{ClassFrom, Routing};
 use super::service::Service;
 use super::transaction::{self, Answer};
+use super::tuned::ClassEntry;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full as Whole};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -93,9 +94,10 @@
     };
     let manner = listener.manner.get();
     let mut body = Some(body);
-    let at = class_of(&service, class.as_deref(), &head);
+    // Held to the end of the request: until then its rules stay those that it came under.
+    let entry = class_of(&service, class.as_deref(), &head);
     let taken = async {
-        let new = read(&service, at, &head)?;
+        let new = read(&service, entry.as_deref(), &head)?;
         let size = length(body.as_ref(), &head.headers, manner.body_size)?;
         let id = head.headers.get(TRACE_ID).ok_or(senseless("X-Trace-Id is missing"))?;
         let held = admit(listener, &service, came, size as u64)?;
@@ -105,15 +107,15 @@
         } else {
             Bytes::new()
         };
-        if service.transactions.borrow().len() >= service.max_open {
-            return Err(Reject::Refused("too many requests are open", service.retry_after));
+        if service.transactions.borrow().len() >= service.tuned().max_open {
+            return Err(Reject::Refused("too many requests are open", service.retry_after()));
         }
         Ok((new, body, (held, id)))
     };
     let (mut new, bytes, _held) = match taken.await {
         Ok(taken) => taken,
         Err(reject) => {
-            note(&service, at, &reject, body.take(), manner);
+            note(&service, entry.as_deref(), &reject, body.take(), manner);
             return rejected(reject);
         }
     };
@@ -125,17 +127,16 @@
     // An absolute target names this sidecar; the node is to see the path alone.
     let path = head.uri.into_parts().path_and_query;
     let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    let unsafe_to_repeat =
-        service.classes.get(new.class as usize).is_none_or(|class| class.effect == Effect::Unsafe);
+    let unsafe_to_repeat = entry.as_ref().is_none_or(|class| class.effect() == Effect::Unsafe);
     let aim = service.aim(&new);
     let reading = Reading::Plain;
-    let entry = if unsafe_to_repeat { Entry::of(&service, &head.headers, None) } else { Ok(None) };
-    let Ok(entry) = entry else {
+    let ledgered = if unsafe_to_repeat { Entry::of(&service, &head.headers, None) } else { Ok(None) };
+    let Ok(ledgered) = ledgered else {
         count(&counts.senseless);
         return rejected(LONG_ID);
     };
     let (method, headers, body) = (head.method, head.headers, bytes);
-    let onward = Onward { method, uri, headers, body, unsafe_to_repeat, reading, entry };
+    let onward = Onward { method, uri, headers, body, unsafe_to_repeat, reading, entry: ledgered };
     match transaction::run(&service, now, new, onward).await {
         Answer::Served(response) => {
             count(&counts.served);
@@ -158,13 +159,13 @@
 /// Counts a request that goes no further, and reads the body that it came with where that is wanted.
 pub(super) fn note(
     service: &Service,
-    class: Option<usize>,
+    class: Option<&ClassEntry>,
     reject: &Reject,
     unread: Option<Incoming>,
     manner: Manner,
 ) {
     let turned_away = matches!(reject, Reject::Refused(..));
-    let counts = class.map_or(service.counts.unclassed(), |at| service.class_counts(at as u32));
+    let counts = class.map_or_else(|| service.counts.unclassed(), |class| Rc::clone(&class.counts));
     count(if turned_away { &counts.turned_away } else { &counts.senseless });
     if let Some(unread) = unread.filter(|_| turned_away && manner.drains) {
         drain(&service.common, unread, manner);
@@ -206,7 +207,7 @@
     let held =
         service.allowance.admit(now, size).and_then(|held| Ok([held, listener.allowance.admit(now, size)?]));
     held.map_err(|full| {
-        let usual = service.retry_after;
+        let usual = service.retry_after();
         match full {
             Full::Open => Reject::Refused("too many requests are open", usual),
             Full::Bodies => Reject::Refused("too much is open", usual),
@@ -283,18 +284,18 @@
 }
 
 /// The class that a request names. A route's class goes before that of the path.
-fn class_of(service: &Service, class: Option<&str>, head: &Parts) -> Option<usize> {
+fn class_of(service: &Service, class: Option<&str>, head: &Parts) -> Option<Rc<ClassEntry>> {
     let class = class.unwrap_or_else(|| head.uri.path().split('/').nth(1).unwrap_or_default());
-    service.classes.iter().position(|c| c.name == class)
+    service.tuned().named(class)
 }
 
 /// Takes out of a request what the module needs of it.
-fn read(service: &Service, class: Option<usize>, head: &Parts) -> Result<NewRequest, Reject> {
+fn read(service: &Service, class: Option<&ClassEntry>, head: &Parts) -> Result<NewRequest, Reject> {
     let headers = &head.headers;
     let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let several = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
-    let at = class.ok_or(Reject::Senseless(StatusCode::NOT_FOUND, "there is no such class"))?;
-    let effect = service.classes[at].effect;
+    let class = class.ok_or(Reject::Senseless(StatusCode::NOT_FOUND, "there is no such class"))?;
+    let effect = class.effect();
     if head.method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
         return Err(Reject::Senseless(StatusCode::METHOD_NOT_ALLOWED, "the class wants another method"));
     }
@@ -309,7 +310,7 @@
     let left = time_left(headers)?.ok_or(senseless("X-Expires-In-Ms is missing, or there are several"))?;
     Ok(NewRequest {
         id: next_request(service),
-        class: at as u32,
+        class: class.place,
         tenant: 0,
         key: subject(headers),
         time_left: left,
--- a/crates/sidecar/src/warm.rs
+++ b/crates/sidecar/src/warm.rs
@@ -56,8 +56,8 @@
         let Recalled { weight, classes, means, .. } = self.recalled(keeper)?;
         let mixed = |guess: f64, kept: f64| blend(guess, kept, weight);
         let mut memory = begun.clone();
-        for (class, name) in memory.classes.iter_mut().zip(&service.classes) {
-            if let Some(kept) = classes.iter().find(|kept| kept.name == name.name) {
+        for (class, name) in memory.classes.iter_mut().zip(&service.tuned().site.classes) {
+            if let Some(kept) = classes.iter().find(|kept| kept.name == *name) {
                 (class.usual, class.slow) = (mixed(class.usual, kept.cost), mixed(class.slow, kept.slow));
             }
         }
@@ -141,8 +141,9 @@
             server.ejection = measured.ejection;
         }
     }
-    let class = |(name, seen): (&super::service::ClassName, &madderloom_balancer::ClassMemory)| ClassMemory {
-        name: name.name.clone(),
+    let tuned = service.tuned();
+    let class = |(place, seen): (&super::tuned::Place, &madderloom_balancer::ClassMemory)| ClassMemory {
+        name: place.entry.name.clone(),
         cost: seen.usual,
         slow: seen.slow,
     };
@@ -150,6 +151,12 @@
         taken: unix_now(),
         means: memory.means,
         servers: servers.into_values().collect(),
-        classes: service.classes.iter().zip(&memory.classes).map(class).collect(),
+        classes: tuned
+            .places
+            .iter()
+            .zip(&memory.classes)
+            .filter(|(place, _)| !place.retired)
+            .map(class)
+            .collect(),
     }
 }
