--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -37,7 +37,7 @@
 pub(crate) const PROBES: (f64, f64) = (3.0, 0.02); // servers asked first, and part of the worth spent on it
 pub(crate) const FRESH: Micros = 30_000; // how long a probe's answer holds
 pub(crate) const FAILING: f64 = 1.0; // requests that an error a second weighs as
-const OVERDUE: f64 = 2.0; // an attempt is overdue after this multiple of its class's slow answers
+pub(crate) const OVERDUE: f64 = 2.0; // an attempt is overdue after this multiple of its class's slow answers
 pub(crate) const RETRY_BUDGET: (f64, f64) = (0.5, 10.0); // earned by each first attempt, and saved at most
 pub(crate) const RATE_SPAN: f64 = 3e6; // over which arrivals and served work are counted...
 pub(crate) const AIMS: f64 = 3.0; // ...or, for a class's answers, this many aims, where that is longer
@@ -152,6 +152,9 @@
                 self.asking = false;
                 actions.push(Action::Subscribe)
             }
+            Event::Coming(id) => self.coming(id),
+            Event::Came(id) => self.came(now, id, actions),
+            Event::Spent(id) => self.spent(id),
             Event::Settings(new) => self.retune(now, new),
             Event::Level(reduced) => {
                 self.reduced = reduced.clone();
@@ -432,7 +435,8 @@
     /// Nothing more is decided: an attempt still out is called off unless it streams.
     fn conclude(&mut self, id: RequestId, streams: bool, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        self.classes[request.class].open -= u32::from(!std::mem::replace(&mut request.settled, true));
+        let open = !std::mem::replace(&mut request.settled, true) && request.coming.is_none();
+        self.classes[request.class].open -= u32::from(open);
         let cancels = !streams && self.settings.limits.cancel;
         let useless = request.attempts.iter().position(|a| a.outcome.is_none() && cancels);
         actions.extend(useless.map(|at| Action::Cancel { request: id, attempt: at as u32 }));
@@ -476,7 +480,10 @@
         }
         let at = if request.live() == 0 && !self.send(now, id, actions) { now + LOOK } else { Micros::MAX };
         let Some(request) = self.requests.get(&id) else { return };
-        actions.push(Action::SetTimer { at: at.min(request.give_up), timer: Timer::Request(id) });
+        let at = at.min(request.give_up);
+        if at < Micros::MAX {
+            actions.push(Action::SetTimer { at, timer: Timer::Request(id) });
+        }
     }
 
     // ---- Answers ----
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -163,6 +163,13 @@
     Timer(Timer),
     /// Another level of service holds from now on.
     Level(&'a Reduced),
+    /// A request's body is on its way and goes to its server as it comes. Until it is whole the request's time stands
+    /// still, and nothing of it counts as open or overdue: what it waits for is its client.
+    Coming(RequestId),
+    /// Its last byte has come: its time runs from now on.
+    Came(RequestId),
+    /// Nothing of it can be sent again: it has no more attempts than it has had.
+    Spent(RequestId),
     /// Other settings hold from now on. What is open goes on by the class that it came with.
     Settings(&'a Retuned),
 }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -293,6 +293,8 @@
     pub attempts: SmallVec<[Attempt; 4]>,
     /// How many it may have.
     pub most_attempts: usize,
+    /// While its body is on its way: how long is waited for an answer once it has come.
+    pub coming: Option<Micros>,
     /// The client has its answer, or a stream is bound: nothing more is decided.
     pub settled: bool,
 }
@@ -316,6 +318,7 @@
             looked: SmallVec::new(),
             attempts: SmallVec::new(),
             most_attempts,
+            coming: None,
             settled: false,
         }
     }
@@ -398,6 +401,40 @@
         })
     }
 
+    /// A request's body is on its way, and goes on as it comes.
+    pub(crate) fn coming(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.settled && r.coming.is_none()) else {
+            return;
+        };
+        request.coming = Some(request.give_up.saturating_sub(request.came));
+        request.give_up = Micros::MAX;
+        self.classes[request.class].open -= 1;
+        for out in self.servers.values_mut().flat_map(|s| &mut s.out).filter(|out| out.request == id) {
+            out.due = Micros::MAX;
+        }
+    }
+
+    /// A request's body has come whole.
+    pub(crate) fn came(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.settled) else { return };
+        let Some(wait) = request.coming.take() else { return };
+        (request.came, request.give_up) = (now, now.saturating_add(wait));
+        let seen = &mut self.classes[request.class];
+        seen.open += 1;
+        let due = now.saturating_add((OVERDUE * seen.slow.at) as Micros);
+        for out in self.servers.values_mut().flat_map(|s| &mut s.out).filter(|out| out.request == id) {
+            (out.sent, out.due) = (now, due);
+        }
+        actions.push(Action::SetTimer { at: request.give_up, timer: Timer::Request(id) });
+    }
+
+    /// Nothing of a request can be sent again.
+    pub(crate) fn spent(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.most_attempts = request.attempts.len();
+        }
+    }
+
     /// Other settings hold from now on. Of servers and of classes that are still there all that was learned stays.
     pub(crate) fn retune(&mut self, now: Micros, new: &Retuned) {
         let former = std::mem::replace(&mut self.settings, new.settings.clone());
--- /dev/null
+++ b/crates/cli/tests/operations/upgrade.rs
@@ -0,0 +1,145 @@
+//! Two processes that are one sidecar for a while: the clients' socket is held by whoever starts them.
+
+use super::{asked, until};
+use crate::rig::{Conn, Node, Options, Sidecar, request};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsRawFd, OwnedFd};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+
+/// The clients' socket, which every process that is started inherits by its number.
+struct Shared {
+    address: SocketAddr,
+    socket: OwnedFd,
+}
+
+impl Shared {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        // Unlike the original, the copy stays open in what is started.
+        let socket = rustix::io::dup(&listener).expect("a descriptor is free");
+        Shared { address, socket }
+    }
+
+    fn start(&self, node: &Node) -> Sidecar {
+        let inherited = Some((self.address, self.socket.as_raw_fd()));
+        Sidecar::with(&[node.address()], Options { control: true, inherited, ..Options::default() })
+    }
+}
+
+/// A server that answers all that comes, until the test ends.
+fn serve_all(node: Node, stop: &Arc<AtomicBool>) -> JoinHandle<u64> {
+    let (stop, served) = (Arc::clone(stop), Arc::new(AtomicU64::new(0)));
+    std::thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            let Some(mut conn) = node.try_accept() else {
+                std::thread::sleep(std::time::Duration::from_millis(1));
+                continue;
+            };
+            let served = Arc::clone(&served);
+            std::thread::spawn(move || {
+                while conn.read().is_some() {
+                    served.fetch_add(1, Ordering::Relaxed);
+                    conn.answer("200 OK", "made");
+                }
+            });
+        }
+        served.load(Ordering::Relaxed)
+    })
+}
+
+/// A client that keeps its connection for as long as it may, and counts what it got. One that finds it closed between
+/// two requests opens another.
+fn keep_asking(at: SocketAddr, stop: &Arc<AtomicBool>) -> JoinHandle<u64> {
+    let stop = Arc::clone(stop);
+    std::thread::spawn(move || {
+        let connect = || Conn::new(TcpStream::connect(at).expect("nobody is refused"));
+        let (mut conn, mut served) = (connect(), 0);
+        while !stop.load(Ordering::Relaxed) {
+            if conn.has_something() {
+                conn = connect();
+            }
+            conn.write(request("submit-check", 5000, ""));
+            let answer = conn.read().expect("no answer is lost");
+            assert_eq!(answer.status(), 200);
+            served += 1;
+            if answer.header("connection") == Some("close") {
+                conn = connect();
+            }
+            std::thread::sleep(std::time::Duration::from_millis(3));
+        }
+        served
+    })
+}
+
+#[test]
+fn clients_that_keep_their_connections_lose_nothing_while_two_upgrades_go_by() {
+    let shared = Shared::new();
+    let node = Node::new();
+    let first = shared.start(&node);
+    let (at, stop) = (shared.address, Arc::new(AtomicBool::new(false)));
+    let clients: Vec<_> = (0..4).map(|_| keep_asking(at, &stop)).collect();
+    let mut present = first;
+    let (second, third) = (shared.start(&node), shared.start(&node));
+    let server = serve_all(node, &stop);
+    for next in [second, third] {
+        until("the new one says yes", || next.call("PING\n") == "ok\n");
+        let before = next.figure("app.operations.submit-check.fulfilled");
+        present.signal("TERM");
+        until("the old one has ended", || present.child.try_wait().expect("it can be asked").is_some());
+        assert_eq!(present.child.wait().expect("it has ended").code(), Some(0));
+        until("the new one serves", || next.figure("app.operations.submit-check.fulfilled") > before);
+        present = next;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let served: u64 = clients.into_iter().map(|client| client.join().expect("nothing was lost")).sum();
+    assert!(served > 0);
+    let _ = server.join();
+}
+
+/// Killed before it could serve, the new process has taken nothing.
+#[test]
+fn a_new_process_that_dies_at_once_is_not_noticed() {
+    let shared = Shared::new();
+    let node = Node::new();
+    let old = shared.start(&node);
+    drop(shared.start(&node));
+    let mut client = old.client();
+    client.write(request("recheck", 5000, ""));
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    conn.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_descriptor_that_is_no_such_socket_ends_the_start_with_one_line() {
+    let node = Node::new();
+    let sidecar = asked(&[&node]);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let elsewhere = rustix::io::dup(&listener).expect("a descriptor is free");
+    let stream = TcpStream::connect(listener.local_addr().expect("it is bound")).expect("it accepts");
+    let stream = rustix::io::dup(&stream).expect("a descriptor is free");
+    for (number, why) in [
+        ("900".to_string(), "is not open"),
+        ("three".to_string(), "invalid digit"),
+        ("2".to_string(), "standard stream"),
+        (stream.as_raw_fd().to_string(), "no listening stream socket"),
+        (elsewhere.as_raw_fd().to_string(), "clients are to connect to"),
+    ] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_madderloom"));
+        command.arg("serve").env("RELAY_CONFIG", &sidecar.config.1).env("RELAY_ACCEPT_FD", &number);
+        let done = command.stderr(Stdio::piped()).output().expect("it starts and ends");
+        let errors = String::from_utf8(done.stderr).expect("text");
+        assert!(!done.status.success() && errors.contains("RELAY_ACCEPT_FD: "), "{errors}");
+        assert!(errors.contains(why), "{errors}");
+    }
+    assert!(matches!(
+        TcpStream::connect(sidecar.address).map_err(|e| e.kind()),
+        Ok(_) | Err(ErrorKind::Interrupted)
+    ));
+}
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -256,6 +256,8 @@
             }
             // Rivals know no levels: the check lets no arm of theirs have any.
             Event::Level(_) | Event::Settings(_) => {}
+            // The lab's bodies are whole when they come.
+            Event::Coming(_) | Event::Came(_) | Event::Spent(_) => {}
         }
     }
 }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -2,6 +2,7 @@
 //! timer, without a parser or a buffer. It wakes on its first byte, is served by `hyper` for as long as it is busy, and
 //! is parked again once it has been idle for a moment.
 
+use super::heads::Heads;
 use super::listener::{LINGER, Listener};
 use super::turns::Charged;
 use super::virtual_server;
@@ -19,17 +20,24 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
-use tokio::io::ReadBuf;
+use std::task::{Context, Poll, Waker, ready};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A connection that was opened, or whose last answer went, so little ago may have a request on the way.
 pub(super) const YOUNG: Micros = 50_000;
 /// A connection is parked once it has been idle for so long, and looked after as often while it is not.
 const PARKED_AFTER: Micros = 250_000;
+/// A client that takes nothing of an answer for so long has stopped.
+const STOPPED: Micros = 30_000_000;
 /// A head, and what is read ahead of a body, hold this much at most.
 const HEAD: usize = 16 << 10;
 
+thread_local! {
+    /// What is read from clients passes through here.
+    static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; HEAD].into());
+}
+
 /// What a connection has been told.
 #[derive(Clone, Copy, PartialEq)]
 enum Told {
@@ -51,8 +59,14 @@
     /// The body of the last request has been read whole. Left unread, what follows on the connection is not the next
     /// request, and must never be taken for it.
     pub(super) body_read: Cell<bool>,
+    /// It is not certain how what it wrote is to be read, so that nothing of it may go on.
+    pub(super) ambiguous: Cell<bool>,
     /// Something has been read since the last answer.
     read: Cell<bool>,
+    /// An answer is passed on to it as it comes.
+    passing: Cell<bool>,
+    /// When it last took something.
+    wrote: Cell<Micros>,
     /// Nothing that was written waits for the client.
     flushed: Cell<bool>,
 }
@@ -73,6 +87,13 @@
         self.told.get() == Told::Close
     }
 
+    /// The last byte of an answer that is passed on has been read from its server.
+    /// Told before the next request on the connection is read.
+    pub(super) fn answered(&self, now: Micros) {
+        self.passing.set(false);
+        self.idle_since.set(Some(now));
+    }
+
     fn may_be_parked(&self) -> bool {
         self.idle_since.get().is_some() && self.body_read.get() && self.flushed.get() && !self.read.get()
     }
@@ -192,7 +213,10 @@
             waiting: RefCell::default(),
             charged,
             body_read: Cell::new(true),
+            ambiguous: Cell::new(false),
             read: Cell::new(false),
+            passing: Cell::new(false),
+            wrote: Cell::new(now),
             flushed: Cell::new(true),
         });
         clients.park(&client, now);
@@ -237,7 +261,13 @@
     let _ = stream.set_nodelay(true);
     let entered = Entered::new(listener, charged);
     let client = &entered.client;
-    let mut io = ClientIo { stream: TokioIo::new(stream), before: Bytes::new(), client: Rc::clone(client) };
+    let mut io = ClientIo {
+        stream: TokioIo::new(stream),
+        before: Bytes::new(),
+        client: Rc::clone(client),
+        listener: Rc::clone(listener),
+        heads: Heads::default(),
+    };
     while parked(listener, client, io.stream.inner()).await {
         // In a box, as it holds all that a request needs: what is parked is to be small.
         match Box::pin(served(listener, client, io)).await {
@@ -280,7 +310,12 @@
         client.body_read.set(request.body().is_end_stream());
         let mut response = virtual_server::answer(listener, client, request).await;
         client.charged.set(listener.account());
-        client.idle_since.set(Some(common.clock.now()));
+        // One that is passed on is idle when it has gone, and not when it begins.
+        client.passing.set(response.body().is_passing());
+        client.wrote.set(common.clock.now());
+        if !response.body().is_passing() {
+            client.idle_since.set(Some(common.clock.now()));
+        }
         client.read.set(false);
         if common.duty.borrow().ends_connections() || listener.is_leaving() || listener.is_crowded() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -300,6 +335,10 @@
         while Pin::new(&mut alarm).poll(context).is_ready() {
             let now = common.clock.now();
             let next = match client.idle_since.get() {
+                // A reader that has stopped holds what others need.
+                None if client.passing.get() && now.saturating_sub(client.wrote.get()) >= STOPPED => {
+                    return Poll::Ready(End::Over);
+                }
                 None => now + PARKED_AFTER,
                 Some(since) if client.may_be_parked() => {
                     if now.saturating_sub(since) >= PARKED_AFTER {
@@ -325,7 +364,11 @@
         End::Told => {
             // Closes at once where it lies idle, else with its answer. A request that never comes whole ends it too.
             Pin::new(&mut connection).graceful_shutdown();
-            let _ = common.within(longest_answer(listener), connection).await;
+            // What a server still gives goes on for as long as its client takes it.
+            while common.within(longest_answer(listener), &mut connection).await.is_none()
+                && client.passing.get()
+                && common.clock.now().saturating_sub(client.wrote.get()) < STOPPED
+            {}
             None
         }
         End::Idle => {
@@ -349,12 +392,12 @@
     let manner = listener.manner.get();
     if !client.flushed.get() {
         // Its answer is being read; a client that reads slowly loses no more than one that waits.
-        since + longest_answer(listener).max(manner.head_within)
+        since.max(client.wrote.get()) + longest_answer(listener).max(manner.head_within)
     } else if !client.body_read.get() {
-        since + manner.head_within.max(manner.body_within)
+        since + virtual_server::DRAINED_FOR.max(manner.body_within)
     } else {
-        // The head of a request is on its way.
-        (since + manner.head_within).max((woken + manner.head_within).min(since + manner.idle_within))
+        // The head of a request is on its way, or was when it woke.
+        since.max(woken) + manner.head_within
     }
 }
 
@@ -364,6 +407,16 @@
     /// Read before it was parked.
     before: Bytes,
     client: Rc<Client>,
+    listener: Rc<Listener>,
+    heads: Heads,
+}
+
+impl ClientIo {
+    fn note(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.client.wrote.set(self.listener.common.clock.now());
+        }
+    }
 }
 
 impl Read for ClientIo {
@@ -378,11 +431,19 @@
             self.client.read.set(true);
             return Poll::Ready(Ok(()));
         }
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if read.is_ready() {
-            self.client.read.set(true);
-        }
-        read
+        // By way of a buffer of our own, since what is in hyper's cannot be looked at.
+        let io = &mut *self;
+        SCRATCH.with_borrow_mut(|scratch| {
+            let room = buffer.remaining().min(scratch.len());
+            let mut read = ReadBuf::new(&mut scratch[..room]);
+            ready!(Pin::new(io.stream.inner_mut()).poll_read(context, &mut read))?;
+            io.client.read.set(true);
+            if !io.heads.follow(read.filled()) {
+                io.client.ambiguous.set(true);
+            }
+            buffer.put_slice(read.filled());
+            Poll::Ready(Ok(()))
+        })
     }
 }
 
@@ -393,7 +454,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.client.flushed.set(false);
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -406,7 +469,9 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.client.flushed.set(false);
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
+        self.note(&written);
+        written
     }
 
     /// Asked for once nothing is left to write.
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -147,6 +147,31 @@
     Ok(())
 }
 
+/// Writes bytes behind what has gone out already. False where the server has answered or closed before that.
+pub(super) async fn write_on(stream: &TcpStream, mut bytes: &[u8]) -> Result<bool, Broken> {
+    while !bytes.is_empty() {
+        match stream.try_write(bytes) {
+            Ok(0) => return Err(Broken::Connection),
+            Ok(count) => bytes = &bytes[count..],
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                let ready = stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
+                if ready.is_readable() && !is_quiet(stream) {
+                    return Ok(false);
+                }
+            }
+            Err(_) => return Err(Broken::Connection),
+        }
+    }
+    Ok(true)
+}
+
+/// Ends once the server says something, or closes.
+pub(super) async fn speaks(stream: &TcpStream) {
+    let mut byte = [0];
+    let _ = poll_fn(|context| stream.poll_peek(context, &mut ReadBuf::new(&mut byte))).await;
+}
+
 /// False where the server has answered or closed before that.
 async fn write_up_to(
     stream: &TcpStream,
@@ -191,6 +216,106 @@
     Close,
 }
 
+/// Takes a body out of its wrapping, piece by piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unwrapper {
+    /// So many bytes are to come.
+    Length(u64),
+    /// Of the present chunk; behind it comes the end of its line.
+    Chunk(u64),
+    /// The end of a chunk's line.
+    ChunkEnd,
+    /// The line with a chunk's size.
+    ChunkLine,
+    /// Lines behind the last chunk.
+    Trailers,
+    /// All that comes, to the end of the connection.
+    Close,
+    /// It has ended.
+    Over,
+}
+
+impl Unwrapper {
+    fn new(framing: Framing) -> Self {
+        match framing {
+            Framing::Length(0) => Unwrapper::Over,
+            Framing::Length(length) => Unwrapper::Length(length as u64),
+            Framing::Chunked => Unwrapper::ChunkLine,
+            Framing::Close => Unwrapper::Close,
+        }
+    }
+
+    pub(super) fn is_over(self) -> bool {
+        self == Unwrapper::Over
+    }
+
+    pub(super) fn ends_with_connection(self) -> bool {
+        self == Unwrapper::Close
+    }
+
+    /// How much is to come, where that is known.
+    pub(super) fn left(self) -> Option<u64> {
+        match self {
+            Unwrapper::Length(left) => Some(left),
+            Unwrapper::Over => Some(0),
+            _ => None,
+        }
+    }
+
+    /// The next piece out of what was read; none where more must be read, or where it has ended.
+    pub(super) fn next(&mut self, unread: &mut BytesMut) -> Result<Option<Bytes>, Broken> {
+        loop {
+            if unread.is_empty() {
+                return Ok(None);
+            }
+            match *self {
+                Unwrapper::Over => return Ok(None),
+                Unwrapper::Close => return Ok(Some(unread.split().freeze())),
+                Unwrapper::Length(left) | Unwrapper::Chunk(left) => {
+                    let size = unread.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    let left = left - size as u64;
+                    *self = match *self {
+                        Unwrapper::Chunk(_) if left == 0 => Unwrapper::ChunkEnd,
+                        Unwrapper::Chunk(_) => Unwrapper::Chunk(left),
+                        _ if left == 0 => Unwrapper::Over,
+                        _ => Unwrapper::Length(left),
+                    };
+                    return Ok(Some(unread.split_to(size).freeze()));
+                }
+                Unwrapper::ChunkEnd => {
+                    if unread.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &unread[..2] != b"\r\n" {
+                        return Err(Broken::Senseless);
+                    }
+                    unread.advance(2);
+                    *self = Unwrapper::ChunkLine;
+                }
+                Unwrapper::ChunkLine => match httparse::parse_chunk_size(unread) {
+                    Ok(httparse::Status::Complete((line, size))) => {
+                        unread.advance(line);
+                        *self = if size == 0 { Unwrapper::Trailers } else { Unwrapper::Chunk(size) };
+                    }
+                    Ok(httparse::Status::Partial) if unread.len() < HEAD => return Ok(None),
+                    _ => return Err(Broken::Senseless),
+                },
+                // Trailers are about the message itself and go no further.
+                Unwrapper::Trailers => match unread.iter().position(|byte| *byte == b'\n') {
+                    Some(end) => {
+                        let line = unread.split_to(end + 1);
+                        if line.trim_ascii().is_empty() {
+                            *self = Unwrapper::Over;
+                        }
+                    }
+                    None if unread.len() < HEAD => return Ok(None),
+                    None => return Err(Broken::Senseless),
+                },
+            }
+        }
+    }
+}
+
 /// The head of an answer.
 #[derive(Debug)]
 pub(super) struct Head {
@@ -198,7 +323,7 @@
     pub(super) headers: HeaderMap,
     framing: Framing,
     /// The server keeps the connection.
-    stays: bool,
+    pub(super) stays: bool,
 }
 
 /// An answer on its way.
@@ -215,6 +340,17 @@
     pub(super) reusable: bool,
 }
 
+/// What was read of a body.
+#[derive(Debug)]
+pub(super) enum Taken {
+    Whole(Whole),
+    /// It goes on: its beginning, and how the rest is to be read.
+    Long {
+        first: Bytes,
+        unwrapper: Unwrapper,
+    },
+}
+
 impl Answer {
     /// Reads the head.
     pub(super) async fn head(&mut self, stream: &mut TcpStream) -> Result<Head, Broken> {
@@ -239,98 +375,94 @@
     /// The body, if all of it is here already.
     pub(super) fn body_at_hand(&mut self, head: &Head) -> Option<Whole> {
         match head.framing {
-            Framing::Length(length) if self.unread.len() >= length => Some(self.whole(head, length)),
+            Framing::Length(length) if self.unread.len() >= length => {
+                let body = self.unread.split_to(length).freeze();
+                // What comes behind an answer would be taken for the next one.
+                Some(Whole { body, reusable: head.stays && self.unread.is_empty() })
+            }
             _ => None,
         }
     }
 
-    /// Reads the body.
+    /// Reads the body, as much of it as is taken whole.
     pub(super) async fn body(&mut self, head: &Head, stream: &mut TcpStream) -> Result<Whole, Broken> {
-        match head.framing {
-            Framing::Length(length) if length > BODY => Err(Broken::Senseless),
-            Framing::Length(length) => {
-                while self.unread.len() < length {
-                    let missing = length - self.unread.len();
-                    if !self.more(stream, missing).await? {
-                        return Err(Broken::Connection);
-                    }
-                }
-                Ok(self.whole(head, length))
-            }
-            Framing::Chunked => self.chunks(head, stream).await,
-            Framing::Close => {
-                while self.more(stream, READ).await? {
-                    if self.unread.len() > BODY {
-                        return Err(Broken::Senseless);
-                    }
-                }
-                Ok(Whole { body: self.unread.split().freeze(), reusable: false })
-            }
+        let never = std::future::pending::<()>;
+        match self.beginning(head, stream, never(), never).await? {
+            Taken::Whole(whole) => Ok(whole),
+            Taken::Long { .. } => Err(Broken::Senseless),
         }
     }
 
-    fn whole(&mut self, head: &Head, length: usize) -> Whole {
-        let body = self.unread.split_to(length).freeze();
-        // What comes behind an answer would be taken for the next one.
-        Whole { body, reusable: head.stays && self.unread.is_empty() }
-    }
-
-    async fn chunks(&mut self, head: &Head, stream: &mut TcpStream) -> Result<Whole, Broken> {
+    /// Reads the body whole, or so much of it as shows that it is too long for that, or as has come until `patience`
+    /// ends: a body of unknown length may be a long one that comes slowly. One of which nothing comes until what `stalls`
+    /// makes has ended is given up.
+    pub(super) async fn beginning<S: Future<Output = ()>>(
+        &mut self,
+        head: &Head,
+        stream: &mut TcpStream,
+        patience: impl Future<Output = ()>,
+        stalls: impl Fn() -> S,
+    ) -> Result<Taken, Broken> {
+        let mut patience = std::pin::pin!(patience);
+        let mut unwrapper = Unwrapper::new(head.framing);
         let mut body = BytesMut::new();
+        if matches!(head.framing, Framing::Length(length) if length > BODY) {
+            return Ok(Taken::Long { first: Bytes::new(), unwrapper });
+        }
+        let mut impatient = false;
         loop {
-            let size = loop {
-                match httparse::parse_chunk_size(&self.unread) {
-                    Ok(httparse::Status::Complete((line, size))) => {
-                        self.unread.advance(line);
-                        break size;
-                    }
-                    Ok(httparse::Status::Partial) => self.line_goes_on(stream).await?,
-                    Err(_) => return Err(Broken::Senseless),
-                }
-            };
-            let room = (BODY - body.len()) as u64;
-            if size > room {
-                return Err(Broken::Senseless);
+            while let Some(piece) = unwrapper.next(&mut self.unread)? {
+                body.extend_from_slice(&piece);
             }
-            if size == 0 {
-                break;
+            if unwrapper.is_over() {
+                return Ok(Taken::Whole(self.end(head, body)));
             }
-            // Not beyond the room that was just compared with.
-            let size = size as usize;
-            while self.unread.len() < size + 2 {
-                let missing = size + 2 - self.unread.len();
-                if !self.more(stream, missing).await? {
-                    return Err(Broken::Connection);
-                }
+            if body.len() > BODY || (impatient && !body.is_empty()) {
+                return Ok(Taken::Long { first: body.freeze(), unwrapper });
             }
-            body.extend_from_slice(&self.unread[..size]);
-            if &self.unread[size..size + 2] != b"\r\n" {
-                return Err(Broken::Senseless);
-            }
-            self.unread.advance(size + 2);
-        }
-        // Trailers are about the message itself and go no further.
-        loop {
-            match self.unread.iter().position(|byte| *byte == b'\n') {
-                Some(end) => {
-                    let line = self.unread.split_to(end + 1);
-                    if line.trim_ascii().is_empty() {
-                        return Ok(Whole {
-                            body: body.freeze(),
-                            reusable: head.stays && self.unread.is_empty(),
-                        });
+            let wanted = unwrapper.left().map_or(READ, |left| left as usize);
+            let mut at_end = true;
+            let more = {
+                let mut more = std::pin::pin!(self.more(stream, wanted));
+                let mut stalled = std::pin::pin!(stalls());
+                // Of a known length nothing is to be gained by passing on what is short.
+                let known = matches!(head.framing, Framing::Length(_));
+                poll_fn(|context| {
+                    if let std::task::Poll::Ready(more) = more.as_mut().poll(context) {
+                        return std::task::Poll::Ready(Some(more));
+                    }
+                    if !known && !impatient && patience.as_mut().poll(context).is_ready() {
+                        return std::task::Poll::Ready(None);
+                    }
+                    stalled.as_mut().poll(context).map(|()| {
+                        at_end = false;
+                        Some(Ok(false))
+                    })
+                })
+                .await
+            };
+            match more {
+                None => impatient = true,
+                Some(more) => {
+                    if !more? {
+                        // Where nothing but the end of the connection tells, a stall is no end.
+                        return match unwrapper {
+                            Unwrapper::Close if at_end => Ok(Taken::Whole(self.end(head, body))),
+                            _ => Err(Broken::Connection),
+                        };
                     }
                 }
-                None => self.line_goes_on(stream).await?,
             }
         }
     }
 
-    async fn line_goes_on(&mut self, stream: &mut TcpStream) -> Result<(), Broken> {
-        if self.unread.len() >= HEAD {
-            return Err(Broken::Senseless);
-        }
-        if self.more(stream, READ).await? { Ok(()) } else { Err(Broken::Connection) }
+    fn end(&mut self, head: &Head, body: BytesMut) -> Whole {
+        Whole { body: body.freeze(), reusable: head.stays && self.unread.is_empty() }
+    }
+
+    /// What was read and not looked at, for whoever reads on.
+    pub(super) fn into_unread(self) -> BytesMut {
+        self.unread
     }
 
     /// Reads what there is; false at the end of the connection.
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -2,12 +2,14 @@
 
 use super::connections::NoConnection;
 use super::counts::count;
-use super::exchange::{self, Broken, Message, Progress, Whole};
+use super::exchange::{self, Broken, Message, Progress, Taken, Whole};
 use super::ledger::{Entry, Gate};
+use super::passing::{Passing, Reply};
 use super::service::Service;
 use super::teller::EndedAttempt;
 use super::transaction::Answer;
-use bytes::Bytes;
+use super::upload::{self, Length, Upload};
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -15,11 +17,19 @@
 use madderloom_balancer::{Closed, Event, Micros, Outcome, RequestId, ServerId};
 use madderloom_graphql::Verdict;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
+use tokio::net::TcpStream;
 
-/// An answer is written once it is made, so its body comes right behind its head or not at all.
-const STALLED: Micros = 250_000;
+/// An answer of unknown length is passed on as it comes once it has gone on for so long.
+const PATIENCE: Micros = 150_000;
+/// One that is taken whole has stopped where nothing of it comes for so long.
+const STALLED: Micros = 400_000;
+/// A server that takes nothing of a body for so long hangs.
+const TAKES_WITHIN: Micros = 10_000_000;
 /// A server in the same zone tells within this time of the first bytes that it has dropped the connection.
 const HOLD: Micros = 1_000;
 
@@ -43,7 +53,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Upload,
     pub(super) unsafe_to_repeat: bool,
     pub(super) reading: Reading,
     /// Where its pool keeps a ledger of what must not run twice.
@@ -62,6 +72,13 @@
     },
 }
 
+impl Reading {
+    /// Whether a long answer goes to the client as it comes; in GraphQL it is read first.
+    fn passes_on(self) -> bool {
+        matches!(self, Reading::Plain)
+    }
+}
+
 /// An attempt that owes the module its outcome. It tells it once: at its end, or when it is dropped.
 pub(super) struct Attempt {
     pub(super) service: Rc<Service>,
@@ -71,7 +88,7 @@
     pub(super) class: u32,
     /// The client's guess of its work.
     pub(super) cost: Option<Micros>,
-    pub(super) sent: Micros,
+    pub(super) sent: Cell<Micros>,
     pub(super) timeout_at: Micros,
     /// The transaction has had its final answer.
     pub(super) over: Rc<Cell<bool>>,
@@ -93,10 +110,10 @@
             attempt: self.number,
             server: self.server,
             outcome,
-            elapsed: now.saturating_sub(self.sent),
+            elapsed: now.saturating_sub(self.sent.get()),
             ended: self.over.get(),
         };
-        let ended = EndedAttempt { closed, class: self.class, cost: self.cost, sent: self.sent };
+        let ended = EndedAttempt { closed, class: self.class, cost: self.cost, sent: self.sent.get() };
         self.service.attempt_ended(now, &ended);
         self.service.handle(now, Event::Closed(closed));
     }
@@ -123,16 +140,16 @@
             });
         }
         // What the disk took is no server's time.
-        attempt.sent = attempt.service.common.clock.now();
+        attempt.sent.set(attempt.service.common.clock.now());
     }
     let (outcome, answer) = {
         let progress = Progress::default();
         let service = &attempt.service;
         let exchange = exchange(&attempt, &onward, &progress);
-        match service.common.until(attempt.timeout_at, exchange).await {
+        match limited(&attempt, &onward, exchange).await {
             Some(done) => done,
             None if progress.whole.get() => {
-                service.connections.suspect(attempt.server, attempt.sent);
+                service.connections.suspect(attempt.server, attempt.sent.get());
                 (Outcome::Timeout, None)
             }
             // It has not been written whole, and never will be: nothing can have run.
@@ -143,14 +160,36 @@
     answer.map(Answer::Served)
 }
 
-type Ended = (Outcome, Option<Response<Full<Bytes>>>);
+/// The time of a request whose body is passed on runs from its last byte on.
+async fn limited<T>(attempt: &Attempt, onward: &Onward, exchange: impl Future<Output = T>) -> Option<T> {
+    let common = &attempt.service.common;
+    let Some(passing) = onward.body.passing() else {
+        return common.until(attempt.timeout_at, exchange).await;
+    };
+    let wait = attempt.timeout_at.saturating_sub(attempt.sent.get());
+    let mut exchange = pin!(exchange);
+    let mut alarm = None;
+    poll_fn(|context| {
+        if let Poll::Ready(done) = exchange.as_mut().poll(context) {
+            return Poll::Ready(Some(done));
+        }
+        let Some(whole) = passing.whole.get() else { return Poll::Pending };
+        let alarm = alarm.get_or_insert_with(|| common.alarm(whole.saturating_add(wait)));
+        Pin::new(alarm).poll(context).map(|()| None)
+    })
+    .await
+}
+
+type Ended = (Outcome, Option<Response<Reply>>);
 
 async fn exchange(attempt: &Attempt, onward: &Onward, progress: &Progress) -> Ended {
     let service = &attempt.service;
     let Some(address) = service.pool.address(attempt.server) else { return (Outcome::Moot, None) };
-    let left = attempt.timeout_at.saturating_sub(attempt.sent).div_ceil(1_000);
+    let left = attempt.timeout_at.saturating_sub(attempt.sent.get()).div_ceil(1_000);
     // What may have run must not run twice: a break that comes before the last byte proves that it has not.
-    let held = onward.unsafe_to_repeat && service.connections.are_breaking() && !onward.body.is_empty();
+    let held =
+        onward.unsafe_to_repeat && service.connections.are_breaking() && !onward.body.at_hand().is_empty();
+    let held = held && onward.body.passing().is_none();
     let message = message(onward, address, left);
     let (mut lease, mut answer, head) = loop {
         let mut lease = match service.connections.take(attempt.server, address).await {
@@ -159,7 +198,13 @@
             Err(NoConnection::Exhausted) => return (Outcome::Moot, None),
         };
         let hold = held.then(|| service.common.alarm_in(HOLD));
-        let sent = exchange::send(&lease.stream, &message, hold, progress).await;
+        let mut sent = exchange::send(&lease.stream, &message, hold, progress).await;
+        if let (Some(passing), Ok(())) = (onward.body.passing(), &sent) {
+            let at_hand = progress.whole.replace(false);
+            if at_hand {
+                sent = pass_on(attempt, passing, &lease.stream, progress).await;
+            }
+        }
         if progress.whole.get() {
             count(&service.counts.relayed);
         }
@@ -183,21 +228,123 @@
             }
         }
     };
-    let body = match answer.body_at_hand(&head) {
-        Some(body) => Some(body),
+    let taken = match answer.body_at_hand(&head) {
+        Some(body) => Taken::Whole(body),
         None => {
-            let rest = answer.body(&head, &mut lease.stream);
-            service.common.within(STALLED, rest).await.and_then(Result::ok)
+            let patience = service.common.alarm_in(PATIENCE);
+            let stalls = || service.common.alarm_in(STALLED);
+            let rest = answer.beginning(&head, &mut lease.stream, patience, stalls);
+            match rest.await {
+                Ok(taken) => taken,
+                // Broken off, or shorter than its head says.
+                Err(_) => return (Outcome::Reset, None),
+            }
         }
     };
-    // Broken off, longer than an answer may be, or shorter than its head says.
-    let Some(Whole { body, reusable }) = body else { return (Outcome::Reset, None) };
     service.connections.heard(attempt.server);
-    // A server that has left or moved meanwhile gets nothing more over it, nor does one that has not had all.
-    if reusable && progress.whole.get() && service.pool.address(attempt.server) == Some(address) {
-        service.connections.keep(lease);
+    let whole = progress.whole.get();
+    match taken {
+        Taken::Whole(Whole { body, reusable }) => {
+            // A server that has left or moved meanwhile gets nothing more over it, nor does one that has not had all.
+            if reusable && whole && service.pool.address(attempt.server) == Some(address) {
+                service.connections.keep(lease);
+            }
+            judge(head.status, head.headers, body, onward.reading)
+        }
+        // Read to its end by whoever is the client; of one that is no answer nothing is wanted.
+        Taken::Long { first, unwrapper } if head.status == StatusCode::OK && onward.reading.passes_on() => {
+            let reusable = head.stays && whole;
+            let unread = answer.into_unread();
+            let (service, server) = (Rc::clone(service), attempt.server);
+            let lease = Some(lease);
+            let passing =
+                Passing { service, server, address, lease, reusable, unread, unwrapper, first, held: None };
+            let mut response = Response::new(Reply::Passing(Box::new(passing)));
+            *response.headers_mut() = head.headers;
+            (Outcome::Ok, Some(response))
+        }
+        Taken::Long { .. } if onward.reading.passes_on() => {
+            judge(head.status, head.headers, Bytes::new(), onward.reading)
+        }
+        // Longer than an answer may be.
+        Taken::Long { .. } => (Outcome::Reset, None),
+    }
+}
+
+/// Writes the rest of a body as it comes, and says when it is whole. A server that answers or closes before that gets no
+/// more.
+async fn pass_on(
+    attempt: &Attempt,
+    passing: &upload::Passing,
+    stream: &TcpStream,
+    progress: &Progress,
+) -> Result<(), Broken> {
+    let service = &attempt.service;
+    let Some(mut reader) = passing.take() else { return Ok(()) };
+    let chunked = passing.length == Length::Chunked;
+    let mut result = Ok(());
+    let whole = loop {
+        let piece = {
+            let (mut next, mut speaks) = (pin!(reader.next(&service.common)), pin!(exchange::speaks(stream)));
+            poll_fn(|context| match next.as_mut().poll(context) {
+                Poll::Ready(piece) => Poll::Ready(Some(piece)),
+                Poll::Pending => speaks.as_mut().poll(context).map(|()| None),
+            })
+            .await
+        };
+        let Some(piece) = piece else { break false };
+        let bytes = match piece {
+            Ok(Some(data)) => {
+                // Nothing of it is kept, so it can't be sent again.
+                if !passing.spent.replace(true) {
+                    service.handle(service.common.clock.now(), Event::Spent(attempt.request));
+                }
+                if chunked { chunk(&data) } else { data }
+            }
+            Ok(None) if chunked => Bytes::from_static(b"0\r\n\r\n"),
+            Ok(None) => Bytes::new(),
+            Err(reject) => {
+                passing.broken.replace(Some(reject));
+                break false;
+            }
+        };
+        let last = bytes.is_empty() || (chunked && bytes.starts_with(b"0\r"));
+        match service.common.within(TAKES_WITHIN, exchange::write_on(stream, &bytes)).await {
+            Some(Ok(true)) if last => break true,
+            Some(Ok(true)) => {}
+            Some(Ok(false)) => break false,
+            Some(Err(broken)) => {
+                result = Err(broken);
+                break false;
+            }
+            None => {
+                result = Err(Broken::Connection);
+                break false;
+            }
+        }
+    };
+    if whole {
+        let now = service.common.clock.now();
+        progress.whole.set(true);
+        passing.whole.set(Some(now));
+        attempt.sent.set(now);
+        service.handle(now, Event::Came(attempt.request));
+    } else {
+        passing.give_back(reader);
+        // With its client's part missing there is nothing to wait for.
+        if passing.broken.borrow().is_some() {
+            result = Err(Broken::Senseless);
+        }
     }
-    judge(head.status, head.headers, body, onward.reading)
+    result
+}
+
+fn chunk(data: &Bytes) -> Bytes {
+    let mut chunk = BytesMut::with_capacity(data.len() + 20);
+    chunk.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\r\n");
+    chunk.freeze()
 }
 
 fn message(onward: &Onward, address: SocketAddr, left_ms: u64) -> Message {
@@ -214,10 +361,20 @@
     {
         message.header(&header::HOST, &host);
     }
-    if onward.method != Method::GET || !onward.body.is_empty() {
-        message.number(&header::CONTENT_LENGTH, onward.body.len() as u64);
+    let body = onward.body.at_hand().clone();
+    match onward.body.passing().map(|passing| passing.length) {
+        Some(Length::Known(length)) => message.number(&header::CONTENT_LENGTH, length),
+        Some(Length::Chunked) => {
+            message.header(&header::TRANSFER_ENCODING, &HeaderValue::from_static("chunked"));
+            message.end(chunk(&body));
+            return message;
+        }
+        None if onward.method != Method::GET || !body.is_empty() => {
+            message.number(&header::CONTENT_LENGTH, body.len() as u64);
+        }
+        None => {}
     }
-    message.end(onward.body.clone());
+    message.end(body);
     message
 }
 
@@ -234,7 +391,7 @@
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => (Outcome::Full, None),
         _ if is_answer => {
-            let mut answer = Response::new(Full::new(body));
+            let mut answer = Response::new(Reply::Whole(Full::new(body)));
             *answer.status_mut() = status;
             *answer.headers_mut() = headers;
             (Outcome::Ok, Some(answer))
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -6,8 +6,10 @@
 use super::flow::{Onward, Reading};
 use super::ledger::Entry;
 use super::listener::Listener;
+use super::passing::Reply as Body;
 use super::service::Service;
 use super::transaction::{self, Answer};
+use super::upload::Upload;
 use super::virtual_server::{
     MARGIN, OpenId, Reject, TRACE_ID, admit, length, next_request, note, seconds, senseless, time_left, whole,
 };
@@ -43,13 +45,15 @@
     came: Micros,
     mut head: Parts,
     body: Incoming,
-) -> Response<Full<Bytes>> {
+) -> Response<Body> {
     let manner = listener.manner.get();
     let media = Media::accepted(&head.headers);
     let mut body = Some(body);
+    // A message is read whole, whatever a listener passes on.
+    let most = if manner.body_size == super::LONGEST_BODY { super::BODY } else { manner.body_size };
     let taken = async {
         let left = time_left(&head.headers)?;
-        let size = length(body.as_ref(), &head.headers, manner.body_size)?;
+        let size = length(body.as_ref(), &head.headers, most)?;
         let held = admit(listener, service, came, size as u64)?;
         let id = id(&head.headers)?.map(|id| OpenId::new(service, id)).transpose()?;
         let body = if size > 0 {
@@ -132,7 +136,7 @@
         message: &ToServer,
         headers: HeaderMap,
         part: Option<usize>,
-    ) -> Result<Response<Full<Bytes>>, Fault> {
+    ) -> Result<Response<Body>, Fault> {
         let (service, classed) = (self.service, &message.classed);
         if service.transactions.borrow().len() >= service.tuned().max_open {
             count(&service.class_counts(classed.class).turned_away);
@@ -157,12 +161,12 @@
             method: self.head.method.clone(),
             uri: self.head.uri.clone(),
             headers,
-            body: message.body.clone(),
+            body: Upload::Kept(message.body.clone()),
             unsafe_to_repeat: is_unsafe,
             reading: Reading::Graphql { hash_only: message.hash_only },
             entry,
         };
-        match transaction::run(service, now, new, onward).await {
+        match transaction::run(service, now, new, Rc::new(onward)).await {
             Answer::Served(response) => {
                 count(&service.class_counts(classed.class).served);
                 Ok(response)
@@ -179,7 +183,7 @@
     }
 
     /// A transaction for each operation of a batch, and one answer of all of theirs.
-    async fn run_apart(&self, parts: Vec<Result<ToServer, Fault>>) -> Response<Full<Bytes>> {
+    async fn run_apart(&self, parts: Vec<Result<ToServer, Fault>>) -> Response<Body> {
         let effects: Vec<Effect> =
             parts.iter().map(|part| part.as_ref().map_or(Effect::Safe, |part| part.classed.effect)).collect();
         let mut answers = Vec::with_capacity(parts.len());
@@ -229,11 +233,12 @@
 }
 
 /// A body that is there in whole already.
-async fn collected(body: Full<Bytes>) -> Bytes {
+async fn collected(body: Body) -> Bytes {
     use http_body_util::BodyExt;
     match body.collect().await {
         Ok(body) => body.to_bytes(),
-        Err(never) => match never {},
+        // What is long is not passed on here, so it is there; else the server's answer is missing.
+        Err(_) => Bytes::new(),
     }
 }
 
@@ -252,7 +257,7 @@
     done.into_iter().flatten().collect()
 }
 
-fn rejected(reject: Reject, media: Media) -> Response<Full<Bytes>> {
+fn rejected(reject: Reject, media: Media) -> Response<Body> {
     match reject {
         Reject::Refused(_, retry_after) => response(Reply::of(&Fault::refused(retry_after), None, media)),
         Reject::Senseless(status, problem) => {
@@ -265,8 +270,8 @@
     }
 }
 
-fn response(reply: Reply) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+fn response(reply: Reply) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(Full::new(Bytes::from(reply.body))));
     *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(reply.media.content_type()));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,11 +20,13 @@
 mod feed;
 mod flow;
 mod graphql;
+mod heads;
 mod ledger;
 mod levels;
 mod limits;
 mod listener;
 mod page;
+mod passing;
 mod plot;
 mod pool;
 mod probe;
@@ -38,6 +40,7 @@
 mod transaction;
 mod tuned;
 mod turns;
+mod upload;
 mod view;
 mod virtual_server;
 mod warm;
@@ -45,5 +48,8 @@
 pub use config::{Config, Limits, Problem};
 pub use process::Sidecar;
 
-/// A body, a client's or a server's, holds this much at most.
+/// An answer of up to this much is taken whole before any of it is passed on, so that one that breaks off can be asked
+/// for elsewhere. So is a GraphQL message.
 const BODY: usize = 64 << 10;
+/// The longest body of a request, where no operator file says otherwise.
+const LONGEST_BODY: usize = 256 << 20;
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -127,6 +127,11 @@
         Ok(held)
     }
 
+    /// Room for so much more of a body, where there is any.
+    pub(super) fn room_for(&self, size: u64) -> Option<Held> {
+        self.bodies.take(size).ok()
+    }
+
     pub(super) fn open(&self) -> Numbers {
         self.open.numbers()
     }
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -44,10 +44,10 @@
     /// That of a sidecar without an operator file.
     pub(super) fn usual() -> Self {
         Manner {
-            head_within: 2_000_000,
+            head_within: 2_600_000,
             idle_within: 2_000_000,
             body_within: 900_000,
-            body_size: super::BODY,
+            body_size: super::LONGEST_BODY,
             drains: false,
         }
     }
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -84,6 +84,7 @@
         // Before anything is served: where it cannot be asked, the start fails.
         if let Some(at) = config.as_ref().and_then(|config| config.control) {
             let socket = second_address::bind(at)?;
+            let at = socket.local_addr().unwrap_or(at);
             tracing::info!(%at, "asked on {at}");
             tokio::task::spawn_local(second_address::serve(Rc::clone(&common), socket));
         }
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -1,9 +1,8 @@
 //! A transaction: the life of one client's request, from the module's first word on it to its final answer.
 
 use super::flow::{self, Attempt, Onward};
+use super::passing::Reply;
 use super::service::Service;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Response;
 use madderloom_balancer::{Event, Micros, NewRequest, RequestId, ServerId};
 use madderloom_levels::keeper::End;
@@ -65,7 +64,7 @@
 /// The final answer.
 pub(super) enum Answer {
     /// What a server made of it.
-    Served(Response<Full<Bytes>>),
+    Served(Response<Reply>),
     /// Another try can do no harm.
     Refused { retry_after: Option<Micros> },
     /// Nothing is promised.
@@ -100,14 +99,16 @@
 }
 
 /// Serves one request: the module's words go in from the top, and the final answer comes out.
-pub(super) async fn run(service: &Rc<Service>, now: Micros, new: NewRequest, onward: Onward) -> Answer {
+pub(super) async fn run(service: &Rc<Service>, now: Micros, new: NewRequest, onward: Rc<Onward>) -> Answer {
     let mut transaction = Transaction::begin(service, now, &new);
-    let onward = Rc::new(onward);
 
     // The module takes it in, and says what to do first: send it, refuse it, or nothing yet.
     let before = service.given_up();
     service.handle(now, Event::Request(new));
     transaction.given_up = service.given_up() > before;
+    if onward.body.passing().is_some() {
+        service.handle(now, Event::Coming(transaction.id));
+    }
 
     loop {
         match transaction.next().await {
@@ -154,7 +155,7 @@
             server,
             class: self.class as u32,
             cost: self.cost,
-            sent,
+            sent: Cell::new(sent),
             timeout_at,
             over: Rc::clone(&self.over),
             closed: false,
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -9,10 +9,12 @@
 use super::ledger::Entry;
 use super::limits::Full;
 use super::listener::{Listener, Manner};
+use super::passing::{HeldByAnswer, Reply};
 use super::routing::{ClassFrom, Routing};
 use super::service::Service;
 use super::transaction::{self, Answer};
 use super::tuned::ClassEntry;
+use super::upload::{self, Length, Room};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full as Whole};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -71,10 +73,14 @@
 /// One request and its answer.
 pub(super) async fn answer(
     listener: &Rc<Listener>,
-    client: &Client,
+    client: &Rc<Client>,
     request: Request<Incoming>,
-) -> Response<Whole<Bytes>> {
+) -> Response<Reply> {
     let came = listener.common.clock.now();
+    if client.ambiguous.get() {
+        count(&listener.counts.senseless);
+        return rejected(senseless("it is not certain where the message ends"));
+    }
     if request.uri().path() == "/ready" && request.method() == Method::GET {
         return ready(listener, request.uri().query());
     }
@@ -96,34 +102,39 @@
     let mut body = Some(body);
     // Held to the end of the request: until then its rules stay those that it came under.
     let entry = class_of(&service, class.as_deref(), &head);
+    let mut room = Room::new();
     let taken = async {
         let new = read(&service, entry.as_deref(), &head)?;
-        let size = length(body.as_ref(), &head.headers, manner.body_size)?;
+        // Always there, as nothing has taken it yet.
+        let Some(incoming) = body.as_ref() else { return Err(senseless("there is no body")) };
+        let length = Length::of(incoming, &head.headers, manner.body_size)?;
         let id = head.headers.get(TRACE_ID).ok_or(senseless("X-Trace-Id is missing"))?;
-        let held = admit(listener, &service, came, size as u64)?;
+        let held = admit(listener, &service, came, 0)?;
         let id = OpenId::new(&service, id)?;
-        let body = if size > 0 {
-            whole(&listener.common, body.take(), manner.body_within).await?
-        } else {
-            Bytes::new()
-        };
+        let Some(incoming) = body.take() else { return Err(senseless("there is no body")) };
+        let upload = upload::take(listener, &service, incoming, length, manner.body_size, &mut room).await;
+        let upload = upload.map_err(|(reject, unread)| {
+            body = unread;
+            reject
+        })?;
         if service.transactions.borrow().len() >= service.tuned().max_open {
             return Err(Reject::Refused("too many requests are open", service.retry_after()));
         }
-        Ok((new, body, (held, id)))
+        Ok((new, upload, (held, id)))
     };
-    let (mut new, bytes, _held) = match taken.await {
+    let (mut new, body, (held, id)) = match taken.await {
         Ok(taken) => taken,
         Err(reject) => {
             note(&service, entry.as_deref(), &reject, body.take(), manner);
             return rejected(reject);
         }
     };
-    client.body_read.set(true);
-    let _open = service.counts.open();
+    client.body_read.set(body.passing().is_none());
+    let open = service.counts.open();
     let counts = service.class_counts(new.class);
     let now = listener.common.clock.now();
-    new.time_left = new.time_left.saturating_sub(MARGIN + (now - came));
+    // Its time counts from its last byte, and what its client took to write it is not the answer's.
+    new.time_left = new.time_left.saturating_sub(MARGIN);
     // An absolute target names this sidecar; the node is to see the path alone.
     let path = head.uri.into_parts().path_and_query;
     let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
@@ -135,14 +146,44 @@
         count(&counts.senseless);
         return rejected(LONG_ID);
     };
-    let (method, headers, body) = (head.method, head.headers, bytes);
+    let (method, headers) = (head.method, head.headers);
     let onward = Onward { method, uri, headers, body, unsafe_to_repeat, reading, entry: ledgered };
-    match transaction::run(&service, now, new, onward).await {
-        Answer::Served(response) => {
-            count(&counts.served);
+    let onward = Rc::new(onward);
+    let answer = transaction::run(&service, now, new, Rc::clone(&onward)).await;
+    let mut came = came;
+    if let Some(passing) = onward.body.passing() {
+        came = passing.whole.get().unwrap_or(came);
+        // What is left of it is read and dropped behind the answer, so that the answer arrives.
+        match passing.unread() {
+            Some(unread) if passing.whole.get().is_none() => drain(&service.common, unread, DRAINED_FOR),
+            _ => client.body_read.set(passing.whole.get().is_some()),
+        }
+        if let Some(reject) = passing.broken.take() {
+            count(&counts.senseless);
+            return rejected(reject);
+        }
+    } else {
+        came = now;
+    }
+    match answer {
+        Answer::Served(mut response) => {
             if listener.common.clock.now() - came > aim {
                 count(&counts.late);
             }
+            match response.body_mut() {
+                Reply::Whole(_) => count(&counts.served),
+                // It is open to its last byte, and so is all that it holds.
+                Reply::Passing(passing) => {
+                    let _rest = Box::new((open, room, entry, held));
+                    drop(id);
+                    passing.held = Some(HeldByAnswer {
+                        counts,
+                        client: Rc::clone(client),
+                        common: Rc::clone(&listener.common),
+                        _rest,
+                    });
+                }
+            }
             response
         }
         Answer::Refused { retry_after } => {
@@ -156,6 +197,9 @@
     }
 }
 
+/// How long what is left of a body is read behind an answer that did not need it.
+pub(super) const DRAINED_FOR: Micros = 5_000_000;
+
 /// Counts a request that goes no further, and reads the body that it came with where that is wanted.
 pub(super) fn note(
     service: &Service,
@@ -168,12 +212,12 @@
     let counts = class.map_or_else(|| service.counts.unclassed(), |class| Rc::clone(&class.counts));
     count(if turned_away { &counts.turned_away } else { &counts.senseless });
     if let Some(unread) = unread.filter(|_| turned_away && manner.drains) {
-        drain(&service.common, unread, manner);
+        drain(&service.common, unread, manner.body_within);
     }
 }
 
 /// Whether the listener leads to a service that knows a server, or, where one is named, whether that one does.
-fn ready(listener: &Listener, query: Option<&str>) -> Response<Whole<Bytes>> {
+fn ready(listener: &Listener, query: Option<&str>) -> Response<Reply> {
     let routing = Rc::clone(&listener.routing.borrow());
     let named = query.and_then(|query| query.split('&').find_map(|pair| pair.strip_prefix("pool=")));
     let mut wanted = routing.reached().iter().filter(|service| named.is_none_or(|name| service.name == name));
@@ -222,16 +266,16 @@
 
 /// Reads the body of a request that is answered already. Left unread, it would have the connection reset, and the
 /// answer lost on the way.
-fn drain(common: &Rc<Common>, mut body: Incoming, manner: Manner) {
+fn drain(common: &Rc<Common>, mut body: Incoming, within: Micros) {
     let common = Rc::clone(common);
     tokio::task::spawn_local(async move {
         let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
         // What has not come by then never will, and the connection ends with it.
-        let _ = common.within(manner.body_within, read).await;
+        let _ = common.within(within, read).await;
     });
 }
 
-fn rejected(reject: Reject) -> Response<Whole<Bytes>> {
+fn rejected(reject: Reject) -> Response<Reply> {
     match reject {
         Reject::Refused(problem, retry_after) => refusal(problem, retry_after),
         Reject::Senseless(status, problem) => {
@@ -242,13 +286,13 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Whole<Bytes>> {
-    let mut response = Response::new(Whole::from(text));
+fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(Whole::from(text)));
     *response.status_mut() = status;
     response
 }
 
-fn refusal(text: &'static str, retry_after: Option<Micros>) -> Response<Whole<Bytes>> {
+fn refusal(text: &'static str, retry_after: Option<Micros>) -> Response<Reply> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, text);
     if let Some(wait) = retry_after.and_then(seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, wait);
