--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -25,22 +25,23 @@
 impl Serve {
     pub(crate) fn run(self) -> Result<ExitCode, String> {
         let log = self.logging.start();
-        let operator = match self.operator {
-            Some(file) => {
-                let operator = Operator::load(&file).map_err(|faults| faults.to_string())?;
-                Some((file, operator))
-            }
-            None => None,
-        };
-        // With an operator file there need be no platform.
-        let alone = operator.is_some() && std::env::var_os("RELAY_CONFIG").is_none();
-        let config = if alone { None } else { Some(Config::load()?) };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
         tokio::task::LocalSet::new().block_on(&runtime, async {
             // In a task of its own: what is awaited here is polled again whenever any task has been.
-            let (sidecar, stop, mut changed) =
-                (Sidecar::new(config, operator)?, stop()?, listen_for(SignalKind::hangup())?);
+            // Before all else: a signal that comes while the files are read must not end the program.
+            let (stop, mut changed) = (stop()?, listen_for(SignalKind::hangup())?);
+            let operator = match self.operator {
+                Some(file) => {
+                    let operator = Operator::load(&file).map_err(|faults| faults.to_string())?;
+                    Some((file, operator))
+                }
+                None => None,
+            };
+            // With an operator file there need be no platform.
+            let alone = operator.is_some() && std::env::var_os("RELAY_CONFIG").is_none();
+            let config = if alone { None } else { Some(Config::load()?) };
+            let sidecar = Sidecar::new(config, operator)?;
             sidecar.set_log(log);
             let own = Rc::clone(&sidecar);
             tokio::task::spawn_local(async move {
--- a/crates/cli/tests/operations/retune.rs
+++ b/crates/cli/tests/operations/retune.rs
@@ -1,8 +1,10 @@
 //! New settings for a sidecar that serves.
 
 use super::{answer, asked, until};
-use crate::rig::{Node, accept_any, request};
+use crate::rig::{Node, accept_any, request, write_config};
 use rstest::rstest;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Command, Stdio};
 
 /// A class more in a configuration.
 fn with_class(config: &str, name: &str, effect: &str) -> String {
@@ -59,6 +61,31 @@
     assert!(nodes.iter().all(|node| node.try_accept().is_none()));
 }
 
+/// Whoever starts it may send the signal at once: it must not end the program, and the newer file is taken.
+#[test]
+fn a_signal_that_comes_before_it_serves_does_not_end_it() {
+    let node = Node::new();
+    let other = asked(&[&node]);
+    let path = write_config("");
+    std::fs::remove_file(&path).expect("it is there");
+    assert!(Command::new("mkfifo").arg(&path).status().expect("it runs").success());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_madderloom"));
+    let command = command.arg("serve").env("RELAY_CONFIG", &path).stderr(Stdio::piped());
+    let mut child = command.spawn().expect("it starts");
+    // Opened once the program opens it, which then waits for what it says.
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).expect("it is read");
+    std::fs::rename(write_config(&other.config.0), &path).expect("it is replaced");
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-s", "HUP", &id]).status().expect("kill runs").success());
+    pipe.write_all(other.config.0.as_bytes()).expect("it is read");
+    drop(pipe);
+    let errors = BufReader::new(child.stderr.take().expect("piped"));
+    let told = errors.lines().map_while(Result::ok).any(|line| line.contains("configuration read again"));
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(told, "it ended without having read the newer file");
+}
+
 /// Written by hand, or caught half written.
 #[rstest]
 #[case::empty(|_: &str| String::new())]
--- a/crates/inherited/src/lib.rs
+++ b/crates/inherited/src/lib.rs
@@ -14,8 +14,8 @@
 static TAKEN: AtomicBool = AtomicBool::new(false);
 
 /// Takes the listening stream socket with this number, which must be bound to `address`, and makes it non-blocking and
-/// closed in what this process may start. To be called once, before the process opens anything of its own: a number
-/// that nobody left open here could be that of another thing by then.
+/// closed in what this process may start. To be called once, before the process listens anywhere itself: a number that
+/// nobody left open here could be that of such a socket by then.
 ///
 /// # Errors
 ///
@@ -62,7 +62,7 @@
     // SAFETY: the number is not -1 (the caller has seen to it that it is at least 3), and the borrow ends with this
     // statement, in which the kernel is asked whether the number is open at all.
     let open = fcntl_getfd(unsafe { BorrowedFd::borrow_raw(raw) }).is_ok();
-    // SAFETY: it is open. Nothing else in this process owns it: the caller takes one number once, before the process has
-    // opened anything, so it was left open for it.
+    // SAFETY: it is open. The caller takes one number once, before this process listens anywhere, and gives up its
+    // ownership again, unclosed, of anything that does not listen: what is closed by it was left open for this process.
     open.then(|| unsafe { OwnedFd::from_raw_fd(raw) })
 }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -42,7 +42,7 @@
 
 /// What is set from outside, and by whom it may be.
 #[derive(Default)]
-pub(super) struct Control {
+pub(super) struct AgentLink {
     /// One at a time makes the process what a file or an order says.
     pub(super) turn: Mutex<()>,
     file: RefCell<Option<Named>>,
@@ -82,7 +82,7 @@
     pub(super) source: Option<Arc<Source>>,
 }
 
-impl Control {
+impl AgentLink {
     /// What the admin view shows; nothing where no agent is named.
     pub(super) fn view(&self) -> serde_json::Value {
         let file = self.file.borrow();
@@ -206,8 +206,8 @@
 impl Sidecar {
     /// What a level of the log that is set from outside is given to; `None` is the program's own.
     pub fn set_log(&self, hook: impl Fn(Option<LogLevel>) + 'static) {
-        self.control.log.replace(Some(Box::new(hook)));
-        self.control.set_log_level(&self.control.memory.borrow().overlay);
+        self.agent_link.log.replace(Some(Box::new(hook)));
+        self.agent_link.set_log_level(&self.agent_link.memory.borrow().overlay);
     }
 
     /// At the start: what the last start had in effect beside the file is so again, where it still makes sense.
@@ -231,8 +231,8 @@
             }
         };
         self.common.steering.replace(steering(&memory.overlay));
-        self.control.memory.replace(memory);
-        self.control.file.replace(Some(Named { control, source: Arc::new(source) }));
+        self.agent_link.memory.replace(memory);
+        self.agent_link.file.replace(Some(Named { control, source: Arc::new(source) }));
         operator
     }
 
@@ -245,30 +245,31 @@
             (Some(control), Some(source)) => Some(Named { control, source }),
             _ => None,
         };
-        let former = self.control.file.replace(named);
-        if self.control.file.borrow().is_none() {
-            let steered = std::mem::take(&mut self.control.memory.borrow_mut().overlay);
+        let former = self.agent_link.file.replace(named);
+        if self.agent_link.file.borrow().is_none() {
+            let steered = std::mem::take(&mut self.agent_link.memory.borrow_mut().overlay);
             if former.is_some() {
                 self.steer(&steered, &Overlay::default());
-                self.control.set_log_level(&Overlay::default());
+                self.agent_link.set_log_level(&Overlay::default());
             }
         } else if former.is_none() {
             // What an earlier start kept is the agent's to bring back.
-            let directory = self.control.file.borrow().as_ref().and_then(|file| file.control.state.clone());
+            let directory =
+                self.agent_link.file.borrow().as_ref().and_then(|file| file.control.state.clone());
             let memory = kept(directory.as_deref());
-            self.control.memory.replace(Memory { overlay: Overlay::default(), revision: 0, ..memory });
+            self.agent_link.memory.replace(Memory { overlay: Overlay::default(), revision: 0, ..memory });
         }
         self.follow_agent();
     }
 
     /// Keeps a link to the agent that the file names, and to no other.
     pub(super) fn follow_agent(self: &Rc<Self>) {
-        let control = self.control.file.borrow().as_ref().map(|file| file.control.clone());
-        let (Some(control), Some(traits)) = (control, self.control.traits()) else {
-            self.control.link.take();
+        let control = self.agent_link.file.borrow().as_ref().map(|file| file.control.clone());
+        let (Some(control), Some(traits)) = (control, self.agent_link.traits()) else {
+            self.agent_link.link.take();
             return;
         };
-        let mut link = self.control.link.borrow_mut();
+        let mut link = self.agent_link.link.borrow_mut();
         if let Some(running) = link.as_mut().filter(|running| {
             let (zone, labels) = (control.zone.clone(), control.labels.clone());
             madderloom_operator::Control { zone, labels, ..running.control.clone() } == control
@@ -283,12 +284,12 @@
     }
 
     pub(super) fn end_control(&self) {
-        self.control.link.take();
+        self.agent_link.link.take();
     }
 
     /// Has all of an overlay in effect, or nothing of it.
     async fn meet(self: Rc<Self>, overlay: Overlay) -> Outcome {
-        let _turn = self.control.turn.lock().await;
+        let _turn = self.agent_link.turn.lock().await;
         let refused = |field: &str, problem: &str| {
             Outcome::Refused(Problem { field: field.to_string(), problem: problem.to_string() })
         };
@@ -299,8 +300,8 @@
         if let Some((key, problem)) = fault {
             return refused(&format!("set.{key}"), &problem);
         }
-        let former = self.control.memory.borrow().overlay.clone();
-        let source = self.control.file.borrow().as_ref().map(|file| Arc::clone(&file.source));
+        let former = self.agent_link.memory.borrow().overlay.clone();
+        let source = self.agent_link.file.borrow().as_ref().map(|file| Arc::clone(&file.source));
         let Some(source) = source else { return refused("set", "the instance follows no agent any more") };
         let edited = overlay.clone();
         let operator = if same_in_file(&former, &overlay) {
@@ -328,11 +329,11 @@
             }
         }
         self.steer(&former, &overlay);
-        self.control.set_log_level(&overlay);
+        self.agent_link.set_log_level(&overlay);
         for line in former.diff(&overlay) {
             tracing::info!("control: {line}");
         }
-        self.control.memory.borrow_mut().overlay = overlay;
+        self.agent_link.memory.borrow_mut().overlay = overlay;
         Outcome::Applied
     }
 
@@ -388,10 +389,10 @@
         start: RandomState::new().hash_one(&control.name),
         incarnation: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX / 2),
     };
-    let memory = own.control.memory.borrow().clone();
+    let memory = own.agent_link.memory.borrow().clone();
     let machine = Instance::new(0, who, traits.borrow().clone(), memory.clone());
     // Kept before it is used, so that no two starts go by one incarnation.
-    own.control.keep(&Memory { incarnation: machine.who().incarnation, ..memory });
+    own.agent_link.keep(&Memory { incarnation: machine.who().incarnation, ..memory });
     drop(own);
     tracing::info!("control: {} registers with the agent at {}", control.name, control.agent);
     let seed = u128::from(RandomState::new().hash_one(0));
@@ -449,7 +450,7 @@
 
     fn keep(&mut self, memory: &Memory) {
         if let Some(sidecar) = self.sidecar.upgrade() {
-            sidecar.control.keep(memory);
+            sidecar.agent_link.keep(memory);
         }
     }
 }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -123,7 +123,7 @@
 
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. Other `RELAY_*` variables go before what it says. To be called before
-    /// the process opens anything: `RELAY_ACCEPT_FD` names a socket that was left open for it by its number.
+    /// the process listens anywhere: `RELAY_ACCEPT_FD` names a socket that was left open for it by its number.
     pub fn load() -> Result<Self, String> {
         let mut config = Config::read()?;
         for (variable, address) in
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,13 +7,13 @@
 //! back are dispatched there, to the transaction, the pool, the probes or the timers they name.
 
 pub mod admin;
+mod agent_link;
 mod alarms;
 mod client;
 mod clock;
 mod common;
 mod config;
 mod connections;
-mod control;
 mod counts;
 mod drain;
 mod exchange;
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -1,10 +1,10 @@
 //! The sidecar as a whole: made of the platform's configuration, of the operator file, or of both.
 
 use super::admin::AdminServer;
+use super::agent_link::AgentLink;
 use super::alarms;
 use super::common::{Common, Totals};
 use super::config::{Config, Keys, allowed_descriptors};
-use super::control::Control;
 use super::feed::FOLLOWERS;
 use super::ledger::Keeper;
 use super::listener::{Listener, Manner, bind};
@@ -30,7 +30,7 @@
 /// Descriptors of the admin view, beside those of listeners and watches.
 const ADMIN_DESCRIPTORS: usize = 8;
 /// Of the link to an agent.
-const CONTROL_DESCRIPTORS: usize = 4;
+const AGENT_DESCRIPTORS: usize = 4;
 /// Of the store: its directory, segments of its log, and what a compaction writes.
 const STATE_DESCRIPTORS: usize = 16;
 /// Of requests that are open, where the settings of the one service alone bound them.
@@ -54,7 +54,7 @@
     pub(super) services: RefCell<Vec<Rc<Service>>>,
     pub(super) listeners: RefCell<Vec<Rc<Listener>>>,
     pub(super) admin: RefCell<Option<AdminServer>>,
-    pub(super) control: Rc<Control>,
+    pub(super) agent_link: Rc<AgentLink>,
 }
 
 impl Sidecar {
@@ -115,7 +115,7 @@
             services: RefCell::default(),
             listeners: RefCell::default(),
             admin: RefCell::default(),
-            control: Rc::default(),
+            agent_link: Rc::default(),
         });
         if let Some((file, operator)) = operator {
             let operator = sidecar.begin_control(&file, operator);
@@ -184,7 +184,7 @@
     let watches = operator.pools.iter().filter(|pool| pool.discovery.is_some()).count();
     let followers = if operator.timeline.is_some() { FOLLOWERS } else { 0 };
     let admin = if operator.admin.is_some() { ADMIN_DESCRIPTORS + followers } else { 0 };
-    let control = if operator.control.is_some() { CONTROL_DESCRIPTORS } else { 0 };
+    let control = if operator.control.is_some() { AGENT_DESCRIPTORS } else { 0 };
     let state = if operator.state.is_some() { STATE_DESCRIPTORS } else { 0 };
     let more = operator.listeners.len() + watches + admin + control + state;
     let bodies = limits.bodies.map(|size| size.0.min(memory / 2));
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -28,7 +28,7 @@
     /// discovery is, and the whole operator file. A file that makes no sense changes nothing. To be awaited before
     /// the next call, so that files take effect in their order.
     pub async fn reload(self: &Rc<Self>) {
-        let _turn = self.control.turn.lock().await;
+        let _turn = self.agent_link.turn.lock().await;
         if let Some((service, _)) = &self.platform {
             let read = Config::read_again(&self.keys.borrow());
             match read {
@@ -48,7 +48,7 @@
             }
         }
         let Some(file) = &self.file else { return };
-        let read = self.control.read(file.clone()).await;
+        let read = self.agent_link.read(file.clone()).await;
         if self.common.is_stopping() {
             return;
         }
@@ -293,8 +293,8 @@
     }
 
     fn viewer(&self) -> super::view::Viewer {
-        let (common, control) = (Rc::clone(&self.common), Rc::clone(&self.control));
-        super::view::Viewer { common, control, name: self.name.clone() }
+        let (common, agent_link) = (Rc::clone(&self.common), Rc::clone(&self.agent_link));
+        super::view::Viewer { common, agent_link, name: self.name.clone() }
     }
 }
 
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -1,7 +1,7 @@
 //! What the admin view shows: the process, its listeners, its pools and their servers, as one JSON object.
 
+use super::agent_link::AgentLink;
 use super::common::Common;
-use super::control::Control;
 use super::counts::Counts;
 use super::levels;
 use super::limits::Bound;
@@ -23,7 +23,7 @@
 #[derive(Clone)]
 pub(super) struct Viewer {
     pub(super) common: Rc<Common>,
-    pub(super) control: Rc<Control>,
+    pub(super) agent_link: Rc<AgentLink>,
     pub(super) name: String,
 }
 
@@ -50,7 +50,7 @@
             "stopping": common.is_stopping(),
             "routes": common.routes.get(),
             "files_read": common.files.get(),
-            "control": self.control.view(),
+            "control": self.agent_link.view(),
             "limits": {
                 "client_connections": all(&bounds.clients),
                 "server_connections": all(&bounds.servers),
