--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -64,7 +64,8 @@
 const SAVED: f64 = 0.5; // of a cold server's budget for a `fall`: more would let a burst spend it at once
 const AT_ONCE: f64 = 24.0; // instances that may give a cold server a request as it starts
 const PACE: f64 = 1.5; // of what a cold server would bear of a warm one's usual work is given to it at most
-pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list
+pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list, at least...
+pub(crate) const ASK_EACH: (Micros, Micros) = (50_000, 200_000); // ...and for each instance: they call one service
 
 /// Why a server counts as empty space for a request. Up to `Tried`, the least barred of those met is
 /// taken when no function of the family finds a free one; the rest are never taken.
@@ -169,7 +170,7 @@
     fn ask_later(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.asking, true) {
             let wait = self.random.rand_range(0..self.ask_wait);
-            self.ask_wait = (2 * self.ask_wait).min(ASK_AGAIN.1);
+            self.ask_wait = (2 * self.ask_wait).min(ask_wait(&self.settings).1);
             actions.push(Action::SetTimer { at: now + wait, timer: Timer::Discovery });
         }
     }
@@ -186,7 +187,7 @@
             }
             Members::Changes(list) => list,
         };
-        self.ask_wait = ASK_AGAIN.0;
+        self.ask_wait = ask_wait(&self.settings).0;
         let all = list.len().max(self.ready.len()).max(1);
         let users = f64::from(self.settings.group_size) * self.reach(now).min(all) as f64 / all as f64;
         let at_once = AT_ONCE / users;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -395,7 +395,7 @@
             served: Fading::over(RATE_SPAN),
             retry_budget: RETRY_BUDGET.1,
             reduced: Reduced::default(),
-            ask_wait: ASK_AGAIN.0,
+            ask_wait: ask_wait(&settings).0,
             asking: false,
             settings,
         })
@@ -462,6 +462,13 @@
     }
 }
 
+/// The first and the longest wait before the list is asked for. All instances ask one service, which works through what
+/// was given up long ago too: called by all at once it answers nobody from then on.
+pub(crate) fn ask_wait(settings: &Settings) -> (Micros, Micros) {
+    let all = Micros::from(settings.group_size);
+    (ASK_AGAIN.0.max(ASK_EACH.0 * all), ASK_AGAIN.1.max(ASK_EACH.1 * all))
+}
+
 fn shortest_aim(settings: &Settings, retired: impl Fn(usize) -> bool) -> f64 {
     let live = settings.classes.iter().enumerate().filter(|(at, _)| !retired(*at));
     live.map(|(_, c)| c.aim).min().unwrap_or(0) as f64
--- /dev/null
+++ b/crates/balancer/tests/asks.rs
@@ -0,0 +1,64 @@
+//! Many instances that ask one discovery for the list: all get it, however few calls it can take in a second.
+
+mod common;
+use common::*;
+use madderloom_balancer::*;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// What it takes for a call, also for one that its caller has given up, as it works through them in turn.
+const WORK: Micros = 100 * MS;
+/// A call that has waited for so long has failed.
+const PATIENCE: Micros = 2 * S;
+
+/// When the last of so many instances that start together has its list.
+fn all_have_it(instances: u32) -> Option<Micros> {
+    let settings = Settings { group_size: instances, ..settings(&[Effect::Safe]) };
+    let known = fleet(4);
+    let mut all: Vec<Balancer> = (0..instances)
+        .map(|seed| Balancer::new(settings.clone(), u64::from(seed)).expect("they make sense"))
+        .collect();
+    // At this time: this instance calls, or hears whether its call has failed.
+    let mut queue: BinaryHeap<Reverse<(Micros, usize, Option<bool>)>> = BinaryHeap::new();
+    let (mut actions, mut busy, mut missing) = (Vec::new(), 0, instances);
+    let mut tell = |at: usize, now: Micros, members: Members<'_>, queue: &mut BinaryHeap<_>| {
+        all[at].handle(now, Event::Members(members), &mut actions);
+        for action in actions.drain(..) {
+            if let Action::SetTimer { at: due, timer: Timer::Discovery } = action {
+                all[at].handle(due, Event::Timer(Timer::Discovery), &mut Vec::new());
+                queue.push(Reverse((due, at, None)));
+            }
+        }
+    };
+    for at in 0..instances as usize {
+        tell(at, S, Members::Full(&known), &mut queue);
+    }
+    while let Some(Reverse((now, at, heard))) = queue.pop() {
+        match heard {
+            _ if now > 60 * S => return None,
+            None => {
+                busy = now.max(busy) + WORK;
+                let late = busy > now + PATIENCE;
+                queue.push(Reverse((busy.min(now + PATIENCE), at, Some(!late))));
+            }
+            Some(true) => {
+                missing -= 1;
+                if missing == 0 {
+                    return Some(now - S);
+                }
+            }
+            Some(false) => tell(at, now, Members::Failed, &mut queue),
+        }
+    }
+    None
+}
+
+/// Spread over half a second, and over four at most from then on, 48 of them were never answered again after the first
+/// twenty: their calls together were more work than there was time, most of it for callers that had given up.
+#[test]
+fn every_instance_gets_its_list_from_a_discovery_that_is_called_by_all() {
+    for (instances, within) in [(4, 2 * S), (24, 8 * S), (48, 16 * S), (100, 40 * S)] {
+        let took = all_have_it(instances);
+        assert!(took.is_some_and(|took| took <= within), "{instances} instances: {took:?}");
+    }
+}
