--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -64,8 +64,8 @@
 const SAVED: f64 = 0.5; // of a cold server's budget for a `fall`: more would let a burst spend it at once
 const AT_ONCE: f64 = 24.0; // instances that may give a cold server a request as it starts
 const PACE: f64 = 1.5; // of what a cold server would bear of a warm one's usual work is given to it at most
-pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list, at least...
-pub(crate) const ASK_EACH: (Micros, Micros) = (80_000, 320_000); // ...and for each instance: they call one service
+pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list...
+pub(crate) const ASK_EACH: (Micros, Micros) = (80_000, 320_000); // ...or for each instance, where more
 
 /// Why a server counts as empty space for a request. Up to `Tried`, the least barred of those met is
 /// taken when no function of the family finds a free one; the rest are never taken.
--- a/crates/cli/tests/operations/calls.rs
+++ b/crates/cli/tests/operations/calls.rs
@@ -1,7 +1,7 @@
 //! The second address.
 
 use super::{asked, until};
-use crate::rig::{Node, Sidecar, listing, request, write_config};
+use crate::rig::{Node, Options, Sidecar, listing, request, write_config};
 use rstest::rstest;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -62,6 +62,20 @@
     });
 }
 
+/// Clients that hold all that they may have, in a process that has no descriptor beyond its limit.
+#[test]
+fn a_call_is_answered_when_clients_hold_all_their_descriptors() {
+    let node = Node::new();
+    let options = Options { control: true, sockets: 80, before: "ulimit -n 80", ..Options::default() };
+    let sidecar = Sidecar::with(&[node.address()], options);
+    let clients: Vec<_> = (0..120).map(|_| sidecar.client()).collect();
+    for call in ["PING\n", "LAMEDUCK\n", "REJOIN\n"] {
+        assert_eq!(sidecar.call(call), "ok\n");
+    }
+    drop(clients);
+    sidecar.serves(&[&node]);
+}
+
 #[test]
 fn an_address_that_is_taken_ends_the_start_with_one_line() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port is free");
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -114,3 +114,42 @@
         self.by_class.borrow().iter().map(|(name, counts)| (name.clone(), counts.ended())).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Whatever comes and ends in whatever order, what was taken has ended, has left or is open; and no count falls.
+        #[test]
+        fn what_was_taken_has_ended_has_left_or_is_open(history in proptest::collection::vec((0..5u8, 0..400usize), 0..600)) {
+            let registry = Registry::default();
+            let mut open: Vec<(Open, Rc<Counts>)> = Vec::new();
+            let (mut taken, mut left, mut ended) = (0, 0, 0);
+            for (what, which) in history {
+                match what {
+                    // More classes than are counted apart.
+                    0 | 1 => {
+                        taken += 1;
+                        open.push((registry.open(), registry.class(&format!("class-{which}"))));
+                    }
+                    _ if open.is_empty() => {}
+                    2 => {
+                        left += 1;
+                        drop(open.swap_remove(which % open.len()));
+                    }
+                    _ => {
+                        let (_place, counts) = open.swap_remove(which % open.len());
+                        count([&counts.served, &counts.refused, &counts.turned_away, &counts.failed][which % 4]);
+                        ended += 1;
+                    }
+                }
+                let sum = registry.sum().ended().all();
+                prop_assert_eq!((registry.opened(), sum), (open.len() as u64, ended));
+                prop_assert_eq!(taken, ended + left + registry.opened());
+            }
+            prop_assert!(registry.operations().len() <= CLASSES);
+        }
+    }
+}
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -25,7 +25,7 @@
 use tokio::net::TcpStream;
 
 /// An answer of unknown length is passed on as it comes once it has gone on for so long.
-const PATIENCE: Micros = 150_000;
+const PATIENCE: Micros = 50_000;
 /// One that is taken whole has stopped where nothing of it comes for so long.
 const STALLED: Micros = 400_000;
 /// A server that takes nothing of a body for so long hangs.
@@ -185,6 +185,9 @@
 async fn exchange(attempt: &Attempt, onward: &Onward, progress: &Progress) -> Ended {
     let service = &attempt.service;
     let Some(address) = service.pool.address(attempt.server) else { return (Outcome::Moot, None) };
+    if onward.body.passing().is_some_and(|passing| !passing.can_be_sent()) {
+        return (Outcome::Moot, None);
+    }
     let left = attempt.timeout_at.saturating_sub(attempt.sent.get()).div_ceil(1_000);
     // What may have run must not run twice: a break that comes before the last byte proves that it has not.
     let held =
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -19,6 +19,9 @@
 
 /// How long after it is told to leave a listener still takes what comes.
 pub(super) const LINGER: Duration = Duration::from_millis(800);
+/// How long one on a shared socket, which takes no clients any more, waits for those that it has to come once more. What
+/// comes then still has its whole time before the platform ends the process.
+const SHARED_LINGER: Duration = Duration::from_millis(650);
 /// Before a client is taken again where there was no descriptor.
 const AGAIN: Micros = 10_000;
 /// Connections that wait to be taken.
@@ -209,7 +212,7 @@
         tracing::info!("{of}closed to new clients");
         if self.common.shares_socket.get() {
             // What comes on open connections meanwhile ends them with its answer, which no close can cross.
-            tokio::time::sleep(LINGER).await;
+            tokio::time::sleep(SHARED_LINGER).await;
         }
         self.clients.close_all();
         // No connection is left, so no answer is owed.
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -141,6 +141,11 @@
         if self.spent.get() { None } else { self.rest.take() }
     }
 
+    /// Whether an attempt could send it.
+    pub(super) fn can_be_sent(&self) -> bool {
+        !self.spent.get() && self.rest.borrow().is_some()
+    }
+
     /// An attempt has ended before it had sent it all.
     pub(super) fn give_back(&self, reader: Reader) {
         self.rest.replace(Some(reader));
@@ -168,27 +173,21 @@
     let common = &listener.common;
     let mut reader = Reader::new(common, body, most);
     let mut kept = BytesMut::new();
-    let mut held = 0;
     // Where it is known to be too long to be kept, no more is than its beginning.
-    let fits = match length {
+    let (fits, mut held) = match length {
         Length::Known(0) => return Ok(Upload::Kept(Bytes::new())),
         Length::Known(size) if size <= KEPT as u64 => {
             let fits = hold(listener, service, size, room);
             // An operator file's limits on bodies turn away what finds no room.
             if !fits && listener.manner.get().drains {
-                return Err((
-                    Reject::Refused("too much is open", service.retry_after()),
-                    Some(reader.into_rest()),
-                ));
+                let reject = Reject::Refused("too much is open", service.retry_after());
+                return Err((reject, Some(reader.into_rest())));
             }
-            fits
+            (fits, size as usize)
         }
-        Length::Known(_) => false,
-        Length::Chunked => true,
+        Length::Known(_) => (false, 0),
+        Length::Chunked => (true, 0),
     };
-    if let Length::Known(size) = length.clone_if(fits) {
-        held = size as usize;
-    }
     loop {
         let Some(piece) = reader.next(common).await.map_err(|reject| (reject, None))? else {
             return Ok(Upload::Kept(kept.freeze()));
@@ -221,12 +220,6 @@
     }
 }
 
-impl Length {
-    fn clone_if(self, wanted: bool) -> Self {
-        if wanted { self } else { Length::Chunked }
-    }
-}
-
 fn hold(listener: &Listener, service: &Service, size: u64, room: &mut Room) -> bool {
     let held =
         service.allowance.room_for(size).and_then(|own| Some([own, listener.allowance.room_for(size)?]));
