--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -255,7 +255,39 @@
 
 #[cfg(test)]
 mod tests {
-    use super::place;
+    use super::{Config, Keys, place};
+
+    const SOUND: &str = include_str!("../../../examples/operations/config.json");
+
+    /// A file that is caught while it is written.
+    #[test]
+    fn a_file_that_is_cut_at_any_byte_is_turned_down() {
+        let text = SOUND.trim_end();
+        assert!(Config::from_json(text).is_ok());
+        for end in 0..text.len() {
+            assert!(Config::from_json(&text[..end]).is_err(), "cut at {end}");
+        }
+    }
+
+    #[test]
+    fn a_key_that_the_former_file_had_is_missed_and_named() {
+        let former = Keys::of(SOUND);
+        assert_eq!(Keys::of(SOUND).lacks(&former), None);
+        for (key, field) in [
+            ("seed", "seed"),
+            ("settings", "settings"),
+            ("safety", "settings.safety"),
+            ("cold_from", "settings.safety.cold_from"),
+            ("max_attempts", "settings.limits.max_attempts"),
+            ("give_up", "settings.services[0].give_up"),
+        ] {
+            let present = SOUND.replacen(&format!("\"{key}\""), "\"other\"", 1);
+            assert_eq!(Keys::of(&present).lacks(&former).as_deref(), Some(field));
+        }
+        // What only some of the former had, and what need not be told.
+        let present = SOUND.replacen("\"key_scope\"", "\"other\"", 1).replacen("\"known\"", "\"other\"", 1);
+        assert_eq!(Keys::of(&present).lacks(&former), None);
+    }
 
     #[test]
     fn the_place_of_a_field_is_where_its_value_begins() {
