Never send a long body that broke off as if it were whole

Seen on reading the change again: behind the error of a body that breaks off, hyper's body looks ended. Where nothing of the rest had been read, the module's next attempt sent the beginning and the end of the chunks: half a body as the whole of it. An attempt now finds that the body cannot be sent. The new test sends a chunked body that breaks off just where it is to be passed on; without the change a server got it with its last chunk, and the client waited for 15 s.

--- a/crates/cli/tests/operations/bodies.rs
+++ b/crates/cli/tests/operations/bodies.rs
@@ -131,6 +131,25 @@
     sidecar.serves(&[&node]);
 }
 
+/// Whoever reads on behind the error would find the end of the body there, and send half of it as the whole.
+#[test]
+fn a_long_body_that_breaks_off_is_never_sent_as_a_whole_one() {
+    let nodes = [Node::new(), Node::new()];
+    let sidecar = asked(&[&nodes[0], &nodes[1]]);
+    let mut client = sidecar.client();
+    let chunk = [b"100000\r\n".to_vec(), vec![b'x'; 1 << 20], b"\r\n1\r\nx\r\nodd\r\n".to_vec()].concat();
+    client.write([head("submit-check", "Transfer-Encoding: chunked").into_bytes(), chunk].concat());
+    assert_eq!(client.read().expect("an answer").status(), 400);
+    for node in &nodes {
+        while let Some(mut conn) = node.try_accept() {
+            let mut got = Vec::new();
+            conn.rest(&mut got);
+            assert!(!got.ends_with(b"0\r\n\r\n"), "it was ended as if it were whole");
+        }
+    }
+    assert_eq!(sidecar.figure("app.relayed"), 0);
+}
+
 #[rstest]
 #[case::length(false)]
 #[case::chunks(true)]
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -143,7 +143,8 @@
 
     /// Whether an attempt could send it.
     pub(super) fn can_be_sent(&self) -> bool {
-        !self.spent.get() && self.rest.borrow().is_some()
+        // Behind the error of a body that broke off comes what looks like its end.
+        !self.spent.get() && self.broken.borrow().is_none() && self.rest.borrow().is_some()
     }
 
     /// An attempt has ended before it had sent it all.
