One loop that writes to a server, and tokio's own reading and writing for callers

Read again: the writing of a long body repeated the loop of a request's writing, the end of an answer was spelled twice, the second address had loops for what tokio's io-util does (which the long answers had brought in), sums were added by hand, a conversion had no user, and nobody read when a stop began. Behaviour stays; the tests of connections, graphql, operations and sidecar pass as they were.

--- a/crates/operations/src/duty.rs
+++ b/crates/operations/src/duty.rs
@@ -23,11 +23,8 @@
         /// When it was told to.
         since: Micros,
     },
-    /// It stops, since this time, and nothing brings it back.
-    Stopping {
-        /// When it was told to.
-        since: Micros,
-    },
+    /// It stops, and nothing brings it back.
+    Stopping,
 }
 
 /// A sidecar's duty.
@@ -66,11 +63,9 @@
         draining
     }
 
-    /// It is to stop. The first call counts.
-    pub fn stop(&mut self, now: Micros) {
-        if !self.is_stopping() {
-            self.state = State::Stopping { since: now };
-        }
+    /// It is to stop.
+    pub fn stop(&mut self) {
+        self.state = State::Stopping;
     }
 
     /// Whether it wants new work.
@@ -80,7 +75,7 @@
 
     /// Whether it is on its way out for good.
     pub fn is_stopping(&self) -> bool {
-        matches!(self.state, State::Stopping { .. })
+        self.state == State::Stopping
     }
 
     /// Whether an answer ends its connection.
@@ -127,7 +122,7 @@
                 match call {
                     0 => { duty.lame_duck(now); if !stopped { drains = drains.or(Some(now)); } }
                     1 => { duty.rejoin(); if !stopped { drains = None; } }
-                    2 if passed % 5 == 0 => { duty.stop(now); stopped = true; }
+                    2 if passed % 5 == 0 => { duty.stop(); stopped = true; }
                     _ => {}
                 }
                 prop_assert_eq!(duty.is_stopping(), stopped);
--- a/crates/operations/src/figures.rs
+++ b/crates/operations/src/figures.rs
@@ -13,6 +13,14 @@
     pub faulted: u64,
 }
 
+impl std::ops::AddAssign for Ended {
+    fn add_assign(&mut self, other: Self) {
+        self.fulfilled += other.fulfilled;
+        self.throttled += other.throttled;
+        self.faulted += other.faulted;
+    }
+}
+
 impl Ended {
     /// All of them.
     pub fn all(&self) -> u64 {
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -311,11 +311,10 @@
         let mut response = virtual_server::answer(listener, client, request).await;
         client.charged.set(listener.account());
         // One that is passed on is idle when it has gone, and not when it begins.
-        client.passing.set(response.body().is_passing());
-        client.wrote.set(common.clock.now());
-        if !response.body().is_passing() {
-            client.idle_since.set(Some(common.clock.now()));
-        }
+        let (now, passing) = (common.clock.now(), response.body().is_passing());
+        client.passing.set(passing);
+        client.wrote.set(now);
+        client.idle_since.set((!passing).then_some(now));
         client.read.set(false);
         if common.duty.borrow().ends_connections() || listener.is_leaving() || listener.is_crowded() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -148,22 +148,8 @@
 }
 
 /// Writes bytes behind what has gone out already. False where the server has answered or closed before that.
-pub(super) async fn write_on(stream: &TcpStream, mut bytes: &[u8]) -> Result<bool, Broken> {
-    while !bytes.is_empty() {
-        match stream.try_write(bytes) {
-            Ok(0) => return Err(Broken::Connection),
-            Ok(count) => bytes = &bytes[count..],
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                let ready = stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
-                if ready.is_readable() && !is_quiet(stream) {
-                    return Ok(false);
-                }
-            }
-            Err(_) => return Err(Broken::Connection),
-        }
-    }
-    Ok(true)
+pub(super) async fn write_on(stream: &TcpStream, bytes: &[u8]) -> Result<bool, Broken> {
+    write_all(stream, &mut 0, bytes.len(), |from| stream.try_write(&bytes[from..])).await
 }
 
 /// Ends once the server says something, or closes.
@@ -179,14 +165,28 @@
     sent: &mut usize,
     end: usize,
     progress: &Progress,
+) -> Result<bool, Broken> {
+    let write = |from| {
+        let written = message.write(stream, from, end);
+        if matches!(written, Ok(count) if count > 0) {
+            progress.begun.set(true);
+        }
+        written
+    };
+    write_all(stream, sent, end, write).await
+}
+
+/// Has `write` called with how much is sent until that is all. False where the server has answered or closed before.
+async fn write_all(
+    stream: &TcpStream,
+    sent: &mut usize,
+    end: usize,
+    write: impl Fn(usize) -> io::Result<usize>,
 ) -> Result<bool, Broken> {
     while *sent < end {
-        match message.write(stream, *sent, end) {
+        match write(*sent) {
             Ok(0) => return Err(Broken::Connection),
-            Ok(count) => {
-                progress.begun.set(true);
-                *sent += count;
-            }
+            Ok(count) => *sent += count,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 let ready = stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
@@ -377,8 +377,7 @@
         match head.framing {
             Framing::Length(length) if self.unread.len() >= length => {
                 let body = self.unread.split_to(length).freeze();
-                // What comes behind an answer would be taken for the next one.
-                Some(Whole { body, reusable: head.stays && self.unread.is_empty() })
+                Some(self.end(head, body))
             }
             _ => None,
         }
@@ -415,7 +414,7 @@
                 body.extend_from_slice(&piece);
             }
             if unwrapper.is_over() {
-                return Ok(Taken::Whole(self.end(head, body)));
+                return Ok(Taken::Whole(self.end(head, body.freeze())));
             }
             if body.len() > BODY || (impatient && !body.is_empty()) {
                 return Ok(Taken::Long { first: body.freeze(), unwrapper });
@@ -447,7 +446,7 @@
                     if !more? {
                         // Where nothing but the end of the connection tells, a stall is no end.
                         return match unwrapper {
-                            Unwrapper::Close if at_end => Ok(Taken::Whole(self.end(head, body))),
+                            Unwrapper::Close if at_end => Ok(Taken::Whole(self.end(head, body.freeze()))),
                             _ => Err(Broken::Connection),
                         };
                     }
@@ -456,8 +455,9 @@
         }
     }
 
-    fn end(&mut self, head: &Head, body: BytesMut) -> Whole {
-        Whole { body: body.freeze(), reusable: head.stays && self.unread.is_empty() }
+    fn end(&self, head: &Head, body: Bytes) -> Whole {
+        // What comes behind an answer would be taken for the next one.
+        Whole { body, reusable: head.stays && self.unread.is_empty() }
     }
 
     /// What was read and not looked at, for whoever reads on.
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -296,34 +296,31 @@
             .await
         };
         let Some(piece) = piece else { break false };
-        let bytes = match piece {
+        let (bytes, last) = match piece {
             Ok(Some(data)) => {
                 // Nothing of it is kept, so it can't be sent again.
                 if !passing.spent.replace(true) {
                     service.handle(service.common.clock.now(), Event::Spent(attempt.request));
                 }
-                if chunked { chunk(&data) } else { data }
+                (if chunked { chunk(&data) } else { data }, false)
             }
-            Ok(None) if chunked => Bytes::from_static(b"0\r\n\r\n"),
-            Ok(None) => Bytes::new(),
+            Ok(None) => (Bytes::from_static(if chunked { b"0\r\n\r\n" } else { b"" }), true),
             Err(reject) => {
                 passing.broken.replace(Some(reject));
+                // With its client's part missing there is nothing to wait for.
+                result = Err(Broken::Senseless);
                 break false;
             }
         };
-        let last = bytes.is_empty() || (chunked && bytes.starts_with(b"0\r"));
-        match service.common.within(TAKES_WITHIN, exchange::write_on(stream, &bytes)).await {
-            Some(Ok(true)) if last => break true,
-            Some(Ok(true)) => {}
-            Some(Ok(false)) => break false,
-            Some(Err(broken)) => {
+        let written = service.common.within(TAKES_WITHIN, exchange::write_on(stream, &bytes)).await;
+        match written.unwrap_or(Err(Broken::Connection)) {
+            Ok(true) if last => break true,
+            Ok(true) => {}
+            Ok(false) => break false,
+            Err(broken) => {
                 result = Err(broken);
                 break false;
             }
-            None => {
-                result = Err(Broken::Connection);
-                break false;
-            }
         }
     };
     if whole {
@@ -334,10 +331,6 @@
         service.handle(now, Event::Came(attempt.request));
     } else {
         passing.give_back(reader);
-        // With its client's part missing there is nothing to wait for.
-        if passing.broken.borrow().is_some() {
-            result = Err(Broken::Senseless);
-        }
     }
     result
 }
--- a/crates/sidecar/src/passing.rs
+++ b/crates/sidecar/src/passing.rs
@@ -54,12 +54,6 @@
     pub(super) _rest: Box<dyn Any>,
 }
 
-impl From<Full<Bytes>> for Reply {
-    fn from(body: Full<Bytes>) -> Self {
-        Reply::Whole(body)
-    }
-}
-
 impl Reply {
     pub(super) fn is_passing(&self) -> bool {
         matches!(self, Reply::Passing(_))
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -146,7 +146,7 @@
         });
         stop.await;
         tracing::info!("stopping");
-        self.common.duty.borrow_mut().stop(self.common.clock.now());
+        self.common.duty.borrow_mut().stop();
         self.end_control();
         self.common.listeners.borrow().iter().for_each(|listener| listener.leave());
         while !self.common.listeners.borrow().is_empty() {
--- a/crates/sidecar/src/second_address.rs
+++ b/crates/sidecar/src/second_address.rs
@@ -6,13 +6,12 @@
 use super::drain;
 use madderloom_balancer::{Micros, ServerState};
 use madderloom_operations::call::{self, Call, Fault};
-use madderloom_operations::figures::Figures;
+use madderloom_operations::figures::{Ended, Figures};
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::Interest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
@@ -59,41 +58,34 @@
 }
 
 /// One caller, from its line to its end. It may have gone at any time, and that is its own affair.
-async fn answer(common: &Rc<Common>, stream: TcpStream) {
-    let asked = common.within(CALL_WITHIN, line(&stream)).await.unwrap_or(Err(Fault::Cut));
+async fn answer(common: &Rc<Common>, mut stream: TcpStream) {
+    let asked = common.within(CALL_WITHIN, line(&mut stream)).await.unwrap_or(Err(Fault::Cut));
     let text = match asked {
         Ok(call) => carry_out(common, call),
         Err(fault) => format!("fail {fault}\n"),
     };
     let told = async {
-        let mut unsent = text.as_bytes();
-        while !unsent.is_empty() {
-            match stream.try_write(unsent) {
-                Ok(count) => unsent = &unsent[count..],
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => stream.writable().await?,
-                Err(e) => return Err(e),
-            }
-        }
-        rustix::net::shutdown(&stream, rustix::net::Shutdown::Write)?;
+        stream.write_all(text.as_bytes()).await?;
+        stream.shutdown().await?;
         // What it has sent beyond its call is read and dropped: closed over it, the connection would be reset and the
         // answer lost on the way.
         let mut rest = [0; 256];
         for _ in 0..64 {
-            if more(&stream, &mut rest).await? == 0 {
+            if stream.read(&mut rest).await? == 0 {
                 break;
             }
         }
-        Ok(())
+        Ok::<_, std::io::Error>(())
     };
     let _ = common.within(TAKEN_WITHIN, told).await;
 }
 
 /// Reads a call.
-async fn line(stream: &TcpStream) -> Result<Call, Fault> {
+async fn line(stream: &mut TcpStream) -> Result<Call, Fault> {
     let mut come = [0; call::LONGEST + 2];
     let mut length = 0;
     loop {
-        match more(stream, &mut come[length..]).await {
+        match stream.read(&mut come[length..]).await {
             Ok(0) | Err(_) => return Err(Fault::Cut),
             Ok(count) => length += count,
         }
@@ -103,33 +95,16 @@
     }
 }
 
-async fn more(stream: &TcpStream, to: &mut [u8]) -> std::io::Result<usize> {
-    loop {
-        match stream.try_read(to) {
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
-                _ = stream.ready(Interest::READABLE).await?
-            }
-            read => return read,
-        }
-    }
-}
-
 fn carry_out(common: &Rc<Common>, call: Call) -> String {
     match call {
         Call::Ping if common.can_serve() => "ok\n".to_string(),
         Call::Ping => "fail no server is known yet\n".to_string(),
-        Call::Info => {
-            let mut text = String::new();
-            // A string takes all that is written to it.
-            let _ = write!(text, "{}", figures(common));
-            text
-        }
-        Call::LameDuck if common.is_stopping() => "fail the process is stopping\n".to_string(),
+        Call::Info => figures(common).to_string(),
+        Call::LameDuck | Call::Rejoin if common.is_stopping() => "fail the process is stopping\n".to_string(),
         Call::LameDuck => {
             drain::begin(common);
             "ok\n".to_string()
         }
-        Call::Rejoin if common.is_stopping() => "fail the process is stopping\n".to_string(),
         Call::Rejoin => {
             drain::end(common);
             "ok\n".to_string()
@@ -144,13 +119,10 @@
         cfg_invalid: common.files_refused.get(),
         ..Figures::default()
     };
-    let mut operations = BTreeMap::<String, madderloom_operations::figures::Ended>::new();
+    let mut operations = BTreeMap::<String, Ended>::new();
     for service in common.services.borrow().iter() {
         for (name, ended) in service.counts.operations() {
-            let sum = operations.entry(name).or_default();
-            sum.fulfilled += ended.fulfilled;
-            sum.throttled += ended.throttled;
-            sum.faulted += ended.faulted;
+            *operations.entry(name).or_default() += ended;
         }
         all.relayed += service.counts.relayed.get();
         all.open_requests += service.counts.opened();
