Keep the settings that hold once, and a shared socket with its listener

Read again: a service held its file's settings beside those that hold, so that after a retune the admin view and the stories named zones by the old ones; now they are in one place. That a socket is shared was a mark on the whole process, which made an operator file's own listeners leave at once on a stop; it belongs to the listener. The longest GraphQL message was found by comparing with the usual longest body; a listener's manner states it. A body that is turned away stays where it is, in place of being handed out and back. The list of servers is no longer held for as long as the process lives to compare keys that leave it out.

--- a/crates/sidecar/src/common.rs
+++ b/crates/sidecar/src/common.rs
@@ -31,8 +31,6 @@
     pub(super) alarms: Alarms,
     /// Whether it serves, drains or stops.
     pub(super) duty: RefCell<Duty>,
-    /// The one listening socket is shared with the process that this one replaces, or that will replace it.
-    pub(super) shares_socket: Cell<bool>,
     /// Files taken at SIGHUP, and those turned down.
     pub(super) files_taken: Cell<u64>,
     pub(super) files_refused: Cell<u64>,
@@ -127,7 +125,6 @@
             alarms: Alarms::new(&clock),
             clock,
             duty: RefCell::default(),
-            shares_socket: Cell::new(false),
             files_taken: Cell::new(0),
             files_refused: Cell::new(0),
             bounds: Bounds::new(totals),
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -50,7 +50,12 @@
 
 impl Keys {
     fn of(text: &str) -> Self {
-        Keys(serde_json::from_str(text).unwrap_or_default())
+        let mut keys: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+        // By far the longest, and never compared.
+        if let Some(keys) = keys.as_object_mut() {
+            keys.remove("known");
+        }
+        Keys(keys)
     }
 
     /// The first key of the former file that is not here.
--- a/crates/sidecar/src/drain.rs
+++ b/crates/sidecar/src/drain.rs
@@ -1,6 +1,7 @@
 //! The drain of the process and its end: what the duty decides, carried out on the listeners.
 
 use super::common::Common;
+use madderloom_operations::duty::State;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,15 +18,11 @@
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(LOOK).await;
-            let now = common.clock.now();
-            let (serving, close) = {
-                let duty = common.duty.borrow();
-                (duty.is_serving() || duty.is_stopping(), duty.closes_idle_since(now))
-            };
-            if serving {
+            let duty = common.duty.borrow().clone();
+            if !matches!(duty.state(), State::Draining { .. }) {
                 return;
             }
-            if let Some(since) = close {
+            if let Some(since) = duty.closes_idle_since(common.clock.now()) {
                 common.listeners.borrow().iter().for_each(|listener| listener.clients.close_idle(since));
             }
         }
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -49,11 +49,9 @@
     let manner = listener.manner.get();
     let media = Media::accepted(&head.headers);
     let mut body = Some(body);
-    // A message is read whole, whatever a listener passes on.
-    let most = if manner.body_size == super::LONGEST_BODY { super::BODY } else { manner.body_size };
     let taken = async {
         let left = time_left(&head.headers)?;
-        let size = length(body.as_ref(), &head.headers, most)?;
+        let size = length(body.as_ref(), &head.headers, manner.message_size)?;
         let held = admit(listener, service, came, size as u64)?;
         let id = id(&head.headers)?.map(|id| OpenId::new(service, id)).transpose()?;
         let body = if size > 0 {
@@ -138,7 +136,7 @@
         part: Option<usize>,
     ) -> Result<Response<Body>, Fault> {
         let (service, classed) = (self.service, &message.classed);
-        if service.transactions.borrow().len() >= service.tuned().max_open {
+        if service.transactions.borrow().len() >= service.tuned().site.max_open {
             count(&service.class_counts(classed.class).turned_away);
             return Err(Fault::refused(service.retry_after()));
         }
--- a/crates/sidecar/src/levels.rs
+++ b/crates/sidecar/src/levels.rs
@@ -88,7 +88,7 @@
     let now = service.common.clock.now();
     let numbers = service.allowance.open();
     let part = |used: f64, most: f64| if most > 0.0 { used / most } else { 1.0 };
-    let own = part(service.transactions.borrow().len() as f64, service.tuned().max_open as f64);
+    let own = part(service.transactions.borrow().len() as f64, service.tuned().site.max_open as f64);
     let outside = Outside {
         failing: service.failing(now),
         open: Some(part(numbers.used as f64, numbers.part.most as f64).max(own)),
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -39,6 +39,8 @@
     pub(super) body_within: Micros,
     /// The longest body.
     pub(super) body_size: usize,
+    /// The longest GraphQL message, which is read whole.
+    pub(super) message_size: usize,
     /// What a limit turns away has its body read and dropped behind the answer, so that the answer arrives.
     pub(super) drains: bool,
 }
@@ -51,11 +53,20 @@
             idle_within: 2_000_000,
             body_within: 900_000,
             body_size: super::LONGEST_BODY,
+            message_size: super::BODY,
             drains: false,
         }
     }
 }
 
+/// A bound socket, and where it was told to be.
+pub(super) struct Socket {
+    pub(super) wanted: SocketAddr,
+    pub(super) socket: TcpListener,
+    /// Another process has it too.
+    pub(super) shared: bool,
+}
+
 /// One listener.
 pub(super) struct Listener {
     pub(super) name: RefCell<String>,
@@ -63,6 +74,8 @@
     /// Where it was told to listen, and where it does.
     pub(super) wanted: SocketAddr,
     pub(super) address: SocketAddr,
+    /// Its socket is shared with the process that this one replaces, or that will replace it.
+    shared: bool,
     pub(super) manner: Cell<Manner>,
     pub(super) routing: RefCell<Rc<Routing>>,
     /// What its clients may hold: connections, and requests with their bodies.
@@ -99,7 +112,7 @@
     pub(super) fn start(
         common: &Rc<Common>,
         name: &str,
-        (wanted, socket): (SocketAddr, TcpListener),
+        Socket { wanted, socket, shared }: Socket,
         (manner, routing): (Manner, Routing),
         (limits, parts): (Option<MemberLimits>, Parts),
     ) -> Rc<Self> {
@@ -110,6 +123,7 @@
             common: Rc::clone(common),
             wanted,
             address,
+            shared,
             manner: Cell::new(manner),
             routing: RefCell::new(Rc::new(routing)),
             seats: bounds.clients.join(parts.connections),
@@ -191,7 +205,7 @@
                 let _ = leaving.wait_for(|leaving| *leaving).await;
                 // Clients go on connecting for a while, and what has reached this machine has been taken.
                 // Where the socket is shared, the other process takes them, and all that waits to be taken.
-                if self.common.shares_socket.get() {
+                if self.shared {
                     return;
                 }
                 tokio::select! {
@@ -210,7 +224,7 @@
         drop(socket);
         let of = self.label();
         tracing::info!("{of}closed to new clients");
-        if self.common.shares_socket.get() {
+        if self.shared {
             // What comes on open connections meanwhile ends them with its answer, which no close can cross.
             tokio::time::sleep(SHARED_LINGER).await;
         }
@@ -226,7 +240,7 @@
     /// Takes connections for as long as it is asked to.
     async fn accept_loop(self: &Rc<Self>, socket: &TcpListener) {
         // Until it can serve, the process that it is to replace takes all.
-        while self.common.shares_socket.get() && !self.common.can_serve() {
+        while self.shared && !self.common.can_serve() {
             self.common.alarm_in(AGAIN).await;
         }
         loop {
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -7,7 +7,7 @@
 use super::config::{Config, Keys, allowed_descriptors};
 use super::feed::FOLLOWERS;
 use super::ledger::Keeper;
-use super::listener::{Listener, Manner, bind};
+use super::listener::{Listener, Manner, Socket, bind};
 use super::routing::Routing;
 use super::second_address;
 use super::service::{Parts, Service, Spec};
@@ -80,7 +80,6 @@
             config.as_ref().map_or((descriptors, memory), |c| own_part(c, descriptors, memory));
         let totals = totals(descriptors, memory, own, config.is_some());
         let common = Common::new(totals, operator.is_some());
-        common.shares_socket.set(config.as_ref().is_some_and(|config| config.inherited.is_some()));
         // Before anything is served: where it cannot be asked, the start fails.
         if let Some(at) = config.as_ref().and_then(|config| config.control) {
             let socket = second_address::bind(at)?;
@@ -220,13 +219,14 @@
     };
     let service = Service::new(common, spec, parts(bounds.servers.total()))?;
     let listen: SocketAddr = config.listen;
+    let shared = config.inherited.is_some();
     let socket = match config.inherited {
         Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("RELAY_ACCEPT_FD: {e}"))?,
         None => bind(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?,
     };
     let routing = Routing::One(Rc::clone(&service));
     let limits = (None, parts(bounds.clients.total()));
-    let place = (listen, socket);
+    let place = Socket { wanted: listen, socket, shared };
     let name = if named { PLATFORM } else { "" };
     let listener = Listener::start(common, name, place, (Manner::usual(), routing), limits);
     Ok((service, listener))
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -3,7 +3,7 @@
 use super::admin::{self, AdminServer};
 use super::config::Config;
 use super::counts::count;
-use super::listener::{Listener, Manner, bind};
+use super::listener::{Listener, Manner, Socket, bind};
 use super::pool::{self, Listing};
 use super::process::{Sidecar, totals};
 use super::routing::{Routed, Routing};
@@ -169,6 +169,7 @@
                 idle_within: spec.idle_within.micros(),
                 body_within: spec.body_within.micros(),
                 body_size: spec.body_size.0 as usize,
+                message_size: spec.body_size.0 as usize,
                 drains: true,
             };
             let (routing, parts) = (self.routing(&table, at + 1, &by_place), listener_parts[first + at]);
@@ -181,7 +182,7 @@
                 None => {
                     let Some((_, socket)) = sockets.next() else { continue };
                     let limits = (Some(spec.limits), parts);
-                    let place = (spec.address, socket);
+                    let place = Socket { wanted: spec.address, socket, shared: false };
                     Listener::start(&self.common, &spec.name, place, (manner, routing), limits)
                 }
             };
@@ -226,7 +227,7 @@
     /// The service that a pool of a new file goes on with: of the same name and settings.
     fn kept(&self, pool: &Pool) -> Option<Rc<Service>> {
         let site = site_of(pool);
-        self.services.borrow().iter().find(|s| s.name == pool.name && s.site == site).cloned()
+        self.services.borrow().iter().find(|s| s.name == pool.name && s.tuned().file == site).cloned()
     }
 
     /// The listeners that those of a new file go on with: of the same address, and the same name where there are
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -64,8 +64,6 @@
 pub(super) struct Service {
     pub(super) name: String,
     pub(super) label: String,
-    /// What it was made of, to tell whether a new file wants it changed.
-    pub(super) site: Site,
     pub(super) common: Rc<Common>,
     balancer: RefCell<Balancer>,
     /// None where the file has no levels for it.
@@ -106,10 +104,9 @@
     /// A service at work. To be called in a local set.
     pub(super) fn new(common: &Rc<Common>, spec: Spec, parts: Parts) -> Result<Rc<Self>, String> {
         let Spec { name, label, site, discovery, known, limits, levels, graphql, kept, seed } = spec;
-        let settings = site.settings.clone();
         let counts = Registry::default();
-        let tuned = Tuned::new(site.clone(), &counts);
-        let balancer = Balancer::new(settings, seed).map_err(|e| format!("{label}configuration: {e}"))?;
+        let balancer =
+            Balancer::new(site.settings.clone(), seed).map_err(|e| format!("{label}configuration: {e}"))?;
         let charged = Rc::new(Charged::new(common.account(limits.weight)));
         let bounds = &common.bounds;
         let seats = bounds.servers.join(parts.connections);
@@ -119,7 +116,7 @@
             place: madderloom_levels::place(seed),
             pool: Pool::new(discovery, site.zones.clone(), site.kinds.clone(), common.clock.now()),
             connections: Connections::new(common, seats, site.conn_idle, site.connect_timeout),
-            tuned: RefCell::new(Rc::new(tuned)),
+            tuned: RefCell::new(Rc::new(Tuned::new(site, &counts))),
             graphql: RefCell::new(graphql.map(Front::new)),
             ids: RefCell::default(),
             transactions: RefCell::default(),
@@ -141,7 +138,6 @@
             common: Rc::clone(common),
             name,
             label,
-            site,
         });
         common.services.borrow_mut().push(Rc::clone(&service));
         service.recall_classes();
@@ -333,8 +329,8 @@
             Some(teller) => teller.change(now, settings),
             None => {
                 let listed: Vec<_> = self.snapshot().servers.iter().map(|server| server.listed).collect();
-                let new =
-                    teller.insert(Box::new(Teller::new(&self.name, settings, self.site.settings.rules.cold)));
+                let cold = self.tuned().site.settings.rules.cold;
+                let new = teller.insert(Box::new(Teller::new(&self.name, settings, cold)));
                 new.listed(self, now, &Members::Full(&listed));
             }
         }
--- a/crates/sidecar/src/teller.rs
+++ b/crates/sidecar/src/teller.rs
@@ -270,7 +270,7 @@
         let name = match departure.subject {
             Subject::Server(id) => self.name(id).into_string(),
             Subject::Zone(zone) => {
-                service.site.zones.get(zone as usize).cloned().unwrap_or_else(|| zone.to_string())
+                service.tuned().site.zones.get(zone as usize).cloned().unwrap_or_else(|| zone.to_string())
             }
             Subject::Fleet => String::new(),
         };
--- a/crates/sidecar/src/tuned.rs
+++ b/crates/sidecar/src/tuned.rs
@@ -42,7 +42,6 @@
     pub(super) places: Vec<Place>,
     /// The advice on when to come back for requests that do not reach the module.
     pub(super) retry_after: Option<Micros>,
-    pub(super) max_open: usize,
     /// The longest that a client waits.
     pub(super) longest: Duration,
 }
@@ -69,7 +68,6 @@
         let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Tuned {
             retry_after: limits.retry_after.then_some(limits.max_retry_after),
-            max_open: site.max_open,
             longest: Duration::from_micros(longest),
             site,
             file,
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -25,6 +25,9 @@
 const SLOWEST: u64 = 32_000;
 const LAG: Micros = 3_000_000;
 
+const TOO_LONG: Reject =
+    Reject::Senseless(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than this listener takes");
+
 /// How long a body is, as its head tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Length {
@@ -36,7 +39,7 @@
 impl Length {
     /// By the head of a request. Where it has both a length and chunks, one reader sees a request where another sees
     /// a body, so it is refused; hyper has refused several lengths that differ.
-    pub(super) fn of(body: &Incoming, headers: &HeaderMap, most: usize) -> Result<Self, Reject> {
+    pub(super) fn of(body: Option<&Incoming>, headers: &HeaderMap, most: usize) -> Result<Self, Reject> {
         let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
         if let Some(coding) = codings.next() {
             if headers.contains_key(header::CONTENT_LENGTH) {
@@ -47,10 +50,8 @@
             }
             return Ok(Length::Chunked);
         }
-        let too_long =
-            Reject::Senseless(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than this listener takes");
-        let size = body.size_hint().exact();
-        size.filter(|size| *size <= most as u64).map(Length::Known).ok_or(too_long)
+        let size = body.and_then(|body| body.size_hint().exact());
+        size.filter(|size| *size <= most as u64).map(Length::Known).ok_or(TOO_LONG)
     }
 }
 
@@ -81,8 +82,7 @@
             let Ok(data) = frame.into_data() else { continue };
             self.read += data.len() as u64;
             if self.read > self.most {
-                let problem = "the body is longer than this listener takes";
-                return Err(Reject::Senseless(StatusCode::PAYLOAD_TOO_LARGE, problem));
+                return Err(TOO_LONG);
             }
             if !data.is_empty() {
                 return Ok(Some(data));
@@ -162,17 +162,16 @@
 pub(super) type Room = Vec<[Held; 2]>;
 
 /// Reads a body whole where it fits, else its beginning. `room` gets what it takes. One that is turned away before it
-/// was read comes back unread.
+/// was read is left where it is.
 pub(super) async fn take(
     listener: &Listener,
     service: &Service,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     length: Length,
     most: usize,
     room: &mut Room,
-) -> Result<Upload, (Reject, Option<Incoming>)> {
+) -> Result<Upload, Reject> {
     let common = &listener.common;
-    let mut reader = Reader::new(common, body, most);
     let mut kept = BytesMut::new();
     // Where it is known to be too long to be kept, no more is than its beginning.
     let (fits, mut held) = match length {
@@ -181,16 +180,17 @@
             let fits = hold(listener, service, size, room);
             // An operator file's limits on bodies turn away what finds no room.
             if !fits && listener.manner.get().drains {
-                let reject = Reject::Refused("too much is open", service.retry_after());
-                return Err((reject, Some(reader.into_rest())));
+                return Err(Reject::Refused("too much is open", service.retry_after()));
             }
             (fits, size as usize)
         }
         Length::Known(_) => (false, 0),
         Length::Chunked => (true, 0),
     };
+    let Some(body) = body.take() else { return Ok(Upload::Kept(Bytes::new())) };
+    let mut reader = Reader::new(common, body, most);
     loop {
-        let Some(piece) = reader.next(common).await.map_err(|reject| (reject, None))? else {
+        let Some(piece) = reader.next(common).await? else {
             return Ok(Upload::Kept(kept.freeze()));
         };
         let size = kept.len() + piece.len();
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -151,8 +151,9 @@
 
 fn server(service: &Service, seen: &ServerView, now: Micros) -> Value {
     let listed = &seen.listed;
-    let zone = service.site.zones.get(listed.zone as usize);
-    let kind = service.site.kinds.get(listed.kind as usize);
+    let tuned = service.tuned();
+    let zone = tuned.site.zones.get(listed.zone as usize);
+    let kind = tuned.site.kinds.get(listed.kind as usize);
     let ejected = seen.ejected_until.map(|until| until.saturating_sub(now));
     json!({
         "name": service.pool.name(listed.server),
@@ -273,8 +274,9 @@
 
 fn left_row(service: &Service, teller: &Teller, id: ServerId, ago: Micros) -> Value {
     let known = teller.known(id);
-    let zone = known.and_then(|(listed, _)| service.site.zones.get(listed.zone as usize));
-    let kind = known.and_then(|(listed, _)| service.site.kinds.get(listed.kind as usize));
+    let tuned = service.tuned();
+    let zone = known.and_then(|(listed, _)| tuned.site.zones.get(listed.zone as usize));
+    let kind = known.and_then(|(listed, _)| tuned.site.kinds.get(listed.kind as usize));
     let mut told = json!({
         "name": teller.name(id), "pool": service.name, "state": "left", "left_ago_us": ago,
         "address": known.and_then(|(_, at)| at).map(|at| at.to_string()), "zone": zone, "kind": kind,
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -105,19 +105,12 @@
     let mut room = Room::new();
     let taken = async {
         let new = read(&service, entry.as_deref(), &head)?;
-        // Always there, as nothing has taken it yet.
-        let Some(incoming) = body.as_ref() else { return Err(senseless("there is no body")) };
-        let length = Length::of(incoming, &head.headers, manner.body_size)?;
+        let length = Length::of(body.as_ref(), &head.headers, manner.body_size)?;
         let id = head.headers.get(TRACE_ID).ok_or(senseless("X-Trace-Id is missing"))?;
         let held = admit(listener, &service, came, 0)?;
         let id = OpenId::new(&service, id)?;
-        let Some(incoming) = body.take() else { return Err(senseless("there is no body")) };
-        let upload = upload::take(listener, &service, incoming, length, manner.body_size, &mut room).await;
-        let upload = upload.map_err(|(reject, unread)| {
-            body = unread;
-            reject
-        })?;
-        if service.transactions.borrow().len() >= service.tuned().max_open {
+        let upload = upload::take(listener, &service, &mut body, length, manner.body_size, &mut room).await?;
+        if service.transactions.borrow().len() >= service.tuned().site.max_open {
             return Err(Reject::Refused("too many requests are open", service.retry_after()));
         }
         Ok((new, upload, (held, id)))
@@ -150,9 +143,8 @@
     let onward = Onward { method, uri, headers, body, unsafe_to_repeat, reading, entry: ledgered };
     let onward = Rc::new(onward);
     let answer = transaction::run(&service, now, new, Rc::clone(&onward)).await;
-    let mut came = came;
+    let came = onward.body.passing().map_or(now, |passing| passing.whole.get().unwrap_or(came));
     if let Some(passing) = onward.body.passing() {
-        came = passing.whole.get().unwrap_or(came);
         // What is left of it is read and dropped behind the answer, so that the answer arrives.
         match passing.unread() {
             Some(unread) if passing.whole.get().is_none() => drain(&service.common, unread, DRAINED_FOR),
@@ -162,8 +154,6 @@
             count(&counts.senseless);
             return rejected(reject);
         }
-    } else {
-        came = now;
     }
     match answer {
         Answer::Served(mut response) => {
