--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -65,7 +65,8 @@
 const AT_ONCE: f64 = 24.0; // instances that may give a cold server a request as it starts
 const PACE: f64 = 1.5; // of what a cold server would bear of a warm one's usual work is given to it at most
 pub(crate) const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000); // waits between calls for the list...
-pub(crate) const ASK_EACH: (Micros, Micros) = (80_000, 320_000); // ...or for each instance, where more
+pub(crate) const ASK_EACH: (Micros, Micros) = (80_000, 320_000); // ...or for each instance, where more...
+pub(crate) const ASK_PART: (f64, f64) = (0.9, 3.6); // ...but within this part of what the rules allow
 
 /// Why a server counts as empty space for a request. Up to `Tried`, the least barred of those met is
 /// taken when no function of the family finds a free one; the rest are never taken.
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -128,6 +128,9 @@
     pub cold: Micros,
     /// A cold server sent a multiple of its present capacity for this long falls over.
     pub fall: Micros,
+    /// An instance that follows no list and has not asked for it for this long, or four times this after a call that
+    /// failed, is held to know what the list said then. Above 0.
+    pub ask_within: Micros,
 }
 
 /// What things cost, in parts of a request's worth for each time they are done.
@@ -396,6 +399,10 @@
     DiscoveryFailed,
 }
 
+/// The longest span that settings may hold: added to any time that a clock shows in a thousand years, it is still one.
+pub const LONGEST: Micros = 1 << 62;
+const TOO_LONG: &str = "must be 2^62 microseconds at most";
+
 /// Settings that make no sense.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
@@ -424,6 +431,10 @@
         for (i, class) in self.classes.iter().enumerate() {
             check(class.aim > 0, &format!("classes[{i}].aim"), "must be above 0")?;
             check(class.deadline > 0, &format!("classes[{i}].deadline"), "must be above 0")?;
+            let window = if let Effect::Keyed { window, .. } = class.effect { window } else { 0 };
+            for (span, field) in [(class.aim, "aim"), (class.deadline, "deadline"), (window, "window")] {
+                check(span <= LONGEST, &format!("classes[{i}].{field}"), TOO_LONG)?;
+            }
             let worth = class.worth.is_finite() && class.worth >= 0.0;
             check(worth, &format!("classes[{i}].worth"), "must be 0 or more")?;
             let late = (0.0..=1.0).contains(&class.late_worth);
@@ -435,7 +446,17 @@
             let quota = tenant.quota.is_finite() && tenant.quota >= 0.0;
             check(quota, &format!("tenants[{i}].quota"), "must be 0 or more")?;
         }
+        for (span, field) in [
+            (self.tick, "tick"),
+            (self.limits.max_retry_after, "limits.max_retry_after"),
+            (self.rules.cold, "rules.cold"),
+            (self.rules.fall, "rules.fall"),
+            (self.rules.ask_within, "rules.ask_within"),
+        ] {
+            check(span <= LONGEST, field, TOO_LONG)?;
+        }
         check(self.limits.max_attempts > 0, "limits.max_attempts", "must be at least 1")?;
+        check(self.rules.ask_within > 0, "rules.ask_within", "must be above 0")?;
         let from = self.rules.cold_from;
         check(from > 0.0 && from <= 1.0, "rules.cold_from", "must lie above 0 and at most at 1")?;
         for (price, field) in
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -184,8 +184,6 @@
     pub conn_idle: Micros,
     /// A connection that has not come up within this time is taken not to come.
     pub connect_timeout: Micros,
-    /// An instance that knows of no change for this long is held to know of it all the same.
-    pub ask_within: Micros,
     /// Requests that may be open at once.
     pub max_open: usize,
 }
@@ -209,7 +207,6 @@
             kinds: profile.kinds.clone(),
             conn_idle: profile.limits.conn_idle,
             connect_timeout: profile.limits.connect_timeout,
-            ask_within: profile.safety.ask_within,
             max_open: profile.limits.max_open,
             settings: balancer_settings(profile, reports),
         }
@@ -255,6 +252,7 @@
             cold_from: profile.safety.cold_from,
             cold: profile.safety.cold,
             fall: profile.safety.fall,
+            ask_within: profile.safety.ask_within,
         },
         prices: Prices { cross_zone: profile.tariffs.cross_zone, probe: profile.tariffs.probe },
         worth_by_work: profile.worth_by == WorthBy::Work,
@@ -271,6 +269,7 @@
         ("aim", "on_time"),
         ("deadline", "give_up"),
         ("quota", "quota_per_s"),
+        ("tick", "period"),
     ];
     let written = |part: &str| {
         let (name, index) = part.split_at(part.find('[').unwrap_or(part.len()));
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -463,10 +463,13 @@
 }
 
 /// The first and the longest wait before the list is asked for. All instances ask one service, which works through what
-/// was given up long ago too: called by all at once it answers nobody from then on.
+/// was given up long ago too: called by all at once it answers nobody from then on. But whoever asks too late is held to
+/// know of drains that it has not heard of: no fleet is so large that an instance may wait longer than that.
 pub(crate) fn ask_wait(settings: &Settings) -> (Micros, Micros) {
     let all = Micros::from(settings.group_size);
-    (ASK_AGAIN.0.max(ASK_EACH.0 * all), ASK_AGAIN.1.max(ASK_EACH.1 * all))
+    let most = |part: f64| (part * settings.rules.ask_within as f64).max(1.0) as Micros;
+    let (first, longest) = (ASK_AGAIN.0.max(ASK_EACH.0 * all), ASK_AGAIN.1.max(ASK_EACH.1 * all));
+    (first.min(most(ASK_PART.0)), longest.min(most(ASK_PART.1)))
 }
 
 fn shortest_aim(settings: &Settings, retired: impl Fn(usize) -> bool) -> f64 {
--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -62,3 +62,36 @@
         assert!(took.is_some_and(|took| took <= within), "{instances} instances: {took:?}");
     }
 }
+
+/// When an instance asks, and how long after each of the calls that fail then it asks again.
+fn waits(settings: &Settings, seed: u64) -> Vec<Micros> {
+    let mut rig = Rig::seeded(settings.clone(), seed, &fleet(4));
+    let mut waits = Vec::new();
+    for _ in 0..12 {
+        let at = rig.actions.drain(..).find_map(|action| match action {
+            Action::SetTimer { at, timer: Timer::Discovery } => Some(at),
+            _ => None,
+        });
+        let at = at.expect("it will ask");
+        waits.push(at - rig.now);
+        rig.now = at;
+        assert!(rig.event(Event::Timer(Timer::Discovery)).contains(&Action::Subscribe));
+        rig.event(Event::Members(Members::Failed));
+    }
+    waits
+}
+
+/// 300 instances waited up to 24 s before they asked at all. From 10 s on each is held to know what was listed then, and
+/// sends to servers that left broke the rule on drains.
+#[test]
+fn no_fleet_is_so_large_that_an_instance_asks_later_than_the_rules_allow() {
+    for group_size in [1, 100, 300, 2_000, 100_000] {
+        let settings = Settings { group_size, ..settings(&[Effect::Safe]) };
+        let within = settings.rules.ask_within;
+        for seed in 0..40 {
+            let waits = waits(&settings, seed);
+            assert!(waits[0] < within, "{group_size} instances: the first call after {} us", waits[0]);
+            assert!(waits.iter().all(|wait| *wait < 4 * within), "{group_size} instances: {waits:?}");
+        }
+    }
+}
--- a/crates/lab/src/rivals/mod.rs
+++ b/crates/lab/src/rivals/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::experiment::Arm;
 use crate::policy::{Maker, Policy, Start, Truth};
+use crate::world::ASK_WITHIN;
 use chassis::{Chassis, Choice, Stakes};
 use figures::Figures;
 use madderloom_balancer::{Balancer, Settings};
@@ -157,7 +158,7 @@
         tenants: Vec::new(),
         discovery_on_request: true,
         limits: Limits { cancel: true, probes: true, retry_after: true, max_retry_after: 0, max_attempts: 1 },
-        rules: Rules { cold_from: 1.0, cold: 0, fall: 0 },
+        rules: Rules { cold_from: 1.0, cold: 0, fall: 0, ask_within: ASK_WITHIN },
         prices: Prices::default(),
         worth_by_work: false,
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -112,7 +112,12 @@
             max_retry_after: allow.retry_after.micros(),
             max_attempts: allow.max_attempts.max(1),
         },
-        rules: balancer::Rules { cold_from: cold_from.clamp(0.001, 1.0), cold, fall: allow.fall.micros() },
+        rules: balancer::Rules {
+            cold_from: cold_from.clamp(0.001, 1.0),
+            cold,
+            fall: allow.fall.micros(),
+            ask_within: ASK_WITHIN,
+        },
         prices: balancer::Prices { cross_zone: allow.cross_zone_price, probe: allow.probe_price },
         worth_by_work: false,
     }
