--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -85,7 +85,7 @@
     ids: Vec<ServerId>,
     tuned: Micros,
     /// For each subregion: the place of its owner in `ids`, and how much of it is covered.
-    cells: Vec<(u16, u32)>,
+    cells: Vec<(u32, u32)>,
 }
 
 impl Interval {
@@ -124,7 +124,7 @@
                 if free {
                     let Some(next) = change[growing..].iter().position(|c| *c > 0) else { return };
                     growing += next;
-                    *owner = growing as u16;
+                    *owner = growing as u32;
                 }
                 let add = change[*owner as usize].clamp(0, i64::from(Self::CELL - *covered));
                 *covered += add as u32;
@@ -222,7 +222,8 @@
             return self.refuse(new.id, actions);
         }
         let class = &self.settings.classes[at];
-        let hint = new.cost.unwrap_or(0) as f64;
+        // From outside: one hint beyond all reason would give a server the whole interval for minutes.
+        let hint = new.cost.unwrap_or(0).min(class.deadline) as f64;
         let size = if hint > 0.0 { hint } else { self.classes[at].cost.at };
         self.mean_size.add(size);
         self.arrivals.add(now, 1.0);
@@ -276,9 +277,12 @@
     /// worth nothing; in overload such repeats took a tenth of all that was served.
     fn too_old(&mut self, new: &NewRequest) -> bool {
         let class = &self.settings.classes[new.class as usize];
-        let usual = &mut self.classes[new.class as usize].first_left;
-        *usual = (*usual).max(if new.repeat { 0 } else { new.time_left });
-        let old = new.time_left < *usual && new.time_left.saturating_add(class.aim) <= class.deadline;
+        let seen = &mut self.classes[new.class as usize];
+        if !new.repeat {
+            seen.first_try(new.time_left.min(class.deadline));
+        }
+        let past_aim = new.time_left.saturating_add(class.aim) <= class.deadline;
+        let old = new.time_left < seen.first_left && past_aim;
         new.repeat && class.late_worth <= 0.0 && old
     }
 
@@ -548,7 +552,7 @@
             Outcome::ConnectFailed | Outcome::Reset => 3,
             _ => 0,
         };
-        server.failures += weight;
+        server.failures = server.failures.saturating_add(weight);
         if weight > 0 && !closed.outcome.proves_not_run() {
             server.in_a_row += 1.0;
         }
--- a/crates/balancer/src/interval_tests.rs
+++ b/crates/balancer/src/interval_tests.rs
@@ -65,3 +65,15 @@
     assert!(pool.contains_key(&vec![ServerId(1), ServerId(2)]), "used every other time");
     assert!(!pool.contains_key(&vec![ServerId(1), ServerId(101)]), "used once, long ago");
 }
+
+/// More servers than 16 bits can number.
+#[test]
+fn each_of_very_many_servers_has_a_region_of_its_own() {
+    let ids: Vec<ServerId> = (0..70_000).map(ServerId).collect();
+    let mut interval = Interval::new(ids.clone());
+    interval.tune(&vec![1.0; ids.len()]);
+    let cells = (8 * ids.len()).next_power_of_two() as u64;
+    let offsets = (0..cells).map(|cell| cell * (u64::MAX / cells + 1));
+    let owners: std::collections::BTreeSet<ServerId> = offsets.filter_map(|at| interval.lookup(at)).collect();
+    assert_eq!(owners.len(), ids.len());
+}
--- a/crates/balancer/src/snapshot.rs
+++ b/crates/balancer/src/snapshot.rs
@@ -44,6 +44,11 @@
     pub share: f64,
     /// What it serves, in work over time; 0 until it was first weighed.
     pub value: f64,
+    /// The sums that it is weighed by, both in microseconds and faded: the work that it answered, and the time that all
+    /// attempts there took.
+    pub measured: (f64, f64),
+    /// Attempts that ended there of late and may have run: of what it was sent, what told something of it.
+    pub answers: f64,
     /// Attempts of this instance that are out there.
     pub out: usize,
     /// Failures in a row, by their weight.
@@ -94,6 +99,8 @@
                 listed: s.listed,
                 share: if s.long.is_some() && whole > 0.0 { s.value / whole } else { 0.0 },
                 value: s.value,
+                measured: (s.size_sum, s.time_sum),
+                answers: s.ended.get(now),
                 out: s.out.len(),
                 failures: s.failures,
                 ejected_until: s.ejected_until,
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// First tries over which the longest that was left for one fades.
+const FIRST_TRIES: Micros = 1_024;
+
 /// What is learned of a class.
 pub(crate) struct ClassSeen {
     /// A low quantile of its answers' times: its work, where requests carry no hint.
@@ -95,7 +98,7 @@
     pub delay: f64,
     /// When one was last refused for overload.
     pub refused: Option<Micros>,
-    /// The longest time that clients left for a first try.
+    /// The longest time that clients of late left for a first try.
     pub first_left: Micros,
     /// Its requests that a level has turned away.
     pub given_up: u64,
@@ -130,7 +133,8 @@
         ClassSeen {
             work,
             open: 0,
-            delay: self.delay * scale,
+            // As an answer's, for more would shut the class: while it is refused, nothing brings it down again.
+            delay: (self.delay * scale).min(1.0),
             refused: None,
             first_left: 0,
             given_up: 0,
@@ -139,6 +143,13 @@
         }
     }
 
+    /// A first try has come for which its client leaves this much. The longest fades: one client that waits longer
+    /// than all others must not have their repeats taken for old from then on.
+    pub fn first_try(&mut self, left: Micros) {
+        let fading = self.first_left.saturating_sub(left).div_ceil(FIRST_TRIES);
+        self.first_left = left.max(self.first_left - fading);
+    }
+
     /// Takes a request's time to the end into the mean. It is one over time: over a few answers, one slow server
     /// would look like a slow service where answers are many.
     pub fn delayed(&mut self, now: Micros, part_of_aim: f64) {
