--- a/crates/levels/src/effects.rs
+++ b/crates/levels/src/effects.rs
@@ -12,16 +12,10 @@
     pub spare_worth: f64,
     /// Servers may be probed.
     pub probes: bool,
-    /// A second copy of a request may be sent while the first is out.
-    pub second_copies: bool,
     /// The part of the usual retry budget that is left, from 0 to 1.
     pub retries: f64,
     /// The part of the usual time that is waited for an answer, above 0 and at most 1.
     pub patience: f64,
-    /// Traces and reports are written.
-    pub traces: bool,
-    /// The usual interval between looks at discovery is stretched by this, 1 or more.
-    pub watch: f64,
 }
 
 impl Default for Effects {
@@ -30,11 +24,8 @@
             turn_away: BTreeMap::new(),
             spare_worth: f64::INFINITY,
             probes: true,
-            second_copies: true,
             retries: 1.0,
             patience: 1.0,
-            traces: true,
-            watch: 1.0,
         }
     }
 }
@@ -51,16 +42,12 @@
             turn_away,
             spare_worth: self.spare_worth.min(other.spare_worth),
             probes: self.probes && other.probes,
-            second_copies: self.second_copies && other.second_copies,
             retries: self.retries.min(other.retries),
             patience: self.patience.min(other.patience),
-            traces: self.traces && other.traces,
-            watch: self.watch.max(other.watch),
         }
     }
 
-    /// The same for a decision module whose settings hold these classes in this order. It sends no second copies, and
-    /// the interval between looks and traces are not its matter.
+    /// The same for a decision module whose settings hold these classes in this order.
     pub fn of_classes(&self, classes: &[String]) -> Reduced {
         Reduced {
             away: classes.iter().map(|class| self.turn_away.get(class).copied().unwrap_or(0.0)).collect(),
--- a/crates/levels/src/section.rs
+++ b/crates/levels/src/section.rs
@@ -59,16 +59,10 @@
     pub spare_worth: Option<f64>,
     /// Whether servers may be probed.
     pub probes: Option<bool>,
-    /// Whether second copies may be sent.
-    pub second_copies: Option<bool>,
     /// The part of the retry budget that is left.
     pub retries: Option<f64>,
     /// The part of the time that is waited.
     pub patience: Option<f64>,
-    /// Whether traces and reports are written.
-    pub traces: Option<bool>,
-    /// What the interval between looks at discovery is stretched by.
-    pub watch: Option<f64>,
 }
 
 /// A class, as far as levels are concerned.
@@ -185,11 +179,8 @@
             turn_away: self.turn_away.clone(),
             spare_worth: part("spare_worth", self.spare_worth, usual.spare_worth, 0.0, f64::MAX),
             probes: self.probes.unwrap_or(usual.probes),
-            second_copies: self.second_copies.unwrap_or(usual.second_copies),
             retries: part("retries", self.retries, usual.retries, 0.0, 1.0),
             patience: part("patience", self.patience, usual.patience, 0.1, 1.0),
-            traces: self.traces.unwrap_or(usual.traces),
-            watch: part("watch", self.watch, usual.watch, 1.0, 100.0),
         };
         let enter = read(document, &field("enter"), &self.enter, classes)?;
         let leave = read(document, &field("leave"), &self.leave, classes)?;
@@ -273,15 +264,8 @@
         Some(Level { name: name.to_string(), enter, leave, least_stay: 5_000_000, effects })
     };
     let lean = Effects { retries: 0.5, ..Effects::default() };
-    let reduced = Effects { turn_away: away(0.5), retries: 0.1, traces: false, ..Effects::default() };
-    let essential = Effects {
-        turn_away: away(0.95),
-        retries: 0.0,
-        probes: false,
-        second_copies: false,
-        watch: 2.0,
-        ..Effects::default()
-    };
+    let reduced = Effects { turn_away: away(0.5), retries: 0.1, ..Effects::default() };
+    let essential = Effects { turn_away: away(0.95), retries: 0.0, probes: false, ..Effects::default() };
     let all = |class: &ClassFacts| (class.name.clone(), if class.repeatable && !alike { 0.95 } else { 0.9 });
     let recovery = Effects { turn_away: classes.iter().map(all).collect(), ..essential.clone() };
     [
--- a/crates/levels/tests/section.rs
+++ b/crates/levels/tests/section.rs
@@ -67,3 +67,14 @@
     let problems = check(&blind).expect_err("it can't see");
     assert!(problems[0].contains("let a part through"), "{problems:?}");
 }
+
+/// Read and of no effect, they would promise what nothing keeps.
+#[test]
+fn what_no_level_can_do_is_refused_with_its_name() {
+    for key in ["second_copies = false", "traces = false", "watch = 2.0"] {
+        let text = SOUND.replace("retries = 0.2", key);
+        let problems = check(&text).expect_err("it does nothing");
+        let name = key.split(' ').next().expect("a name");
+        assert!(problems.len() == 1 && problems[0].contains(name), "{problems:?}");
+    }
+}
