--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -95,3 +95,27 @@
         }
     }
 }
+
+/// A watch that falls silent is given up 4.5 s after its last word. What discovery has to tell counts as told after 6 s, and
+/// 3 s later nothing may go to a server that left. The module is not told why a watch ended, and spreads this call like any.
+#[test]
+#[should_panic(expected = "F20")]
+fn behind_a_watch_that_fell_silent_the_list_is_asked_for_before_its_news_count_as_told() {
+    let settings = Settings { group_size: 300, ..settings(&[Effect::Safe]) };
+    let mut rig = Rig::new(settings, &fleet(4));
+    let longest = (0..40).map(|_| {
+        rig.actions.clear();
+        rig.event(Event::Members(Members::Failed));
+        let at = rig.actions.iter().find_map(|action| match action {
+            Action::SetTimer { at, timer: Timer::Discovery } => Some(*at),
+            _ => None,
+        });
+        let wait = at.map_or(0, |at| at - rig.now);
+        rig.now += S;
+        rig.event(Event::Timer(Timer::Discovery));
+        rig.event(Event::Members(Members::Full(&fleet(4))));
+        wait
+    });
+    let longest = longest.max().unwrap_or(0);
+    assert!(4_500 * MS + longest <= 9 * S, "F20: the call comes up to {longest} us after the silence");
+}
--- a/crates/operations/src/duty.rs
+++ b/crates/operations/src/duty.rs
@@ -111,6 +111,37 @@
         assert_eq!(duty.closes_idle_since(Micros::MAX), None);
     }
 
+    /// Every sequence of seven calls, with and without time in between.
+    #[test]
+    fn every_sequence_of_calls_stops_for_good_and_drains_only_in_between() {
+        const CALLS: u32 = 6;
+        let mut count = 0u32;
+        for sequence in 0..CALLS.pow(7) {
+            let (mut duty, mut now, mut drains, mut stopped) = (Duty::default(), 0, None, false);
+            for place in 0..7 {
+                match sequence / CALLS.pow(place) % CALLS {
+                    0 => assert_eq!(duty.lame_duck(now), !stopped && drains.is_none()),
+                    1 => assert_eq!(duty.rejoin(), !stopped && drains.is_some()),
+                    2 => duty.stop(),
+                    3 => now += IDLE_STAYS - 1,
+                    4 => now += 1,
+                    _ => now += 10 * IDLE_STAYS,
+                }
+                match sequence / CALLS.pow(place) % CALLS {
+                    0 if !stopped => drains = drains.or(Some(now)),
+                    1 => drains = None,
+                    2 => (stopped, drains) = (true, None),
+                    _ => {}
+                }
+                assert_eq!((duty.is_stopping(), duty.is_serving()), (stopped, !stopped && drains.is_none()));
+                let closes = drains.is_some_and(|since| now >= since + IDLE_STAYS);
+                assert_eq!(duty.closes_idle_since(now), closes.then(|| now - IDLE_FOR));
+            }
+            count += 1;
+        }
+        assert_eq!(count, 279_936);
+    }
+
     proptest! {
         /// Whatever is called in whatever order: it wants work just while it neither drains nor stops, a stop is for
         /// good, and no idle connection is closed before those who hold it can know.
