Read helps and pages in one place in tests, and share the rig's server and wait

Now tests/pages serves both programs, and the rig has `serve`, `serve_all` and `until` for all that share it. The count that the upgrade test's server kept was read by nobody. No assertion was changed but the wait for the end of the flood, which is the shared one.

No code of the program changed.

--- a/crates/cli/tests/alone/log.rs
+++ b/crates/cli/tests/alone/log.rs
@@ -1,7 +1,6 @@
 //! The log under a flood: whoever reads it, slowly or not at all, the answers are the same.
 
-use super::serve;
-use crate::rig::{Conn, Node, Options, PATIENCE, Sidecar, request};
+use crate::rig::{Conn, Node, Options, PATIENCE, Sidecar, request, serve, serve_all, until};
 use rstest::rstest;
 use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
@@ -62,10 +61,7 @@
     let nodes = [Node::new(), Node::new()];
     let addresses = nodes.each_ref().map(Node::address);
     for node in nodes {
-        serve(node, |_, conn| {
-            conn.answer("200 OK", "made");
-            true
-        });
+        serve_all(node);
     }
     let options = Options { arguments: "--log-level debug", control: true, ..Options::default() };
     let mut sidecar = Sidecar::with(&addresses, options);
@@ -92,15 +88,8 @@
     let grown = resident_kb(&sidecar).saturating_sub(before);
     assert!(grown < 4_096, "it has grown by {grown} kB");
     sidecar.signal("TERM");
-    let until = Instant::now() + PATIENCE;
-    let ended = loop {
-        if let Some(ended) = sidecar.child.try_wait().expect("it can be asked") {
-            break ended;
-        }
-        assert!(Instant::now() < until, "it does not end");
-        std::thread::sleep(Duration::from_millis(5));
-    };
-    assert_eq!(ended.code(), Some(0));
+    until("it has ended", || sidecar.child.try_wait().expect("it can be asked").is_some());
+    assert_eq!(sidecar.child.wait().expect("it has ended").code(), Some(0));
     if let Some(told) = told {
         // The last line of all is there.
         comes(&told, "closed to new clients");
--- a/crates/cli/tests/alone/writes.rs
+++ b/crates/cli/tests/alone/writes.rs
@@ -1,8 +1,7 @@
 //! Writes counted over every layer: what one client means to have done arrives whole at servers at most so often, whoever
 //! tries again: the client with or without its mark, the module, or a connection that was closed while it lay idle.
 
-use super::serve;
-use crate::rig::{Conn, Message, Node, Sidecar, request_with};
+use crate::rig::{Conn, Message, Node, Sidecar, request_with, serve};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/cli/tests/operations/main.rs
+++ b/crates/cli/tests/operations/main.rs
@@ -11,8 +11,7 @@
 mod retune;
 mod upgrade;
 
-use rig::{Conn, Node, Options, PATIENCE, Sidecar};
-use std::time::{Duration, Instant};
+use rig::{Conn, Node, Options, Sidecar, until};
 
 /// A sidecar with a second address.
 fn asked(nodes: &[&Node]) -> Sidecar {
@@ -20,15 +19,6 @@
     Sidecar::with(&addresses, Options { control: true, ..Options::default() })
 }
 
-/// Waits until this holds.
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < end, "it never came that {what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// What `GET /ready` says.
 fn ready(sidecar: &Sidecar) -> u16 {
     let mut client = sidecar.client();
--- a/crates/cli/tests/operations/upgrade.rs
+++ b/crates/cli/tests/operations/upgrade.rs
@@ -1,13 +1,13 @@
 //! Two processes that are one sidecar for a while: the clients' socket is held by whoever starts them.
 
 use super::{asked, until};
-use crate::rig::{Conn, Node, Options, Sidecar, request};
+use crate::rig::{Conn, Node, Options, Sidecar, request, serve_all};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsRawFd, OwnedFd};
 use std::process::{Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
 /// The clients' socket, which every process that is started inherits by its number.
@@ -31,27 +31,6 @@
     }
 }
 
-/// A server that answers all that comes, until the test ends.
-fn serve_all(node: Node, stop: &Arc<AtomicBool>) -> JoinHandle<u64> {
-    let (stop, served) = (Arc::clone(stop), Arc::new(AtomicU64::new(0)));
-    std::thread::spawn(move || {
-        while !stop.load(Ordering::Relaxed) {
-            let Some(mut conn) = node.try_accept() else {
-                std::thread::sleep(std::time::Duration::from_millis(1));
-                continue;
-            };
-            let served = Arc::clone(&served);
-            std::thread::spawn(move || {
-                while conn.read().is_some() {
-                    served.fetch_add(1, Ordering::Relaxed);
-                    conn.answer("200 OK", "made");
-                }
-            });
-        }
-        served.load(Ordering::Relaxed)
-    })
-}
-
 /// A client that keeps its connection for as long as it may, and counts what it got. One that finds it closed between
 /// two requests opens another.
 fn keep_asking(at: SocketAddr, stop: &Arc<AtomicBool>) -> JoinHandle<u64> {
@@ -84,7 +63,7 @@
     let mut present = shared.start(server);
     let (at, stop) = (shared.address, Arc::new(AtomicBool::new(false)));
     let clients: Vec<_> = (0..4).map(|_| keep_asking(at, &stop)).collect();
-    let served_by = serve_all(node, &stop);
+    serve_all(node);
     for _ in 0..2 {
         // Only now: of two new ones that are there at once, all clients may come to the other.
         let next = shared.start(server);
@@ -99,7 +78,6 @@
     stop.store(true, Ordering::Relaxed);
     let served: u64 = clients.into_iter().map(|client| client.join().expect("nothing was lost")).sum();
     assert!(served > 0);
-    let _ = served_by.join();
 }
 
 /// Killed before it could serve, the new process has taken nothing.
--- a/crates/cli/tests/promises.rs
+++ b/crates/cli/tests/promises.rs
@@ -1,6 +1,8 @@
 //! What the pages promise, against the program: each sample file is loaded by the code that reads it in service, and each
 //! option of a page is in the program's help and the other way round.
 
+mod pages;
+use pages::{helped, options};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -61,37 +63,12 @@
     assert!(seen >= 11, "{seen} files were found");
 }
 
-/// The long options that a text names.
-fn options(text: &str) -> BTreeSet<String> {
-    let ends = |c: char| !(c.is_ascii_lowercase() || c == '-');
-    let words = text.split(|c: char| c.is_whitespace() || "`'\"([|,".contains(c));
-    let names = words.filter_map(|word| word.strip_prefix("--"));
-    names
-        .map(|name| name.split(ends).next().unwrap_or_default().to_string())
-        .filter(|n| n.len() > 1)
-        .collect()
-}
-
-/// The options of a command and all those below it.
-fn helped(path: &[&str]) -> BTreeSet<String> {
-    let help = told(&[path, &["--help"]].concat());
-    let mut found = options(&help);
-    let commands = help.split_once("\nCommands:\n").map_or("", |(_, below)| below);
-    for line in commands.lines().take_while(|line| !line.is_empty()) {
-        let name = line.split_whitespace().next().unwrap_or_default();
-        if line.starts_with("  ") && !line.starts_with("   ") && name != "help" {
-            found.append(&mut helped(&[path, &[name]].concat()));
-        }
-    }
-    found
-}
-
 /// Of other programs that pages use: cargo, curl, and the lab, whose own test sees to its page.
 const OTHERS: [&str; 6] = ["release", "bin", "example", "locked", "workspace", "ignored"];
 
 #[test]
 fn each_option_of_a_page_is_in_the_help_and_the_other_way_round() {
-    let help = helped(&[]);
+    let help = helped(env!("CARGO_BIN_EXE_madderloom"), &[]);
     let mut paged = BTreeSet::new();
     let pages = std::fs::read_dir(root().join("docs")).expect("it is there");
     let pages = pages.map(|page| page.expect("an entry").path()).filter(|page| page.is_file());
--- a/crates/cli/tests/sidecar/rig.rs
+++ b/crates/cli/tests/sidecar/rig.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -82,6 +83,39 @@
     panic!("nobody connects");
 }
 
+/// A server whose every connection is served by a thread of its own, which writes what it wants and ends the connection by
+/// returning false.
+pub fn serve(node: Node, each: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static) {
+    let each = Arc::new(each);
+    std::thread::spawn(move || {
+        loop {
+            let Some(mut conn) = node.try_accept() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let each = Arc::clone(&each);
+            std::thread::spawn(move || while conn.read().is_some_and(|message| each(&message, &mut conn)) {});
+        }
+    });
+}
+
+/// A server that answers all that comes.
+pub fn serve_all(node: Node) {
+    serve(node, |_, conn| {
+        conn.answer("200 OK", "made");
+        true
+    });
+}
+
+/// Waits until this holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "it never came that {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// One end of a connection.
 pub struct Conn(BufReader<TcpStream>);
 
--- a/crates/lab/tests/its_page_is_true.rs
+++ b/crates/lab/tests/its_page_is_true.rs
@@ -1,33 +1,13 @@
 //! The lab's page and the lab's help name the same options.
 
-use std::collections::BTreeSet;
+#[path = "../../cli/tests/pages/mod.rs"]
+mod pages;
+use pages::{helped, options};
 use std::path::Path;
-use std::process::Command;
-
-fn options(text: &str) -> BTreeSet<String> {
-    let ends = |c: char| !(c.is_ascii_lowercase() || c == '-');
-    let words = text.split(|c: char| c.is_whitespace() || "`'\"([|,".contains(c));
-    let names = words.filter_map(|word| word.strip_prefix("--"));
-    names
-        .map(|name| name.split(ends).next().unwrap_or_default().to_string())
-        .filter(|n| n.len() > 1)
-        .collect()
-}
-
-fn help(arguments: &[&str]) -> String {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_madderloom-lab"));
-    let done = command.args(arguments).arg("--help").output().expect("it runs");
-    String::from_utf8(done.stdout).expect("text")
-}
 
 #[test]
 fn each_option_of_its_pages_is_in_its_help_and_the_other_way_round() {
-    let all = help(&[]);
-    let (_, commands) = all.split_once("\nCommands:\n").expect("it has some");
-    let names =
-        commands.lines().take_while(|line| !line.is_empty()).filter_map(|l| l.split_whitespace().next());
-    let known: BTreeSet<String> =
-        names.filter(|n| *n != "help").flat_map(|name| options(&help(&[name]))).collect();
+    let known = helped(env!("CARGO_BIN_EXE_madderloom-lab"), &[]);
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let page = |name: &str| std::fs::read_to_string(root.join(name)).expect("it is there");
     let lab = page("docs/lab.md")
