--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -25,8 +25,7 @@
 
 impl Clock {
     pub(super) fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: micros(unix), turn: Cell::new(Turn::Outside) }
+        Clock { start: Instant::now(), unix: micros(unix()), turn: Cell::new(Turn::Outside) }
     }
 
     /// The time. Within a turn the clock is read once, so what is given there is as old as the turn at most: the time
@@ -53,8 +52,7 @@
     /// How far the wall clock is ahead of this one by now, in microseconds: it was put forward, or time went by in which
     /// this machine was suspended. Below 0 where it was put back.
     pub(super) fn behind(&self) -> i64 {
-        let wall = micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
-        let own = self.unix.saturating_add(micros(self.start.elapsed()));
+        let (wall, own) = (micros(unix()), self.now());
         i64::try_from(wall).unwrap_or(i64::MAX).saturating_sub(i64::try_from(own).unwrap_or(i64::MAX))
     }
 
@@ -71,6 +69,11 @@
     }
 }
 
+/// Since 1970, by the wall clock.
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 fn micros(span: Duration) -> Micros {
     Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX / 2)
 }
@@ -86,8 +89,7 @@
 
     /// The minute of the day now, by the wall clock, from 0 to 1,439.
     pub(super) fn minute(&self) -> u16 {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-        self.minute_at(i64::try_from(unix).unwrap_or(0))
+        self.minute_at(i64::try_from(unix().as_secs()).unwrap_or(0))
     }
 
     fn minute_at(&self, unix: i64) -> u16 {
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -292,7 +292,6 @@
                     tracing::warn!("{of}no client can be taken: {problem}");
                     self.common.alarm_in(pause).await;
                     pause = (2 * pause).min(LONGEST_PAUSE);
-                    continue;
                 }
             }
         }
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -351,17 +351,20 @@
 
     /// Once a second: what the story is to know, and whose regions have moved.
     pub(super) fn second(&self) {
-        if tracing::enabled!(tracing::Level::INFO) {
-            let moved = self.moves.borrow_mut().look(&self.snapshot().servers);
-            if let Some(moved) = moved {
-                let of = &self.label;
-                tracing::info!("{of}regions moved: {}", moved.told(|server| self.pool.name(server)));
-            }
+        let logged = tracing::enabled!(tracing::Level::INFO);
+        if !logged && self.teller.borrow().is_none() {
+            return;
+        }
+        let snapshot = self.snapshot();
+        let moved = if logged { self.moves.borrow_mut().look(&snapshot.servers) } else { None };
+        if let Some(moved) = moved {
+            let of = &self.label;
+            tracing::info!("{of}regions moved: {}", moved.told(|server| self.pool.name(server)));
         }
         // The local day is looked up where a story wants it alone.
         self.tell(|teller| {
             let (now, minute) = (self.common.clock.now(), self.common.minute_of_day());
-            teller.second(self, now, minute, &self.snapshot());
+            teller.second(self, now, minute, &snapshot);
         });
     }
 
