Rig for faults between processes: links commanded by name, plans as data, arrivals judged

Change: crates/rig, a library for tests: links (cut, cut after bytes, hold, hold old connections, delay, throttle, reset, swallow), processes (kill, start, start afresh, stop, continue), servers that remember arrivals and judge every window against rate x length + burst, plans drawn from a seed, printed, read and shrunk. The fleet tests use it; their Road, servers, clients and processes are gone from cli/tests/fleet/rig.rs.

--- a/crates/cli/tests/fleet/faults.rs
+++ b/crates/cli/tests/fleet/faults.rs
@@ -1,11 +1,11 @@
 //! Twenty real sidecars that serve, changed while they and the agent fail: every change ends for each of them, what
 //! they say of themselves agrees with what the fleet has settled on, and no request is lost or repeated by it.
 
-use crate::rig::{Instance, Load, Rig, ZONES, judge, signal, until};
+use crate::rig::{Instance, PAUSE, Rig, ZONES, judge};
 use madderloom_fleet::settings::{Overlay, Value};
+use madderloom_rig::{Direction, Load, Signal, until};
 use std::collections::BTreeMap;
 use std::process::Output;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// What goes wrong while a change rolls out.
@@ -110,11 +110,11 @@
                 self.relaunch(victim);
             }
             Fault::Still => {
-                signal(&self.rig.instances[victim].program().child, "STOP");
+                self.rig.instances[victim].program().signal(Signal::STOP);
                 self.accepted(&push(&self.rig, &id, &weight));
                 let results = self.rig.ended(&id);
                 assert_eq!(state(&results, &name), "failed", "{results:?}");
-                signal(&self.rig.instances[victim].program().child, "CONT");
+                self.rig.instances[victim].program().signal(Signal::CONT);
             }
             Fault::AgentKilled => {
                 self.accepted(&push(&self.rig, &id, &weight));
@@ -125,7 +125,7 @@
             }
             Fault::KilledUnsaid => {
                 let road = &self.rig.roads[ZONES[victim % 2]];
-                road.out.store(true, Ordering::Relaxed);
+                road.cut(Direction::Out);
                 let set = || self.rig.instances[victim].set();
                 let before = set();
                 // To all at once: the watch still brings the order, until the instance holds the agent to be away.
@@ -135,7 +135,7 @@
                 self.rig.instances[victim].program = None;
                 let results = self.rig.ended(&id);
                 assert_eq!(state(&results, &name), "failed", "it could not say so: {results:?}");
-                self.rig.roads[ZONES[victim % 2]].out.store(false, Ordering::Relaxed);
+                self.rig.roads[ZONES[victim % 2]].heal();
                 self.relaunch(victim);
             }
             Fault::Twice => {
@@ -214,7 +214,7 @@
             Fault::FileRead => {
                 self.accepted(&push(&self.rig, &id, &weight));
                 let instance = &self.rig.instances[victim];
-                signal(&instance.program().child, "HUP");
+                instance.program().signal(Signal::HUP);
                 instance.program().wait_for("operator file read again");
                 let results = self.rig.ended(&id);
                 assert!(results.values().all(|result| result["state"] == "applied"), "{results:?}");
@@ -281,7 +281,7 @@
 fn run(seed: u64, faults: &[Fault]) {
     let mut run = Run::new(seed);
     let fronts: Vec<_> = run.rig.instances.iter().take(STEADY).map(|instance| instance.front).collect();
-    let load = Load::on(&fronts);
+    let load = Load::on(&fronts, PAUSE);
     let mut faults = faults.to_vec();
     // In an order that the seed tells.
     for at in (1..faults.len()).rev() {
--- a/crates/cli/tests/fleet/overlay.rs
+++ b/crates/cli/tests/fleet/overlay.rs
@@ -1,7 +1,8 @@
 //! What a change sets on a sidecar that serves: each kind takes effect, stays over a new file and a new start, and
 //! goes with the section that names the agent.
 
-use crate::rig::{Load, Rig, judge, signal, until};
+use crate::rig::{PAUSE, Rig, judge};
+use madderloom_rig::{Load, Signal, until};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -18,7 +19,7 @@
     let program = instance.program();
     let told = || program.log().into_iter().filter(|line| line.contains("read again")).collect::<Vec<_>>();
     let before = told().len();
-    signal(&program.child, "HUP");
+    program.signal(Signal::HUP);
     until("it is read", || told().get(before).cloned())
 }
 
@@ -33,7 +34,7 @@
 fn a_drained_server_gets_nothing_new_and_no_request_is_lost_by_it() {
     let mut rig = Rig::new();
     rig.fleet(2);
-    let load = Load::on(&[rig.instances[0].front, rig.instances[1].front]);
+    let load = Load::on(&[rig.instances[0].front, rig.instances[1].front], PAUSE);
     let seen = |server: usize| rig.servers[server].seen().len();
     until("all are asked", || (0..3).all(|server| seen(server) > 5).then_some(()));
     rig.told("alice", &["drain", "w1"], 0);
@@ -92,7 +93,7 @@
     let set = (Some((ready.clone(), 2.5)), Some((draining, 1.0)), true, false);
     assert_eq!(seen(), set);
     // No agent is there, and the instance serves.
-    let load = Load::on(&[instance.front]);
+    let load = Load::on(&[instance.front], PAUSE);
     let text = rig.file(0, "");
     let from = text.find("[control]").expect("the section");
     let to = text.find("[[listeners]]").expect("the next one");
@@ -114,11 +115,11 @@
     // Read, and counted by the admin view.
     let files = || rig.instances[0].status().and_then(|status| status["files_read"].as_u64());
     let before = files();
-    signal(&program.child, "HUP");
+    program.signal(Signal::HUP);
     until("it is read", || (files() > before).then_some(()));
     assert_eq!(count(told), 0);
     pushed(&rig, "loud", "log_level = \"file\"");
-    signal(&program.child, "HUP");
+    program.signal(Signal::HUP);
     until("it is told", || (count(told) == 1).then_some(()));
 }
 
@@ -126,7 +127,7 @@
 fn a_change_that_hurts_shows_in_the_instances_own_figures_and_is_taken_back() {
     let mut rig = Rig::new();
     rig.fleet(4);
-    let load = Load::on(&rig.instances.iter().map(|instance| instance.front).collect::<Vec<_>>());
+    let load = Load::on(&rig.instances.iter().map(|instance| instance.front).collect::<Vec<_>>(), PAUSE);
     let enough =
         |instance: &serde_json::Value| instance["counts"]["ended"].as_u64().is_some_and(|ended| ended > 100);
     until("all have figures", || rig.listed().iter().all(enough).then_some(()));
@@ -143,8 +144,8 @@
         assert_eq!(instance.set().map(|set| set.len()), Some(0), "{}", instance.name);
     }
     let got = load.stop();
-    let odd: Vec<_> = got.iter().filter(|(_, answer)| ![Some(200), Some(503)].contains(answer)).collect();
-    assert!(odd.is_empty() && got.iter().any(|(_, answer)| *answer == Some(503)), "{odd:?}");
+    let odd: Vec<_> = got.iter().filter(|got| ![Some(200), Some(503)].contains(&got.status)).collect();
+    assert!(odd.is_empty() && got.iter().any(|got| got.status == Some(503)), "{odd:?}");
 }
 
 #[test]
@@ -154,7 +155,7 @@
     let text = rig.file(0, "").replace("on_time = 2_000_000", "on_time = 1");
     rig.instances = vec![rig.launch_as("shop-0", &text)];
     rig.until_alive(1);
-    let load = Load::on(&[rig.instances[0].front]);
+    let load = Load::on(&[rig.instances[0].front], PAUSE);
     let counts = until("it has figures", || {
         let counts = rig.listed().first()?["counts"].clone();
         (counts["ended"].as_u64()? > 50).then_some(counts)
--- a/crates/cli/tests/fleet/rig.rs
+++ b/crates/cli/tests/fleet/rig.rs
@@ -1,20 +1,16 @@
 //! An agent, instances that serve, servers behind them, clients that count what they got, and a network between the
 //! instances and the agent that can be cut in one direction.
 
+use madderloom_rig::{Got, Link, Program, Server, until};
 use serde_json::Value;
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::process::{Command, Output};
+use std::time::Duration;
 use tempfile::TempDir;
 
-/// Ends a test in which something never happens.
-pub const PATIENCE: Duration = Duration::from_secs(60);
-
 /// The program of this build, or the one that `MADDERLOOM_BINARY` names: a release build, for figures.
 pub fn madderloom(at: &Path, arguments: &[&str]) -> Command {
     let built = || env!("CARGO_BIN_EXE_madderloom").into();
@@ -48,206 +44,6 @@
     directory
 }
 
-/// Waits for something to happen.
-pub fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
-    let begin = Instant::now();
-    loop {
-        if let Some(found) = look() {
-            return found;
-        }
-        assert!(begin.elapsed() < PATIENCE, "never: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// Sends a signal to a process that the test has started.
-pub fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-    assert!(sent.expect("kill runs").success());
-}
-
-/// A process, and what it logs.
-pub struct Program {
-    pub child: Child,
-    log: Arc<Mutex<Vec<String>>>,
-}
-
-impl Program {
-    pub fn start(mut command: Command) -> Self {
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
-        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        let kept = Arc::clone(&log);
-        std::thread::spawn(move || {
-            lines.map_while(Result::ok).for_each(|line| kept.lock().expect("no panic").push(line));
-        });
-        Program { child, log }
-    }
-
-    pub fn log(&self) -> Vec<String> {
-        self.log.lock().expect("no panic").clone()
-    }
-
-    /// Waits for a line of the log that holds this.
-    pub fn wait_for(&self, text: &str) -> String {
-        until(&format!("{text} in the log"), || self.log().into_iter().find(|line| line.contains(text)))
-    }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Carries connections to where it is told, and can drop what goes one way.
-pub struct Road {
-    pub address: SocketAddr,
-    to: Arc<Mutex<SocketAddr>>,
-    /// What instances send is lost; what the agent sends is.
-    pub out: Arc<AtomicBool>,
-    pub back: Arc<AtomicBool>,
-    over: Arc<AtomicBool>,
-}
-
-impl Road {
-    pub fn new(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let road = Road {
-            address: listener.local_addr().expect("it is bound"),
-            to: Arc::new(Mutex::new(to)),
-            out: Arc::default(),
-            back: Arc::default(),
-            over: Arc::default(),
-        };
-        let (to, out, back, over) =
-            (Arc::clone(&road.to), Arc::clone(&road.out), Arc::clone(&road.back), Arc::clone(&road.over));
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if over.load(Ordering::Relaxed) {
-                    return;
-                }
-                let to = *to.lock().expect("no panic");
-                let Ok(onward) = TcpStream::connect(to) else { continue };
-                let (Ok(stream_too), Ok(onward_too)) = (stream.try_clone(), onward.try_clone()) else {
-                    continue;
-                };
-                let (out, back) = (Arc::clone(&out), Arc::clone(&back));
-                std::thread::spawn(move || carry(stream, onward_too, &out));
-                std::thread::spawn(move || carry(onward, stream_too, &back));
-            }
-        });
-        road
-    }
-
-    pub fn lead(&self, to: SocketAddr) {
-        *self.to.lock().expect("no panic") = to;
-    }
-}
-
-impl Drop for Road {
-    fn drop(&mut self) {
-        self.over.store(true, Ordering::Relaxed);
-        let _ = TcpStream::connect(self.address);
-    }
-}
-
-/// While it is cut, bytes are lost, and what comes behind lost ones would make no sense: the connection goes silent
-/// for good, as one does whose network has gone.
-fn carry(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
-    let (mut buffer, mut lost) = ([0; 16 << 10], false);
-    loop {
-        let read = match from.read(&mut buffer) {
-            Ok(0) => break,
-            Ok(read) => read,
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            Err(_) => break,
-        };
-        lost |= cut.load(Ordering::Relaxed);
-        if !lost && to.write_all(buffer.get(..read).unwrap_or_default()).is_err() {
-            break;
-        }
-    }
-    let _ = to.shutdown(std::net::Shutdown::Both);
-    let _ = from.shutdown(std::net::Shutdown::Both);
-}
-
-/// A server that answers every request, and remembers how often it saw each.
-pub struct Server {
-    pub name: String,
-    pub address: SocketAddr,
-    seen: Arc<Mutex<BTreeMap<String, u32>>>,
-    over: Arc<AtomicBool>,
-}
-
-impl Server {
-    pub fn new(name: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = listener.local_addr().expect("it is bound");
-        let server = Server { name: name.into(), address, seen: Arc::default(), over: Arc::default() };
-        let (seen, over) = (Arc::clone(&server.seen), Arc::clone(&server.over));
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if over.load(Ordering::Relaxed) {
-                    return;
-                }
-                let seen = Arc::clone(&seen);
-                std::thread::spawn(move || {
-                    let _ = stream.set_nodelay(true);
-                    let mut reader = BufReader::new(stream);
-                    while let Some((_, id, _)) = read(&mut reader) {
-                        *seen.lock().expect("no panic").entry(id).or_default() += 1;
-                        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                        if reader.get_mut().write_all(answer.as_bytes()).is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        server
-    }
-
-    /// How often each request was seen.
-    pub fn seen(&self) -> BTreeMap<String, u32> {
-        self.seen.lock().expect("no panic").clone()
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.over.store(true, Ordering::Relaxed);
-        let _ = TcpStream::connect(self.address);
-    }
-}
-
-/// The first line of a message, its `X-Trace-Id`, and whether its connection is to be closed; none where that ends
-/// first.
-fn read(reader: &mut BufReader<TcpStream>) -> Option<(String, String, bool)> {
-    let mut line = || {
-        let mut line = String::new();
-        let read = reader.read_line(&mut line).ok().filter(|read| *read > 0);
-        read.map(|_| line.trim_end().to_string())
-    };
-    let start = line()?;
-    let (mut id, mut length, mut closes) = (String::new(), 0, false);
-    while let Some((name, value)) = line()?.split_once(':') {
-        match name.to_ascii_lowercase().as_str() {
-            "x-trace-id" => id = value.trim().to_string(),
-            "connection" => closes = value.trim() == "close",
-            "content-length" => length = value.trim().parse().ok()?,
-            _ => {}
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some((start, id, closes))
-}
-
 /// A sidecar with an agent.
 pub struct Instance {
     pub name: String,
@@ -293,7 +89,7 @@
     pub agent: Option<Program>,
     pub address: SocketAddr,
     /// The ways to the agent, by zone.
-    pub roads: BTreeMap<String, Road>,
+    pub roads: BTreeMap<String, Link>,
     pub servers: Vec<Server>,
     pub instances: Vec<Instance>,
 }
@@ -310,7 +106,7 @@
         let (instances, roads) = Default::default();
         let mut rig = Rig { directory, agent: None, address: nowhere, roads, servers, instances };
         rig.start_agent();
-        rig.roads = ZONES.iter().map(|zone| (zone.to_string(), Road::new(rig.address))).collect();
+        rig.roads = ZONES.iter().map(|zone| (zone.to_string(), Link::new(rig.address))).collect();
         rig
     }
 
@@ -356,7 +152,7 @@
              max_attempts = 6, retry_after = true, max_retry_after = 1_500_000 }}\nsafety = {{ cold = 1_000_000, \
              cold_from = 0.3, fall = 1_000_000 }}\n\
              [[routes]]\nname = \"all\"\npool = \"shop\"\n{more}",
-            road.address,
+            road.address(),
             ZONES[number % 2],
             servers.join(", "),
         )
@@ -449,73 +245,11 @@
     }
 }
 
-/// Requests by their ids, and what each got: the answer's status, or nothing where the connection ended first.
-pub type Got = Vec<(String, Option<u16>)>;
-
-/// Clients that keep asking instances for an unsafe service, each on a connection that it keeps, until they are told
-/// to stop.
-pub struct Load {
-    over: Arc<AtomicBool>,
-    threads: Vec<std::thread::JoinHandle<Got>>,
-}
-
-impl Load {
-    /// One client for each of these.
-    pub fn on(fronts: &[SocketAddr]) -> Self {
-        static NEXT: AtomicU64 = AtomicU64::new(0);
-        let over: Arc<AtomicBool> = Arc::default();
-        let client = |front: SocketAddr| {
-            let over = Arc::clone(&over);
-            std::thread::spawn(move || {
-                let (mut got, mut open) = (Vec::new(), None);
-                while !over.load(Ordering::Relaxed) {
-                    let id = format!("r{:08}", NEXT.fetch_add(1, Ordering::Relaxed));
-                    let (answer, kept) = ask(front, &id, open.take());
-                    got.push((id, answer));
-                    open = kept;
-                    std::thread::sleep(Duration::from_millis(10));
-                }
-                got
-            })
-        };
-        let threads = fronts.iter().map(|front| client(*front)).collect();
-        Load { over, threads }
-    }
-
-    pub fn stop(self) -> Got {
-        self.over.store(true, Ordering::Relaxed);
-        self.threads.into_iter().flat_map(|thread| thread.join().expect("no panic")).collect()
-    }
-}
-
-type Open = BufReader<TcpStream>;
-
-/// Asks once. Gives the answer's status, and the connection if it can be used again.
-fn ask(front: SocketAddr, id: &str, open: Option<Open>) -> (Option<u16>, Option<Open>) {
-    let connect = || {
-        let stream = TcpStream::connect(front).ok()?;
-        stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
-        Some(BufReader::new(stream))
-    };
-    let Some(mut open) = open.or_else(connect) else { return (None, None) };
-    let text = format!(
-        "POST /submit HTTP/1.1\r\nHost: shop\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 5000\r\nContent-Length: 0\r\n\r\n"
-    );
-    if open.get_mut().write_all(text.as_bytes()).is_err() {
-        return (None, None);
-    }
-    match read(&mut open) {
-        Some((start, _, closes)) => {
-            let status = start.split(' ').nth(1).and_then(|status| status.parse().ok());
-            (status, Some(open).filter(|_| !closes))
-        }
-        None => (None, None),
-    }
-}
+/// Between an answer and a client's next request.
+pub const PAUSE: Duration = Duration::from_millis(10);
 
 /// Every request of these had its one answer from one server: none was lost, none repeated.
-pub fn judge(rig: &Rig, got: &[(String, Option<u16>)]) {
+pub fn judge(rig: &Rig, got: &[Got]) {
     let mut seen: BTreeMap<String, u32> = BTreeMap::new();
     for (id, times) in rig.servers.iter().flat_map(|server| server.seen()) {
         *seen.entry(id).or_default() += times;
@@ -523,7 +257,7 @@
     let twice: Vec<_> = seen.iter().filter(|(_, times)| **times > 1).collect();
     assert!(twice.is_empty(), "seen twice: {twice:?}");
     let lost: Vec<_> =
-        got.iter().filter(|(id, answer)| *answer != Some(200) || !seen.contains_key(id)).collect();
+        got.iter().filter(|got| got.status != Some(200) || !seen.contains_key(&got.id)).collect();
     assert!(lost.is_empty(), "{} of {} were not served: {lost:?}", lost.len(), got.len());
     assert!(got.len() > 20, "{} requests prove nothing", got.len());
 }
--- a/crates/cli/tests/fleet/wire.rs
+++ b/crates/cli/tests/fleet/wire.rs
@@ -1,7 +1,8 @@
 //! What goes wrong between real sidecars and a real agent: the network, keys, disks and clocks.
 
-use crate::rig::{Instance, Load, Rig, judge, until};
+use crate::rig::{Instance, PAUSE, Rig, judge};
 use madderloom_keys::{Authority, Files, Keyring, Role};
+use madderloom_rig::{Direction, Load, until};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -24,7 +25,7 @@
 
 /// Whether an instance serves a request.
 fn serves(rig: &Rig, instance: &Instance) {
-    let load = Load::on(&[instance.front]);
+    let load = Load::on(&[instance.front], PAUSE);
     std::thread::sleep(Duration::from_millis(1_500));
     judge(rig, &load.stop());
 }
@@ -33,24 +34,23 @@
 fn a_zone_cut_off_in_one_direction_fails_serves_on_and_comes_in_line_when_it_is_back() {
     let mut rig = Rig::new();
     rig.fleet(4);
-    let load = Load::on(&rig.instances.iter().map(|instance| instance.front).collect::<Vec<_>>());
-    for (round, out) in [(1, true), (2, false)] {
+    let load = Load::on(&rig.instances.iter().map(|instance| instance.front).collect::<Vec<_>>(), PAUSE);
+    for (round, lost) in [(1, Direction::Out), (2, Direction::Back)] {
         let north = &rig.roads["north"];
-        let cut = if out { &north.out } else { &north.back };
-        cut.store(true, Ordering::Relaxed);
+        north.cut(lost);
         let (id, set) = (format!("cut-{round}"), format!("\"weight/w1\" = {round}.5"));
         assert!(rig.push(&id, AT_ONCE, &set).status.success());
         let results = rig.ended(&id);
         for (name, result) in &results {
             let north = ["shop-0", "shop-2"].contains(&name.as_str());
-            assert_eq!(result["state"], if north { "failed" } else { "applied" }, "out {out}: {results:?}");
+            assert_eq!(result["state"], if north { "failed" } else { "applied" }, "{lost:?}: {results:?}");
             let reason = result["reason"].as_str().unwrap_or_default();
             assert!(!north || reason.contains("unreachable"), "{results:?}");
         }
         assert_eq!(weight(&rig.instances[1], "w1"), Some(f64::from(round) + 0.5));
-        cut.store(false, Ordering::Relaxed);
+        north.heal();
         rig.until_alive(4);
-        assert_eq!(weight(&rig.instances[0], "w1"), Some(f64::from(round) + 0.5), "out {out}");
+        assert_eq!(weight(&rig.instances[0], "w1"), Some(f64::from(round) + 0.5), "{lost:?}");
     }
     judge(&rig, &load.stop());
 }
@@ -310,7 +310,7 @@
         let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a line").to_string();
         line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number")
     };
-    let load = Load::on(&[instance.front]);
+    let load = Load::on(&[instance.front], PAUSE);
     let told = |at: usize| asked[at].load(Ordering::Relaxed);
     until("all of the nonsense was told", || (told(0) >= 6 && told(1) >= 9 && told(2) >= 2).then_some(()));
     judge(&rig, &load.stop());
@@ -326,7 +326,7 @@
     rig.fleet(1);
     let twin = rig.launch_as("twin", &rig.file(0, "").replace("kept-0", "kept-twin"));
     rig.instances.push(twin);
-    let load = Load::on(&[rig.instances[0].front, rig.instances[1].front]);
+    let load = Load::on(&[rig.instances[0].front, rig.instances[1].front], PAUSE);
     until("the agent tells", || (!rig.listed().first()?["rival"].is_null()).then_some(()));
     let told = rig.told("vic", &["instances"], 0);
     assert!(told.contains("another process wants this name"), "{told}");
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,74 @@
+//! Faults between processes, for tests. Nothing that serves is built on this.
+//!
+//! - A [`Link`] stands between any two processes and does with their bytes what a test commands: it cuts, holds, delays,
+//!   throttles, resets or swallows them.
+//! - A [`Program`] is a process that the test has started, with what it logs; it ends with the test.
+//! - A [`Server`] answers what it is asked and remembers when each request arrived, so that a bound is judged by who can
+//!   see it from outside: see [`Arrivals`].
+//! - A [`Load`] asks, and keeps what it got.
+//! - A [`Plan`] is a list of faults as data: drawn from a seed, printed, read again, and shrunk to the shortest one that
+//!   still fails. A [`Stage`] carries it out.
+//!
+//! Everything is on loopback. What is open at once, and for how long a test waits, is bounded here ([`MOST_PROGRAMS`],
+//! [`PATIENCE`]); only what the rig has started is ever stopped.
+
+mod link;
+mod load;
+mod plan;
+mod program;
+mod server;
+mod stage;
+
+pub use link::{Direction, Link};
+pub use load::{Got, Load};
+pub use plan::{Act, Fault, Menu, Plan, shrink};
+pub use program::{MOST_PROGRAMS, Program, Signal};
+pub use server::{Arrivals, Server};
+pub use stage::{Slot, Stage};
+
+use std::sync::{LazyLock, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+
+/// Ends a test in which something never happens.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits for something to happen, for [`PATIENCE`] at most.
+///
+/// # Panics
+/// It never did.
+pub fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let begin = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(begin.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// What carries links, servers and loads: one thread beside the test's own.
+fn runtime() -> &'static Handle {
+    static RUNTIME: LazyLock<Handle> = LazyLock::new(|| {
+        raise_descriptors();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let handle = runtime.handle().clone();
+        std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+        handle
+    });
+    &RUNTIME
+}
+
+/// This process may open as many descriptors as the system lets it.
+fn raise_descriptors() {
+    use rustix::process::{Resource, getrlimit, setrlimit};
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    let _ = setrlimit(Resource::Nofile, limit);
+}
+
+/// What a panic elsewhere left locked is as good as ever: nothing here is changed in several steps.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/rig/src/link.rs
@@ -0,0 +1,325 @@
+//! A link between two processes: a port of its own, whose connections go on to where it leads.
+
+use crate::runtime;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Bytes that are read at once; a connection holds 64 of such pieces in each direction at most.
+const PIECE: usize = 16 << 10;
+const PIECES: usize = 64;
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Direction {
+    /// From the one who connects.
+    Out,
+    /// To the one who connects.
+    Back,
+}
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Way {
+    /// They are lost, and a connection that has lost some stays silent for good: what comes behind makes no sense.
+    cut: bool,
+    /// They wait, in order, until they are let go.
+    held: bool,
+    /// Each takes so long.
+    delay: Duration,
+    /// So many go on in a second.
+    rate: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct State {
+    to: SocketAddr,
+    ways: [Way; 2],
+    /// Connections with a number below this one are held, whatever holds for later ones.
+    held_below: u64,
+    /// Connections with a number below this one are reset.
+    reset_below: u64,
+    /// New connections are taken and never read.
+    swallows: bool,
+    /// In each direction so many more bytes pass, then it is cut.
+    cut_after: [Option<u64>; 2],
+}
+
+struct Shared {
+    state: watch::Sender<State>,
+    /// Bytes that went through, by direction, and connections taken.
+    carried: [AtomicU64; 2],
+    taken: AtomicU64,
+}
+
+/// A link. All commands take effect at once, on the connections that are open as on later ones, where nothing else is
+/// said. It ends, with its connections, when it is dropped.
+pub struct Link {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: AbortHandle,
+}
+
+impl Link {
+    /// A link to this address, open in both directions.
+    pub fn new(to: SocketAddr) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener.set_nonblocking(true).expect("it can be");
+        let address = listener.local_addr().expect("it is bound");
+        let state = State {
+            to,
+            ways: [Way::default(); 2],
+            held_below: 0,
+            reset_below: 0,
+            swallows: false,
+            cut_after: [None; 2],
+        };
+        let shared = Arc::new(Shared {
+            state: watch::Sender::new(state),
+            carried: Default::default(),
+            taken: AtomicU64::new(0),
+        });
+        let own = Arc::clone(&shared);
+        let task = runtime().spawn(async move {
+            let listener = TcpListener::from_std(listener).expect("it is a listener");
+            // Connections end with the link.
+            let mut open = tokio::task::JoinSet::new();
+            loop {
+                while open.try_join_next().is_some() {}
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        let number = own.taken.fetch_add(1, Ordering::Relaxed);
+                        open.spawn(connection(Arc::clone(&own), stream, number));
+                    }
+                    Err(_) => sleep(Duration::from_millis(5)).await,
+                }
+            }
+        });
+        Link { address, shared, accepting: task.abort_handle() }
+    }
+
+    /// Where to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// New connections lead here; open ones stay where they are.
+    pub fn lead(&self, to: SocketAddr) {
+        self.change(|state| state.to = to);
+    }
+
+    /// What goes this way is lost.
+    pub fn cut(&self, direction: Direction) {
+        self.change(|state| state.ways[direction as usize].cut = true);
+    }
+
+    /// What goes either way is lost.
+    pub fn cut_both(&self) {
+        self.change(|state| state.ways.iter_mut().for_each(|way| way.cut = true));
+    }
+
+    /// So many more bytes go this way, over all connections; then it is cut.
+    pub fn cut_after(&self, direction: Direction, bytes: u64) {
+        self.change(|state| state.cut_after[direction as usize] = Some(bytes));
+    }
+
+    /// What goes this way waits until [`Link::let_go`], the end of a connection too: its bytes may arrive long after
+    /// its sender has gone.
+    pub fn hold(&self, direction: Direction) {
+        self.change(|state| state.ways[direction as usize].held = true);
+    }
+
+    /// The connections that are open now wait in both directions until [`Link::let_go`]; later ones go on. So the bytes
+    /// of an old connection come behind those of a new one.
+    pub fn hold_old(&self) {
+        let taken = self.shared.taken.load(Ordering::Relaxed);
+        self.change(|state| state.held_below = taken);
+    }
+
+    /// All that waits goes on at once.
+    pub fn let_go(&self) {
+        self.change(|state| {
+            state.held_below = 0;
+            state.ways.iter_mut().for_each(|way| way.held = false);
+        });
+    }
+
+    /// Each byte takes so long, in each direction.
+    pub fn delay(&self, each: Duration) {
+        self.change(|state| state.ways.iter_mut().for_each(|way| way.delay = each));
+    }
+
+    /// So many bytes a second, in each direction of each connection.
+    pub fn throttle(&self, bytes_per_second: u64) {
+        self.change(|state| {
+            state.ways.iter_mut().for_each(|way| way.rate = Some(bytes_per_second.max(1)));
+        });
+    }
+
+    /// Every open connection is reset at both ends.
+    pub fn reset(&self) {
+        let taken = self.shared.taken.load(Ordering::Relaxed);
+        self.change(|state| state.reset_below = taken);
+    }
+
+    /// New connections are taken, and nothing is ever read from them.
+    pub fn swallow(&self) {
+        self.change(|state| state.swallows = true);
+    }
+
+    /// All is as at the beginning. What is held goes on; connections that have lost bytes stay silent, and those that
+    /// were swallowed are reset.
+    pub fn heal(&self) {
+        self.change(|state| {
+            let to = state.to;
+            let reset_below = state.reset_below;
+            *state = State {
+                to,
+                ways: [Way::default(); 2],
+                held_below: 0,
+                reset_below,
+                swallows: false,
+                cut_after: [None; 2],
+            };
+        });
+    }
+
+    /// Bytes that went through so far, in this direction.
+    pub fn carried(&self, direction: Direction) -> u64 {
+        self.shared.carried[direction as usize].load(Ordering::Relaxed)
+    }
+
+    /// Connections taken so far.
+    pub fn taken(&self) -> u64 {
+        self.shared.taken.load(Ordering::Relaxed)
+    }
+
+    fn change(&self, how: impl FnOnce(&mut State)) {
+        self.shared.state.send_modify(how);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn connection(shared: Arc<Shared>, near: TcpStream, number: u64) {
+    let mut state = shared.state.subscribe();
+    let (to, swallows) = {
+        let state = state.borrow();
+        (state.to, state.swallows)
+    };
+    let near_too = near.as_fd().try_clone_to_owned();
+    if swallows {
+        let _ = state.wait_for(|state| !state.swallows || state.reset_below > number).await;
+        return near_too.into_iter().for_each(|end| abort_on_close(&end));
+    }
+    let Ok(far) = TcpStream::connect(to).await else { return };
+    let ends: Vec<OwnedFd> = near_too.into_iter().chain(far.as_fd().try_clone_to_owned()).collect();
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    // Unlike the stream's own halves, these say nothing to the other end when they are dropped.
+    let ((near_read, near_write), (far_read, far_write)) = (tokio::io::split(near), tokio::io::split(far));
+    let out = way(Arc::clone(&shared), Direction::Out, number, near_read, far_write);
+    let back = way(Arc::clone(&shared), Direction::Back, number, far_read, near_write);
+    tokio::select! {
+        _ = async { tokio::try_join!(out, back) } => {}
+        _ = state.wait_for(|state| state.reset_below > number) => ends.iter().for_each(abort_on_close),
+    }
+}
+
+/// The last close of it sends a reset.
+fn abort_on_close(end: &OwnedFd) {
+    let _ = rustix::net::sockopt::set_socket_linger(end, Some(Duration::ZERO));
+}
+
+/// Carries one direction. An error ends the connection; an end that was not lost goes on.
+async fn way(
+    shared: Arc<Shared>,
+    direction: Direction,
+    number: u64,
+    from: ReadHalf<TcpStream>,
+    to: WriteHalf<TcpStream>,
+) -> Result<(), ()> {
+    let (sender, pieces) = mpsc::channel(PIECES);
+    let reading = read(Arc::clone(&shared), direction, from, sender);
+    tokio::try_join!(reading, write(shared, direction, number, to, pieces)).map(|_| ())
+}
+
+/// A piece, and when it was read; none where the sender has ended.
+type Piece = (Instant, Option<Vec<u8>>);
+
+async fn read(
+    shared: Arc<Shared>,
+    direction: Direction,
+    mut from: ReadHalf<TcpStream>,
+    to: mpsc::Sender<Piece>,
+) -> Result<(), ()> {
+    let (mut buffer, mut lost) = (vec![0; PIECE], false);
+    loop {
+        // A connection that is broken carries nothing further, and the other end sees it end.
+        let mut read = from.read(&mut buffer).await.unwrap_or(0);
+        shared.state.send_if_modified(|state| {
+            lost |= state.ways[direction as usize].cut;
+            let Some(left) = &mut state.cut_after[direction as usize] else { return false };
+            let pass = (*left).min(read as u64);
+            *left -= pass;
+            if pass < read as u64 {
+                state.ways[direction as usize].cut = true;
+                state.cut_after[direction as usize] = None;
+                // What went before the cut arrives.
+                read = pass as usize;
+            }
+            false
+        });
+        if lost {
+            match read {
+                // Nobody hears of its end.
+                0 => std::future::pending().await,
+                _ => continue,
+            }
+        }
+        let piece = (read > 0).then(|| buffer[..read].to_vec());
+        let ended = piece.is_none();
+        to.send((Instant::now(), piece)).await.map_err(|_| ())?;
+        if ended {
+            return Ok(());
+        }
+    }
+}
+
+async fn write(
+    shared: Arc<Shared>,
+    direction: Direction,
+    number: u64,
+    mut to: WriteHalf<TcpStream>,
+    mut pieces: mpsc::Receiver<Piece>,
+) -> Result<(), ()> {
+    let mut state = shared.state.subscribe();
+    while let Some((came, piece)) = pieces.recv().await {
+        let free = |state: &State| !state.ways[direction as usize].held && number >= state.held_below;
+        let Way { delay, rate, .. } = match state.wait_for(free).await {
+            Ok(state) => state.ways[direction as usize],
+            Err(_) => return Err(()),
+        };
+        sleep_until(came + delay).await;
+        let Some(piece) = piece else {
+            let _ = to.shutdown().await;
+            return Ok(());
+        };
+        if let Some(rate) = rate {
+            sleep(Duration::from_secs_f64(piece.len() as f64 / rate as f64)).await;
+        }
+        to.write_all(&piece).await.map_err(|_| ())?;
+        shared.carried[direction as usize].fetch_add(piece.len() as u64, Ordering::Relaxed);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,119 @@
+//! Clients that ask, and keep what they got.
+
+use crate::{lock, runtime};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// An answer is waited for so long.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// What one request got.
+#[derive(Clone, Debug)]
+pub struct Got {
+    /// Its `X-Trace-Id`, of which no two are alike in a process.
+    pub id: String,
+    /// When it was sent.
+    pub at: Instant,
+    /// The answer's status; none where the connection ended first.
+    pub status: Option<u16>,
+    /// What the answer said of coming again, in seconds.
+    pub retry_after: Option<f64>,
+}
+
+/// Clients that keep asking for an unsafe service, `POST /submit`, each on a connection that it keeps, until they are
+/// told to stop. Each asks again so long after an answer.
+pub struct Load {
+    over: watch::Sender<bool>,
+    got: Arc<Mutex<Vec<Got>>>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// One client for each of these, with this pause between an answer and the next request.
+    pub fn on(fronts: &[SocketAddr], pause: Duration) -> Self {
+        let (over, _) = watch::channel(false);
+        let got: Arc<Mutex<Vec<Got>>> = Arc::default();
+        let clients = fronts
+            .iter()
+            .map(|front| runtime().spawn(client(*front, pause, over.subscribe(), Arc::clone(&got))));
+        Load { clients: clients.collect(), over, got }
+    }
+
+    /// What was got so far.
+    pub fn so_far(&self) -> Vec<Got> {
+        lock(&self.got).clone()
+    }
+
+    /// No more requests; those that are under way are waited for.
+    pub fn stop(self) -> Vec<Got> {
+        let _ = self.over.send(true);
+        for client in self.clients {
+            runtime().block_on(client).expect("no panic");
+        }
+        std::mem::take(&mut *lock(&self.got))
+    }
+}
+
+async fn client(
+    front: SocketAddr,
+    pause: Duration,
+    mut over: watch::Receiver<bool>,
+    got: Arc<Mutex<Vec<Got>>>,
+) {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let mut open = None;
+    while !*over.borrow() {
+        let id = format!("r{:08}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let at = Instant::now();
+        let asked = tokio::time::timeout(WAIT, ask(front, &id, &mut open)).await.ok().flatten();
+        if asked.is_none() {
+            open = None;
+        }
+        let (status, retry_after) = asked.map_or((None, None), |(status, after)| (Some(status), after));
+        lock(&got).push(Got { id, at, status, retry_after });
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = over.changed() => {}
+        }
+    }
+}
+
+async fn ask(
+    front: SocketAddr,
+    id: &str,
+    open: &mut Option<SendRequest<Empty<Bytes>>>,
+) -> Option<(u16, Option<f64>)> {
+    let mut sender = match open.take() {
+        Some(sender) if !sender.is_closed() => sender,
+        _ => {
+            let stream = TcpStream::connect(front).await.ok()?;
+            let _ = stream.set_nodelay(true);
+            let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+            tokio::spawn(connection);
+            sender
+        }
+    };
+    let request = Request::post("/submit")
+        .header("host", "shop")
+        .header("x-trace-id", id)
+        .header("x-expires-in-ms", "5000")
+        .header("content-length", "0")
+        .body(Empty::new())
+        .ok()?;
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    let after = answer.headers().get("retry-after").and_then(|after| after.to_str().ok()?.parse().ok());
+    answer.into_body().collect().await.ok()?;
+    *open = sender.ready().await.ok().map(|()| sender);
+    Some((status, after))
+}
--- /dev/null
+++ b/crates/rig/src/program.rs
@@ -0,0 +1,69 @@
+//! Processes that the test has started.
+
+use crate::{lock, until};
+use rustix::process::{Pid, kill_process};
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+pub use rustix::process::Signal;
+
+/// The most processes of one rig at a time.
+pub const MOST_PROGRAMS: usize = 600;
+
+static RUNNING: AtomicUsize = AtomicUsize::new(0);
+
+/// A process, and what it logs. It is killed when this is dropped, stopped or not.
+pub struct Program {
+    /// The process.
+    pub child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Program {
+    /// Starts it; its standard error is read by the rig.
+    ///
+    /// # Panics
+    /// It can't be started, or [`MOST_PROGRAMS`] run already.
+    pub fn start(mut command: Command) -> Self {
+        let running = RUNNING.fetch_add(1, Ordering::Relaxed);
+        assert!(running < MOST_PROGRAMS, "{running} programs run already");
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| lock(&kept).push(line)));
+        Program { child, log }
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> Vec<String> {
+        lock(&self.log).clone()
+    }
+
+    /// Waits for a line of the log that holds this.
+    pub fn wait_for(&self, text: &str) -> String {
+        let found = || lock(&self.log).iter().find(|line| line.contains(text)).cloned();
+        until(&format!("{text} in the log"), found)
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("a process"), signal).expect("it runs");
+    }
+
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.kill();
+        RUNNING.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/server.rs
@@ -0,0 +1,165 @@
+//! Stand-in servers that answer what they are asked, and remember when each request arrived.
+
+use crate::{lock, runtime};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinSet};
+
+/// When requests arrived and for how long each was open, as a server saw it. Those of several servers may be put
+/// together.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals(Vec<(Instant, Instant)>);
+
+impl Arrivals {
+    /// All of these together.
+    pub fn of<'s>(servers: impl IntoIterator<Item = &'s Server>) -> Self {
+        let mut all: Vec<_> =
+            servers.into_iter().flat_map(|server| lock(&server.seen).open.clone()).collect();
+        all.sort_unstable();
+        Arrivals(all)
+    }
+
+    /// Those that arrived from then on.
+    pub fn since(&self, from: Instant) -> Self {
+        Arrivals(self.0.iter().filter(|(at, _)| *at >= from).copied().collect())
+    }
+
+    /// Those that arrived before then.
+    pub fn before(&self, to: Instant) -> Self {
+        Arrivals(self.0.iter().filter(|(at, _)| *at < to).copied().collect())
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// By how much the worst window was over a rate with a burst: over every window that begins and ends with an
+    /// arrival, so many arrived more than `rate × length + burst`. At or below 0 where the bound was kept. `jitter` is
+    /// how much later one may arrive than it was let in; each window is taken as that much longer.
+    ///
+    /// Every window is looked at in one pass: arrivals less the rate's line, against the lowest point before.
+    pub fn over(&self, rate: f64, burst: f64, jitter: Duration) -> f64 {
+        let Some((first, _)) = self.0.first() else { return f64::NEG_INFINITY };
+        let (mut worst, mut lowest) = (f64::NEG_INFINITY, f64::INFINITY);
+        for (before, (at, _)) in self.0.iter().enumerate() {
+            let line = rate * at.duration_since(*first).as_secs_f64();
+            lowest = lowest.min(before as f64 - line);
+            worst = worst.max((before + 1) as f64 - line - lowest);
+        }
+        worst - burst - rate * jitter.as_secs_f64()
+    }
+
+    /// The most that were open at once.
+    pub fn most_open(&self) -> usize {
+        let begun = self.0.iter().map(|(at, _)| (*at, 1i64));
+        let mut steps: Vec<(Instant, i64)> = begun.chain(self.0.iter().map(|(_, end)| (*end, -1))).collect();
+        // One that ends as another begins goes first.
+        steps.sort_unstable();
+        let mut open = 0;
+        steps
+            .iter()
+            .map(|(_, step)| {
+                open += step;
+                open
+            })
+            .max()
+            .unwrap_or(0)
+            .max(0) as usize
+    }
+
+    /// Arrivals a second between two times.
+    pub fn rate(&self, from: Instant, to: Instant) -> f64 {
+        let there = self.0.iter().filter(|(at, _)| (from..to).contains(at)).count();
+        there as f64 / to.duration_since(from).as_secs_f64()
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    open: Vec<(Instant, Instant)>,
+    ids: BTreeMap<String, u32>,
+}
+
+/// A server that answers every request with 200.
+pub struct Server {
+    /// Its name in lists.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+    task: AbortHandle,
+}
+
+impl Server {
+    /// One that answers at once.
+    pub fn new(name: &str) -> Self {
+        Server::that_takes(name, Duration::ZERO)
+    }
+
+    /// One that takes so long for each request.
+    pub fn that_takes(name: &str, time: Duration) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener.set_nonblocking(true).expect("it can be");
+        let address = listener.local_addr().expect("it is bound");
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let own = Arc::clone(&seen);
+        let task = runtime().spawn(async move {
+            let listener = TcpListener::from_std(listener).expect("it is a listener");
+            let mut open = JoinSet::new();
+            loop {
+                while open.try_join_next().is_some() {}
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let _ = stream.set_nodelay(true);
+                let seen = Arc::clone(&own);
+                let answer = service_fn(move |request| answer(Arc::clone(&seen), time, request));
+                open.spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), answer));
+            }
+        });
+        Server { name: name.into(), address, seen, task: task.abort_handle() }
+    }
+
+    /// How often each request was seen, by its `X-Trace-Id`.
+    pub fn seen(&self) -> BTreeMap<String, u32> {
+        lock(&self.seen).ids.clone()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer(
+    seen: Arc<Mutex<Seen>>,
+    time: Duration,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let came = Instant::now();
+    let id = request.headers().get("x-trace-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
+    *lock(&seen).ids.entry(id.to_string()).or_default() += 1;
+    // One that breaks off is answered like any other: it arrived.
+    let _ = request.into_body().collect().await;
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+    lock(&seen).open.push((came, Instant::now()));
+    Ok(Response::new(Full::new(Bytes::from_static(b"ok"))))
+}
