Never leave a server without its bound where an instance has more parts than it may

Cause: a limit for each server made parts on demand up to 256; behind those, admit_at found no part of the name, and what is under no limit is let in. Found by reading the change once more: a pool of 300 servers would have had 44 without a bound.

Change: the part used longest ago with nothing open makes room; where all are in use, the attempt is turned away.

Measured: a test with 1,000 servers, one request each and all 255 in use; before, the 257th was let in at once. The other tests of quota and the real processes with a limit for each server pass.

--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -257,11 +257,22 @@
         Some(leased)
     }
 
-    /// One of each server: takes part in a limit that goes by `limit/server` as in `limit`.
+    /// The same for one server of a limit that is for each: the part goes by `limit/server`. A server that was not used
+    /// of late is under the safe part until a report has asked for it. Of [`MOST_LIMITS`] parts the one that was used
+    /// longest ago, with nothing open, makes room.
+    ///
+    /// # Errors
+    /// When to come again; also where so many parts are in use that there is no room for another.
     pub fn admit_at(&mut self, now: Micros, limit: &str, server: &str) -> Result<(), Denied> {
         let name = format!("{limit}/{server}");
-        if !self.limits.contains_key(&name) && self.limits.len() < MOST_LIMITS {
+        if !self.limits.contains_key(&name) {
             let Some(safe) = self.limits.get(limit).map(|held| held.safe) else { return Ok(()) };
+            if self.limits.len() >= MOST_LIMITS {
+                let idle = self.limits.iter().filter(|(_, held)| held.of_demand && held.open == 0);
+                let oldest = idle.min_by_key(|(_, held)| held.last).map(|(name, _)| name.clone());
+                let Some(oldest) = oldest else { return Err(Denied { after: None, unleased: true }) };
+                self.limits.remove(&oldest);
+            }
             self.limits.insert(name.clone(), Held::new(now, safe, true));
         }
         self.admit(now, &name)
@@ -303,8 +314,8 @@
         }
     }
 
-    /// A request that was let in never began: another limit turned it away. What it took is not given back, or a bucket
-    /// would hold more than ran in.
+    /// A request that was let in has ended, or has not begun since another limit turned it away. What it took of the rate
+    /// is not given back, or a bucket would hold more than ran in.
     pub fn end(&mut self, limit: &str) {
         if let Some(held) = self.limits.get_mut(limit) {
             held.open = held.open.saturating_sub(1);
--- a/crates/quota/tests/no_window_is_over_the_limit.rs
+++ b/crates/quota/tests/no_window_is_over_the_limit.rs
@@ -391,6 +391,31 @@
     assert!(had.iter().all(|had| *had) && at_once <= 3, "{had:?}, {at_once} at once");
 }
 
+/// More servers than there may be parts: none of them is without a bound, and what was used longest ago makes room.
+#[test]
+fn no_server_is_without_a_bound_however_many_there_are() {
+    let mut holder = Holder::default();
+    let one = Amount { rate: ONE, burst: ONE, open: 1 };
+    holder.follow(1, [("node".to_string(), Safe::Fixed(one))]);
+    for server in 0..1_000u64 {
+        let (now, name) = (2_000_000 + 2_000_000 * server, format!("w{server}"));
+        assert!(holder.admit_at(now, "node", &name).is_err(), "an empty bucket lets nothing in");
+        let later = now + 1_000_000;
+        assert!(holder.admit_at(later, "node", &name).is_ok());
+        assert!(holder.admit_at(later, "node", &name).is_err(), "one is open");
+        holder.end(&format!("node/{name}"));
+    }
+    let known = |holder: &Holder| holder.standings(0).count();
+    assert_eq!(known(&holder), madderloom_quota::MOST_LIMITS);
+    // All in use: another is turned away, and none is forgotten.
+    let now = 4_000_000_000;
+    for server in 745..1_000 {
+        assert!(holder.admit_at(now, "node", &format!("w{server}")).is_ok());
+    }
+    assert!(holder.admit_at(now, "node", "another").is_err());
+    assert_eq!(holder.standings(now).map(|(_, standing)| standing.open).sum::<u64>(), 255);
+}
+
 /// One that has three open under a lease of three is told of one less. What it said before it had them open comes late,
 /// and must not make room for others.
 #[test]
