Answer what was asked of a process that stood still, on connections idle for long

Cause: a stop breaks off the wait for sockets (epoll_wait ends with EINTR), so on going on the alarm of an idle connection is seen before its bytes are. A parked client whose idle_within had passed during the stop was closed with a request in its socket: the client got nothing.

Change: when the alarm rings, the system is asked whether a byte waits (one recv with MSG_PEEK for a connection that would be closed; nothing for a request).

--- a/crates/cli/tests/connections/idle.rs
+++ b/crates/cli/tests/connections/idle.rs
@@ -46,6 +46,26 @@
     assert!(active.all_served() > 0);
 }
 
+/// A process that goes on after a stop finds the time of those that lie idle over before it has looked at its sockets:
+/// the wait for them was broken off by the signal. What they have asked meanwhile is in their sockets.
+#[test]
+fn a_process_that_stood_still_answers_what_was_asked_meanwhile() {
+    let server = StandIn::new("s", Manner::Serves);
+    let process = process("idle_within = \"1s\"", &[&server], "");
+    let mut conns: Vec<Conn> = (0..20).map(|_| connect(process.at("in"))).collect();
+    for _ in 0..3 {
+        assert!(ask_all(&mut conns).contains(&200));
+        wait_until(&process, "/connections/parked", |parked| parked >= 20);
+        process.signal("STOP");
+        let asked = std::thread::spawn(move || (ask_all(&mut conns), conns));
+        std::thread::sleep(Duration::from_millis(1_200));
+        process.signal("CONT");
+        let (answers, asked) = asked.join().expect("no panic");
+        assert!(answers.iter().all(|status| [200, 503].contains(status)), "{answers:?}");
+        conns = asked;
+    }
+}
+
 /// What a client that sends a byte at a time reaches, and when its connection ends.
 fn trickle(mut stream: TcpStream, bytes: &[u8], gap: Duration) -> (usize, Duration) {
     let begun = Instant::now();
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -13,6 +13,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use madderloom_balancer::Micros;
+use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
@@ -291,11 +292,19 @@
             Poll::Ready(Err(_)) => return Poll::Ready(false),
             Poll::Pending => {}
         }
-        alarm.as_mut().poll(context).map(|()| false)
+        // A stop of the process breaks off the wait for sockets, and so the alarm is seen first when it goes on: what
+        // came meanwhile is in the socket, and the runtime does not know of it.
+        alarm.as_mut().poll(context).map(|()| holds_a_byte(stream))
     })
     .await
 }
 
+/// Whether a first byte waits to be read: asked of the system, and not of what the runtime has heard.
+fn holds_a_byte(stream: &TcpStream) -> bool {
+    let found = rustix::net::recv(stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    found.is_ok_and(|(count, _)| count > 0)
+}
+
 /// Serves requests. Gives the connection back once it has been idle for a moment.
 async fn served(listener: &Rc<Listener>, client: &Rc<Client>, io: ClientIo) -> Option<ClientIo> {
     let common = &listener.common;
