Count what a process's start costs: requests by its age, and why those without an attempt had none

The trail had no line for the start of a process and no request's id, so a refusal could not be told from one that waited in vain.

--- a/crates/lab/src/cli/count.rs
+++ b/crates/lab/src/cli/count.rs
@@ -2,6 +2,7 @@
 
 use super::{Output, table, tell, tell_json};
 use crate::count::{self, Counted};
+use crate::starts::AGES;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,6 +24,9 @@
     /// A line for each server in place of one for each step
     #[arg(long)]
     servers: bool,
+    /// What became of requests by the age of their process, and how long starts took, in place of a line for each step
+    #[arg(long, conflicts_with = "servers")]
+    starts: bool,
     /// How it is told; an object holds the steps and the servers
     #[arg(long, value_enum, default_value_t = Output::Text)]
     output: Output,
@@ -53,6 +57,7 @@
         }
         match self.output {
             Output::Json => tell_json(&counted)?,
+            Output::Text if self.starts => tell(&starts(&counted)),
             Output::Text if self.servers => tell(&servers(&counted)),
             Output::Text => tell(&steps(&counted)),
         }
@@ -101,6 +106,38 @@
     format!("{table}\n{} instances; {} lines passed over\n", counted.instances, counted.passed_over)
 }
 
+fn starts(counted: &Counted) -> String {
+    let mut text = String::new();
+    let kinds = ["processes that are the first in their logs", "processes that follow"];
+    for (kind, started) in kinds.iter().zip(&counted.starts) {
+        let mut ages = table(&[
+            "age up to s",
+            "requests",
+            "sent",
+            "early",
+            "no list",
+            "all cold",
+            "no server",
+            "tried",
+            "left",
+        ]);
+        for (most, at) in AGES.iter().zip(&started.ages) {
+            let most = if *most == u64::MAX { "any".to_string() } else { format!("{}", most / 1_000_000) };
+            let numbers =
+                [at.requests, at.sent, at.early, at.no_list, at.all_cold, at.no_server, at.tried, at.left];
+            ages.add_row(std::iter::once(most).chain(numbers.map(|n| n.to_string())));
+        }
+        let mut firsts = table(&["ms to the first", "median", "nine in ten", "all", "never"]);
+        let of = [("list", &started.list), ("attempt", &started.attempt), ("answer", &started.answer)];
+        for (name, first) in of {
+            let at = |part| first.quantile(part).map_or("-".into(), |us| format!("{:.1}", us as f64 / 1e3));
+            firsts.add_row([name.into(), at(0.5), at(0.9), at(1.0), first.never.to_string()]);
+        }
+        text += &format!("{} {kind}\n{ages}\n{firsts}\n", started.lives);
+    }
+    text
+}
+
 fn servers(counted: &Counted) -> String {
     let mut table = table(&["server", "senders", "sent", "opened", "served in ms", "ended"]);
     for server in &counted.servers {
--- a/crates/lab/src/count.rs
+++ b/crates/lab/src/count.rs
@@ -4,6 +4,7 @@
 //! lines that sidecars write at the level `debug` with `--log-format json` (whatever stands before the object on a line is
 //! passed over, as platforms put the time there) and adds them up, by steps of time or by server.
 
+use crate::starts::{Heard, Lives, Started};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -32,6 +33,24 @@
     us: Option<u64>,
     #[serde(default)]
     up: Option<bool>,
+    #[serde(default)]
+    request: u64,
+    #[serde(borrow, default)]
+    state: Cow<'a, str>,
+}
+
+impl Fields<'_> {
+    fn heard(&self) -> Heard<'_> {
+        Heard {
+            t: self.t,
+            what: &self.what,
+            request: self.request,
+            server: self.server.as_deref().unwrap_or_default(),
+            state: &self.state,
+            started: self.started.unwrap_or(0),
+            outcome: self.outcome.as_deref().unwrap_or_default(),
+        }
+    }
 }
 
 /// What happened in one step of time, by all instances.
@@ -93,6 +112,8 @@
     pub steps: Vec<Step>,
     /// By server, in the order of their names.
     pub servers: Vec<OfServer>,
+    /// By the starts of processes: those that are the first in their logs, and those that follow.
+    pub starts: [Started; 2],
 }
 
 #[derive(Default)]
@@ -117,6 +138,7 @@
     let (mut servers, mut times) = (HashMap::<String, OfServer>::new(), HashMap::<String, (u64, u64)>::new());
     for log in logs {
         let (mut of_use, mut sent_to) = (false, HashSet::<String>::new());
+        let mut lives = Lives::default();
         for line in log.lines() {
             let object = line.find('{').map(|at| &line[at..]);
             let Some(line) = object.and_then(|object| serde_json::from_str::<Line<'_>>(object).ok()) else {
@@ -125,6 +147,7 @@
             };
             let fields = line.fields;
             of_use = true;
+            lives.hear(&fields.heard(), cold, &mut counted.starts);
             let server = fields.server.map(Cow::into_owned).unwrap_or_default();
             let at = busy.entry(fields.t / step).or_default();
             match &*fields.what {
@@ -153,6 +176,7 @@
                 "ask" => at.step.asks += 1,
                 "refuse" => at.step.refused += 1,
                 "fail" => at.step.failed += 1,
+                "start" => {}
                 "ended" => {
                     let outcome = fields.outcome.map(Cow::into_owned).unwrap_or_default();
                     if outcome == "Ok" {
@@ -166,6 +190,7 @@
                 _ => counted.passed_over += 1,
             }
         }
+        lives.end(&mut counted.starts);
         counted.instances += u64::from(of_use);
     }
     let first = busy.keys().next().copied().unwrap_or(0);
@@ -190,6 +215,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::starts::AtAge;
 
     const ONE: &str = r#"0.001 {"fields":{"t":1000000,"what":"listed","server":"a","name":"s-1","state":"Ready","started":900000}}
 0.002 {"fields":{"message":"x","t":1050000,"what":"request","class":0}}
@@ -219,6 +245,39 @@
         assert_eq!(counted.steps.len(), 3, "steps in which nothing happened are left out");
     }
 
+    #[test]
+    fn requests_are_counted_by_the_age_of_their_process_and_by_why_they_had_no_attempt() {
+        let log = r#"{"fields":{"t":1000000,"what":"start"}}
+{"fields":{"t":1100000,"what":"request","request":1,"class":0}}
+{"fields":{"t":1300000,"what":"refuse","request":1}}
+{"fields":{"t":1400000,"what":"request","request":2}}
+{"fields":{"t":1400000,"what":"refuse","request":2}}
+{"fields":{"t":1500000,"what":"listed","server":"a","name":"s-1","state":"Ready","started":1450000}}
+{"fields":{"t":1500000,"what":"request","request":3}}
+{"fields":{"t":1600000,"what":"refuse","request":3}}
+{"fields":{"t":5000000,"what":"request","request":4}}
+{"fields":{"t":5100000,"what":"send","request":4,"server":"a"}}
+{"fields":{"t":5200000,"what":"ended","request":4,"server":"a","outcome":"Error","us":1}}
+{"fields":{"t":5300000,"what":"refuse","request":4}}
+{"fields":{"t":5300000,"what":"request","request":5}}
+{"fields":{"t":5400000,"what":"fail","request":5}}
+{"fields":{"t":7000000,"what":"start"}}
+{"fields":{"t":7000000,"what":"listed","server":"a","state":"Ready","started":1450000}}
+{"fields":{"t":7100000,"what":"request","request":1}}
+{"fields":{"t":7100000,"what":"send","request":1,"server":"a"}}
+{"fields":{"t":7200000,"what":"request","request":2}}
+{"fields":{"t":7300000,"what":"ended","request":1,"server":"a","outcome":"Ok","us":200000}}
+"#;
+        let [first, later] = count([log], 100_000, 1_000_000).starts;
+        let young = AtAge { requests: 3, early: 1, no_list: 1, all_cold: 1, ..AtAge::default() };
+        let old = AtAge { requests: 2, sent: 1, tried: 1, no_server: 1, ..AtAge::default() };
+        assert_eq!((first.lives, first.ages[0], first.ages[3]), (1, young, old));
+        assert_eq!((first.list.quantile(1.0), first.attempt.quantile(0.5)), (Some(500_000), Some(4_100_000)));
+        assert_eq!((first.answer.never, first.answer.quantile(0.5)), (1, None));
+        assert_eq!((later.lives, later.answer.after), (1, vec![300_000]));
+        assert_eq!(later.ages[0], AtAge { requests: 2, sent: 1, left: 1, ..AtAge::default() });
+    }
+
     #[test]
     fn a_server_is_counted_over_all_that_send_to_it() {
         let counted = count([ONE, OTHER], 100_000, 1_000_000);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod shipped;
 pub mod sockets;
 pub mod standin;
+pub mod starts;
 pub mod stats;
 pub mod up;
 pub mod virtual_time;
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -146,6 +146,7 @@
             label,
         });
         common.services.borrow_mut().push(Rc::clone(&service));
+        trail::started(common.clock.now());
         service.recall_classes();
         pool::begin(&service, known);
         levels::set(&service, levels);
--- a/crates/sidecar/src/trail.rs
+++ b/crates/sidecar/src/trail.rs
@@ -4,12 +4,15 @@
 //!
 //! | `what` | the values beside it |
 //! | --- | --- |
+//! | `start` | none: a process has begun to serve |
 //! | `listed` | `server` with its `name`, `state`, `kind`, `started` |
-//! | `request` | `class` |
-//! | `send`, `probe` | `server` |
+//! | `request` | `request`, `class` |
+//! | `send` | `request`, `server` |
+//! | `probe` | `server` |
 //! | `open` | `server`, `up`: a connection was asked for, and whether it came up |
-//! | `ended` | `server`, `outcome`, `us`: how long the attempt took |
-//! | `refuse`, `fail`, `ask` | none |
+//! | `ended` | `request`, `server`, `outcome`, `us`: how long the attempt took |
+//! | `refuse`, `fail` | `request` |
+//! | `ask` | none |
 //!
 //! `t` is the time in microseconds since 1970 by the sidecar's own clock; a `server` is its id, the same at every
 //! instance.
@@ -18,6 +21,11 @@
 use madderloom_balancer::{Action, Closed, Event, Listed, Members, Micros, ServerId};
 use tracing::{Level, debug, enabled};
 
+/// A pool has begun to serve, with nothing measured yet.
+pub(super) fn started(now: Micros) {
+    debug!(t = now, what = "start", "start");
+}
+
 /// What the module is told.
 pub(super) fn event(service: &Service, now: Micros, event: &Event<'_>) {
     match event {
@@ -29,10 +37,11 @@
             }
         }
         Event::Request(new) => {
-            debug!(t = now, what = "request", class = new.class, "request {}", new.id);
+            let (request, class) = (new.id, new.class);
+            debug!(t = now, what = "request", request, class, "request {request}");
         }
         Event::Closed(Closed { request, server, outcome, elapsed: us, .. }) => {
-            debug!(t = now, what = "ended", %server, ?outcome, us, "ended {request}: {outcome:?} after {us} us");
+            debug!(t = now, what = "ended", request, %server, ?outcome, us, "ended {request}: {outcome:?} after {us} us");
         }
         _ => {}
     }
@@ -41,10 +50,12 @@
 /// What the module has done.
 pub(super) fn action(now: Micros, action: &Action) {
     match action {
-        Action::Send { request, server, .. } => debug!(t = now, what = "send", %server, "send {request}"),
+        Action::Send { request, server, .. } => {
+            debug!(t = now, what = "send", request, %server, "send {request}")
+        }
         Action::Probe(server) => debug!(t = now, what = "probe", %server, "probe"),
-        Action::Refuse { request, .. } => debug!(t = now, what = "refuse", "refuse {request}"),
-        Action::Fail { request } => debug!(t = now, what = "fail", "fail {request}"),
+        Action::Refuse { request, .. } => debug!(t = now, what = "refuse", request, "refuse {request}"),
+        Action::Fail { request } => debug!(t = now, what = "fail", request, "fail {request}"),
         Action::Subscribe => debug!(t = now, what = "ask", "ask discovery"),
         _ => {}
     }
