Call for the list once in each of successive spans, whatever becomes of the calls

Cause: found by sixty real sidecars against a discovery that dies of more than 16 calls (the new tests/starts). The list that is known at the start also took the place of an answered call, so the first failure did not lengthen the wait.

Change: an instance calls once in every span of those that follow one another, anywhere in it; after a failed call the next span is twice as long. The rig has a stand-in discovery (crates/rig Lists) that works in turn, dies, slows down, answers nonsense, half or nothing.

The module's test of 1,000 keeps to the ceiling with all, a quarter and none of the calls failing.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -151,7 +151,7 @@
             Event::ClientGone(id) => self.settle(id, actions),
             Event::Timer(Timer::Request(id)) => self.review(now, id, actions),
             Event::Timer(Timer::Discovery) => {
-                self.asking = false;
+                (self.asking, self.ask_heard) = (false, false);
                 actions.push(Action::Subscribe)
             }
             Event::Coming(id) => self.coming(id),
@@ -167,12 +167,22 @@
 
     // ---- Discovery ----
 
-    /// Instances start together and fail together: the waits are spread at random.
+    /// Instances start together and fail together: each calls once in every span of those that follow one another,
+    /// anywhere in it, so that all call at the same rate whatever becomes of their calls.
     fn ask_later(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.asking, true) {
-            let wait = self.random.rand_range(0..self.ask_wait);
-            self.ask_wait = (2 * self.ask_wait).min(ask_wait(&self.settings).1);
-            actions.push(Action::SetTimer { at: now + wait, timer: Timer::Discovery });
+            let (first, longest, allowed) = ask_wait(&self.settings);
+            let (span, within) = match self.ask_heard {
+                true => (first, allowed.0),
+                false => ((2 * self.ask_span).min(longest), allowed.1), // the call failed
+            };
+            self.ask_span = span;
+            // Within what the rules allow: where the next span goes on for longer, all of a half of that.
+            let (after, latest) = (self.ask_until.max(now), now + within);
+            let from = if after + span <= latest { after } else { latest - within.div_ceil(2) };
+            self.ask_until = latest.min(after + span);
+            let at = self.random.rand_range(from..self.ask_until);
+            actions.push(Action::SetTimer { at, timer: Timer::Discovery });
         }
     }
 
@@ -188,7 +198,7 @@
             }
             Members::Changes(list) => list,
         };
-        self.ask_wait = ask_wait(&self.settings).0;
+        self.ask_heard = true;
         let all = list.len().max(self.ready.len()).max(1);
         let users = f64::from(self.settings.group_size) * self.reach(now).min(all) as f64 / all as f64;
         let at_once = AT_ONCE / users;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -375,7 +375,11 @@
     pub(crate) retry_budget: f64,
     /// What the level of service that holds gives up.
     pub(crate) reduced: Reduced,
-    pub(crate) ask_wait: Micros,
+    /// The length and the end of the span in which it has called last, or will.
+    pub(crate) ask_span: Micros,
+    pub(crate) ask_until: Micros,
+    /// Whether a list came since the last call.
+    pub(crate) ask_heard: bool,
     pub(crate) asking: bool,
 }
 
@@ -406,7 +410,9 @@
             served: Fading::over(RATE_SPAN),
             retry_budget: RETRY_BUDGET.1,
             reduced: Reduced::default(),
-            ask_wait: ask_wait(&settings).0,
+            ask_span: 0,
+            ask_until: 0,
+            ask_heard: true,
             asking: false,
             settings,
         })
@@ -476,11 +482,13 @@
 /// The first and the longest wait before the list is asked for. All instances ask one service, which works through what
 /// was given up long ago too: called by all at once it answers nobody from then on. But whoever asks too late is held to
 /// know of drains that it has not heard of: no fleet is so large that an instance may wait longer than that.
-pub(crate) fn ask_wait(settings: &Settings) -> (Micros, Micros) {
+/// The span for the first call, the longest one, and within what the rules allow after a list and after a failed call.
+pub(crate) fn ask_wait(settings: &Settings) -> (Micros, Micros, (Micros, Micros)) {
     let all = Micros::from(settings.group_size);
     let most = |part: f64| (part * settings.rules.ask_within as f64).max(1.0) as Micros;
     let (first, longest) = (ASK_AGAIN.0.max(ASK_EACH.0 * all), ASK_AGAIN.1.max(ASK_EACH.1 * all));
-    (first.min(most(ASK_PART.0)), longest.min(most(ASK_PART.1)))
+    let allowed = (most(ASK_PART.0), most(ASK_PART.1));
+    (first.min(allowed.0), longest.min(allowed.1), allowed)
 }
 
 fn shortest_aim(settings: &Settings, retired: impl Fn(usize) -> bool) -> f64 {
--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -63,16 +63,20 @@
     }
 }
 
+/// When it will ask.
+fn asks_at(rig: &mut Rig) -> Option<Micros> {
+    rig.actions.drain(..).find_map(|action| match action {
+        Action::SetTimer { at, timer: Timer::Discovery } => Some(at),
+        _ => None,
+    })
+}
+
 /// When an instance asks, and how long after each of the calls that fail then it asks again.
 fn waits(settings: &Settings, seed: u64) -> Vec<Micros> {
     let mut rig = Rig::seeded(settings.clone(), seed, &fleet(4));
     let mut waits = Vec::new();
     for _ in 0..12 {
-        let at = rig.actions.drain(..).find_map(|action| match action {
-            Action::SetTimer { at, timer: Timer::Discovery } => Some(at),
-            _ => None,
-        });
-        let at = at.expect("it will ask");
+        let at = asks_at(&mut rig).expect("it will ask");
         waits.push(at - rig.now);
         rig.now = at;
         assert!(rig.event(Event::Timer(Timer::Discovery)).contains(&Action::Subscribe));
@@ -96,6 +100,65 @@
     }
 }
 
+/// The calls of so many instances that start together, over a minute, where each fails, or is answered by a list whose
+/// watch ends at once, as this draws.
+fn calls(instances: u32, mut fails: impl FnMut() -> bool) -> Vec<Micros> {
+    let settings = Settings { group_size: instances, ..settings(&[Effect::Safe]) };
+    let mut calls = Vec::new();
+    for seed in 0..instances {
+        let mut rig = Rig::seeded(settings.clone(), u64::from(seed), &fleet(4));
+        let began = rig.now;
+        while let Some(at) = asks_at(&mut rig)
+            && at <= began + 60 * S
+        {
+            calls.push(at - began);
+            rig.now = at;
+            rig.event(Event::Timer(Timer::Discovery));
+            rig.actions.clear();
+            if !fails() {
+                rig.event(Event::Members(Members::Full(&fleet(4))));
+            }
+            rig.event(Event::Members(Members::Failed));
+        }
+    }
+    calls.sort_unstable();
+    calls
+}
+
+/// By how many the worst window was over a call in each of these spans.
+fn over(calls: &[Micros], each: f64) -> f64 {
+    let (mut worst, mut lowest) = (0.0_f64, f64::INFINITY);
+    for (before, at) in calls.iter().enumerate() {
+        let line = *at as f64 / each;
+        lowest = lowest.min(before as f64 - line);
+        worst = worst.max((before + 1) as f64 - line - lowest);
+    }
+    worst
+}
+
+/// Where a call that failed was asked again at any time from then on, those who had failed called beside those who had not
+/// called yet: 60 instances were 25 calls over in one window.
+#[test]
+fn what_becomes_of_calls_never_brings_more_of_them_than_the_first_wave() {
+    for (instances, span) in [(6, 500_000.0), (60, 4.8e6), (100, 8e6), (300, 9e6), (1_000, 9e6)] {
+        let many = f64::from(instances);
+        for part_that_fails in [0, 1, 4] {
+            let mut turn = 0;
+            let fails = || {
+                turn += 1;
+                turn % 4 < part_that_fails
+            };
+            let calls = calls(instances, fails);
+            assert!(calls.len() > instances as usize);
+            // After a list the rules want a call within 9 s, which may be before the next span is over: where watches
+            // end as soon as they were told, two of an instance's calls fall into one.
+            let each = span / many / if part_that_fails == 4 { 1.0 } else { 2.0 };
+            let over = over(&calls, each);
+            assert!(over <= 4.0 * many.sqrt(), "{instances}, {part_that_fails} of 4 fail: {over}");
+        }
+    }
+}
+
 /// A watch that falls silent is given up 4.5 s after its last word. What discovery has to tell counts as told after 6 s, and
 /// 3 s later nothing may go to a server that left. The module is not told why a watch ended, and spreads this call like any.
 #[test]
@@ -106,11 +169,7 @@
     let longest = (0..40).map(|_| {
         rig.actions.clear();
         rig.event(Event::Members(Members::Failed));
-        let at = rig.actions.iter().find_map(|action| match action {
-            Action::SetTimer { at, timer: Timer::Discovery } => Some(*at),
-            _ => None,
-        });
-        let wait = at.map_or(0, |at| at - rig.now);
+        let wait = asks_at(&mut rig).map_or(0, |at| at - rig.now);
         rig.now += S;
         rig.event(Event::Timer(Timer::Discovery));
         rig.event(Event::Members(Members::Full(&fleet(4))));
--- /dev/null
+++ b/crates/cli/tests/starts/main.rs
@@ -0,0 +1,226 @@
+//! Sixty real sidecars that start in one moment, share nothing, and know an old list; between them and a discovery that
+//! dies of too many calls are links, and parts of it all fail. What discovery and the servers counted is judged.
+
+use madderloom_rig::{Got, Link, Lists, Load, Manner, Program, Says, Server, Slot, Stage, listing, until};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const MANY: usize = 60;
+/// Each instance of the fleet has this much of the time over which first calls are drawn.
+const EACH: f64 = 0.08;
+/// Over which the first calls of all of them are drawn.
+const SPREAD: Duration = Duration::from_millis(80 * MANY as u64);
+/// A debug build of sixty takes so long to be up on a machine that is busy.
+const SLACK: Duration = Duration::from_secs(4);
+/// A call without any answer is given up after this.
+const SILENCE: Duration = millis(4_500);
+/// A call reaches discovery so much later than it was due at most.
+const JITTER: Duration = Duration::from_millis(150);
+const ZONES: [&str; 3] = ["north", "south", "east"];
+
+/// What discovery bears: some 50 calls a second, of which 16 may wait.
+const MANNER: Manner = Manner { each: millis(20), most: 16, down: Duration::from_secs(1), says: Says::List };
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// One fleet at a time: what is judged is what sixty do, and not what a machine full of them does.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Fleet {
+    _directory: TempDir,
+    lists: Lists,
+    stage: Stage,
+    fronts: BTreeMap<String, SocketAddr>,
+    /// Three that the old list has too, and three that only discovery knows of.
+    servers: Vec<Server>,
+    began: Instant,
+    _alone: MutexGuard<'static, ()>,
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("a port is free")
+        .port()
+}
+
+fn config(number: usize, front: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    let known: serde_json::Value = serde_json::from_str(known).expect("a list");
+    let config = serde_json::json!({
+        "name": format!("n{number}"), "listen": front.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{:016x}", 0x5eed + number), "known": known,
+        "settings": {
+            "areas": ["a"], "kinds": ["m1"], "group_size": MANY, "my_zone": 0, "period": 5000,
+            "discovery": "subscribe",
+            "services": [{"name": "submit", "effect": "unsafe", "key_scope": "all", "window": 4000000,
+                "on_time": 2000000, "give_up": 6000000, "worth": 10.0, "late_worth": 0.0}],
+            "limits": {"cancel": true, "conn_idle": 60000000, "connect_timeout": 250000, "max_attempts": 6,
+                "retry_after": true, "max_retry_after": 1500000, "probes": false},
+            "safety": {"ask_within": 10000000, "cold": 1000000, "cold_from": 0.3, "fall": 1000000}}});
+    config.to_string()
+}
+
+impl Fleet {
+    /// Sixty that start as fast as they can be. The list that they know is old: half of it has gone, and half of what
+    /// there is is not in it.
+    fn start(manner: Manner, before: impl FnOnce(&Stage)) -> Self {
+        let alone = alone();
+        let directory = TempDir::new().expect("a directory");
+        let servers: Vec<Server> =
+            (0..6).map(|number| Server::that_takes(&format!("w{number}"), millis(5))).collect();
+        let gone: Vec<Server> = (0..3).map(|number| Server::new(&format!("gone{number}"))).collect();
+        let known = listing(1, &gone.iter().chain(&servers[..3]).collect::<Vec<_>>());
+        drop(gone);
+        let lists = Lists::new(manner, &servers.iter().collect::<Vec<_>>());
+        let mut stage = Stage::default();
+        for zone in ZONES {
+            stage.links.insert(format!("{zone}>lists"), Link::new(lists.address));
+        }
+        before(&stage);
+        let began = Instant::now();
+        let mut fronts = BTreeMap::new();
+        for number in 0..MANY {
+            let zone = ZONES[number % ZONES.len()];
+            let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+            let file = directory.path().join(format!("{number}.json"));
+            let discovery = stage.links[&format!("{zone}>lists")].address();
+            std::fs::write(&file, config(number, front, discovery, &known)).expect("written");
+            let make = move |_| {
+                let built = || env!("CARGO_BIN_EXE_madderloom").into();
+                let mut command = Command::new(std::env::var_os("MADDERLOOM_BINARY").unwrap_or_else(built));
+                command.arg("serve").env("RELAY_CONFIG", &file);
+                command
+            };
+            let name = format!("{zone}-{number}");
+            stage.slots.insert(name.clone(), Slot::new(Program::start(make(false)), make));
+            fronts.insert(name, front);
+        }
+        for name in fronts.keys() {
+            stage.program(name).wait_for("listening on ");
+        }
+        Fleet { _directory: directory, lists, stage, fronts, servers, began, _alone: alone }
+    }
+
+    /// A client at each.
+    fn load(&self) -> Load {
+        Load::on(&self.fronts.values().copied().collect::<Vec<_>>(), millis(150))
+    }
+
+    /// Waits until all have the list, and gives how long that took from the start on.
+    fn all_told(&self) -> Duration {
+        until("each has the list", || (self.lists.told() == MANY).then_some(()));
+        self.began.elapsed()
+    }
+
+    /// The ceiling that the page states: first calls come at one in 80 ms with a burst of 3√N, whatever fails.
+    fn judge_calls(&self) {
+        eprintln!("died {} times", self.lists.deaths().len());
+        let calls = self.lists.calls();
+        let burst = 3.0 * (MANY as f64).sqrt();
+        let over = calls.over(1.0 / EACH, burst, JITTER);
+        let after = self.began.elapsed();
+        eprintln!("{} calls, {} at once, over {over:.1}, after {after:.1?}", calls.len(), calls.most_open());
+        assert!(over <= 0.0, "{over} calls over the ceiling of some window, of {}", calls.len());
+    }
+
+    /// Nobody is without an answer; whoever was served ran once, and whoever was refused ran nowhere.
+    fn judge(&self, got: &[Got], killed: bool) {
+        let mut seen: BTreeMap<String, u32> = BTreeMap::new();
+        for (id, times) in self.servers.iter().flat_map(Server::seen) {
+            *seen.entry(id).or_default() += times;
+        }
+        for got in got {
+            let ran = seen.get(&got.id).copied().unwrap_or(0);
+            match got.status {
+                Some(200) => assert_eq!(ran, 1, "{got:?}"),
+                Some(503) => assert!(ran == 0 && got.retry_after.is_some(), "{got:?}"),
+                None if killed => assert!(ran <= 1, "{got:?}"),
+                _ => panic!("{got:?}, ran {ran} times"),
+            }
+        }
+        let served = got.iter().filter(|got| got.status == Some(200)).count();
+        let part = served as f64 / got.len().max(1) as f64;
+        eprintln!("{served} of {} served, {part:.3}", got.len());
+        let least = if killed { 0.8 } else { 0.97 };
+        assert!(got.len() > 10 * MANY && part > least, "{served} of {} served", got.len());
+    }
+}
+
+#[test]
+fn sixty_that_start_at_once_serve_from_an_old_list_and_their_calls_are_spread() {
+    let fleet = Fleet::start(MANNER, |_| ());
+    let load = fleet.load();
+    let took = fleet.all_told();
+    assert!(took < SPREAD + SLACK, "the last had its list after {took:?}");
+    std::thread::sleep(millis(1_000));
+    fleet.judge(&load.stop(), false);
+    fleet.judge_calls();
+    assert_eq!((fleet.lists.calls().len(), fleet.lists.deaths().len()), (MANY, 0));
+    for new in &fleet.servers[3..] {
+        assert!(!new.seen().is_empty(), "{} is in no old list, and got nothing", new.name);
+    }
+}
+
+/// A third is cut off meanwhile, and comes back to a discovery at a tenth of its speed.
+#[test]
+fn a_list_service_that_dies_under_the_first_wave_is_spared_when_it_is_back() {
+    let fleet = Fleet::start(MANNER, |stage| stage.links["east>lists"].cut_both());
+    let load = fleet.load();
+    std::thread::sleep(millis(500));
+    fleet.lists.die(millis(2_000));
+    fleet.lists.behave(|manner| manner.each *= 10);
+    std::thread::sleep(millis(5_500));
+    fleet.stage.links["east>lists"].heal();
+    let took = fleet.all_told();
+    fleet.judge(&load.stop(), false);
+    fleet.judge_calls();
+    // The first wave goes on for as long as it would have: it can't know. Those who failed come in the next span,
+    // which is twice as long, and in the one behind it; one who meets silence hears of it late.
+    assert!(took < 7 * SPREAD + SILENCE + SLACK, "the last had its list after {took:?}");
+    let deaths = fleet.lists.deaths();
+    let last = deaths.last().map_or(Duration::ZERO, |at| at.duration_since(fleet.began));
+    assert!(last < 3 * SPREAD + SLACK, "it died {} times, at last after {last:?}", deaths.len());
+}
+
+/// First nothing that makes sense, then half of a list, then one that has no server.
+#[test]
+fn lists_that_are_wrong_half_or_empty_stop_nobody_and_bring_no_storm() {
+    let manner = Manner { says: Says::Nonsense, ..MANNER };
+    let fleet = Fleet::start(manner, |_| ());
+    let load = fleet.load();
+    std::thread::sleep(millis(2_000));
+    fleet.lists.behave(|manner| manner.says = Says::Half);
+    std::thread::sleep(millis(2_000));
+    fleet.lists.behave(|manner| manner.says = Says::List);
+    let took = fleet.all_told();
+    assert!(took < 7 * SPREAD + SLACK, "the last had its list after {took:?}");
+    fleet.judge(&load.stop(), false);
+    fleet.judge_calls();
+    assert_eq!(fleet.lists.deaths().len(), 0);
+}
+
+/// Those of one zone die and start ten times within some seconds.
+#[test]
+fn a_crash_loop_keeps_to_the_ceiling() {
+    let mut fleet = Fleet::start(MANNER, |_| ());
+    let load = fleet.load();
+    for _ in 0..10 {
+        fleet.stage.act("east-*", madderloom_rig::Act::Kill);
+        std::thread::sleep(millis(50));
+        fleet.stage.act("east-*", madderloom_rig::Act::Start);
+        std::thread::sleep(millis(600));
+    }
+    fleet.all_told();
+    fleet.judge(&load.stop(), true);
+    fleet.judge_calls();
+    assert_eq!(fleet.lists.deaths().len(), 0);
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`PATIENCE`]); only what the rig has started is ever stopped.
 
 mod link;
+mod lists;
 mod load;
 mod plan;
 mod program;
@@ -20,6 +21,7 @@
 mod stage;
 
 pub use link::{Direction, Link};
+pub use lists::{Lists, Manner, Says, listing};
 pub use load::{Got, Load};
 pub use plan::{Act, Fault, Menu, Plan, shrink};
 pub use program::{MOST_PROGRAMS, Program, Signal};
--- /dev/null
+++ b/crates/rig/src/lists.rs
@@ -0,0 +1,253 @@
+//! A stand-in discovery, which works through calls in turn and dies of too many.
+
+use crate::{Arrivals, Server, lock, runtime};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::{AbortHandle, JoinSet};
+
+/// An empty line says so often that it is there, and a longest head that is read.
+const THERE: Duration = Duration::from_millis(500);
+const HEAD: usize = 8 << 10;
+
+/// What it writes in the place of a list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Says {
+    /// The list.
+    #[default]
+    List,
+    /// A line that makes no sense.
+    Nonsense,
+    /// The first half of the list, and the end.
+    Half,
+    /// Nothing, for good.
+    Nothing,
+}
+
+/// What it bears, and how it answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    /// Work for one call. Calls are worked through in turn, those that their callers gave up too.
+    pub each: Duration,
+    /// Calls that it bears at once. One more, and it is down: all connections end and new ones are refused.
+    pub most: usize,
+    /// How long it is down then.
+    pub down: Duration,
+    /// What it says.
+    pub says: Says,
+}
+
+struct State {
+    manner: Manner,
+    /// The list's entries as they are written, and its version.
+    entries: String,
+    index: u64,
+    waiting: usize,
+    down_until: Option<Instant>,
+    deaths: Vec<Instant>,
+    calls: Vec<(Instant, Instant)>,
+    told: usize,
+}
+
+struct Own {
+    state: Mutex<State>,
+    turn: Semaphore,
+    /// Counts changes of the list.
+    changed: watch::Sender<u64>,
+    /// Counts deaths, each of which ends all connections.
+    died: watch::Sender<usize>,
+}
+
+/// A discovery that the test plays. It speaks no more of the protocol than the watch.
+pub struct Lists {
+    /// Where it listens.
+    pub address: SocketAddr,
+    own: Arc<Own>,
+    task: AbortHandle,
+}
+
+fn entry(server: &Server, status: &str) -> String {
+    format!(
+        "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"m1\",\"group\":0,\"status\":\"{status}\",\
+         \"weight\":1.0,\"since_ms\":0}}",
+        server.name, server.address
+    )
+}
+
+/// A whole list, of this version, in which all serve.
+pub fn listing(index: u64, servers: &[&Server]) -> String {
+    let entries: Vec<String> = servers.iter().map(|server| entry(server, "in_service")).collect();
+    format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{}]}}", entries.join(","))
+}
+
+impl Lists {
+    /// One that lists these, of version 2: a list that was known before is older.
+    pub fn new(manner: Manner, servers: &[&Server]) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener.set_nonblocking(true).expect("it can be");
+        let address = listener.local_addr().expect("it is bound");
+        let (waiting, deaths, told) = Default::default();
+        let entries = listing(2, servers);
+        let state =
+            State { manner, entries, index: 2, waiting, down_until: None, deaths, calls: Vec::new(), told };
+        let (changed, died) = (watch::Sender::new(0), watch::Sender::new(0));
+        let own = Arc::new(Own { state: Mutex::new(state), turn: Semaphore::new(1), changed, died });
+        let task = runtime().spawn(accept(listener, Arc::clone(&own))).abort_handle();
+        Lists { address, own, task }
+    }
+
+    /// From now on it lists these, and tells those that watch.
+    pub fn list(&self, servers: &[&Server]) {
+        let mut state = lock(&self.own.state);
+        state.index += 1;
+        state.entries = listing(state.index, servers);
+        drop(state);
+        self.own.changed.send_modify(|many| *many += 1);
+    }
+
+    /// It behaves otherwise from now on.
+    pub fn behave(&self, change: impl FnOnce(&mut Manner)) {
+        change(&mut lock(&self.own.state).manner);
+    }
+
+    /// It dies now, and is back after so long.
+    pub fn die(&self, down: Duration) {
+        die(&self.own, &mut lock(&self.own.state), down);
+    }
+
+    /// The calls that it took, from when each was whole until it was answered or lost.
+    pub fn calls(&self) -> Arrivals {
+        let mut calls = lock(&self.own.state).calls.clone();
+        calls.sort_unstable();
+        Arrivals::at(calls)
+    }
+
+    /// When it died, of too many calls or at the test's word.
+    pub fn deaths(&self) -> Vec<Instant> {
+        lock(&self.own.state).deaths.clone()
+    }
+
+    /// Connections over which it has told the list that holds, and that stand.
+    pub fn told(&self) -> usize {
+        lock(&self.own.state).told
+    }
+}
+
+impl Drop for Lists {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn die(own: &Own, state: &mut State, down: Duration) {
+    state.deaths.push(Instant::now());
+    state.down_until = Some(Instant::now() + down);
+    own.died.send_modify(|many| *many += 1);
+}
+
+async fn accept(listener: std::net::TcpListener, own: Arc<Own>) {
+    let listener = TcpListener::from_std(listener).expect("it is a listener");
+    let mut open = JoinSet::new();
+    loop {
+        while open.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let is_down = lock(&own.state).down_until.is_some_and(|until| Instant::now() < until);
+        if is_down {
+            continue;
+        }
+        let (own, mut died) = (Arc::clone(&own), own.died.subscribe());
+        open.spawn(async move {
+            tokio::select! {
+                _ = died.changed() => {}
+                _ = serve(stream, &own) => {}
+            }
+        });
+    }
+}
+
+/// A call that is not answered yet, or a watch that was told.
+struct Counted<'o>(&'o Own, fn(&mut State) -> &mut usize);
+
+impl<'o> Counted<'o> {
+    fn new(own: &'o Own, which: fn(&mut State) -> &mut usize) -> Self {
+        *which(&mut lock(&own.state)) += 1;
+        Counted(own, which)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        *(self.1)(&mut lock(&self.0.state)) -= 1;
+    }
+}
+
+async fn serve(mut stream: TcpStream, own: &Own) -> Option<()> {
+    let _ = stream.set_nodelay(true);
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        if head.len() > HEAD || stream.read_buf(&mut head).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let came = Instant::now();
+    let mut changed = own.changed.subscribe();
+    let waiting = Counted::new(own, |state| &mut state.waiting);
+    {
+        let mut state = lock(&own.state);
+        // Until it is answered it may as well be answered now.
+        state.calls.push((came, came));
+        if state.waiting > state.manner.most {
+            let down = state.manner.down;
+            die(own, &mut state, down);
+            return None;
+        }
+    }
+    // In turn, and the work is done whether or not the caller still waits.
+    let turn = own.turn.acquire().await.ok()?;
+    let each = lock(&own.state).manner.each;
+    tokio::time::sleep(each).await;
+    drop(turn);
+    drop(waiting);
+    let says = {
+        let mut state = lock(&own.state);
+        let call = state.calls.iter_mut().rfind(|(at, _)| *at == came);
+        call.into_iter().for_each(|(_, end)| *end = Instant::now());
+        state.manner.says
+    };
+    if says == Says::Nothing {
+        std::future::pending::<()>().await;
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+    changed.mark_unchanged();
+    let mut _told = None;
+    let mut line = lock(&own.state).entries.clone();
+    loop {
+        match says {
+            Says::Nonsense => line = "{\"index\":\"so\"}".into(),
+            Says::Half => line.truncate(line.len() / 2),
+            _ => {}
+        }
+        let end = if says == Says::Half { "" } else { "\n" };
+        stream.write_all(format!("{:x}\r\n{line}{end}\r\n", line.len() + end.len()).as_bytes()).await.ok()?;
+        if says == Says::Half {
+            return None;
+        }
+        if says == Says::List && _told.is_none() {
+            _told = Some(Counted::new(own, |state| &mut state.told));
+        }
+        tokio::select! {
+            _ = changed.changed() => line = lock(&own.state).entries.clone(),
+            () = tokio::time::sleep(THERE) => line = String::new(),
+            gone = stream.readable() => {
+                gone.ok()?;
+                // The caller has no more to say: what there is to read is its end.
+                if stream.try_read(&mut [0; 64]).is_ok_and(|count| count == 0) {
+                    return None;
+                }
+            }
+        }
+    }
+}
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -30,6 +30,11 @@
         Arrivals(all)
     }
 
+    /// Of these, from when each came until it was done, in their order.
+    pub(crate) fn at(open: Vec<(Instant, Instant)>) -> Self {
+        Arrivals(open)
+    }
+
     /// Those that arrived from then on.
     pub fn since(&self, from: Instant) -> Self {
         Arrivals(self.0.iter().filter(|(at, _)| *at >= from).copied().collect())
