--- a/crates/sidecar/src/agent_link.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -8,6 +8,7 @@
 //! most wait.
 
 use super::common::Common;
+use super::kept::keep_going;
 use super::pool::{self, Steering};
 use super::process::Sidecar;
 use super::reload::aside;
@@ -281,7 +282,12 @@
             return;
         }
         let (sender, receiver) = watch::channel(traits);
-        let task = tokio::task::spawn_local(keep_link(Rc::downgrade(self), control.clone(), receiver));
+        let (sidecar, own) = (Rc::downgrade(self), control.clone());
+        let task = tokio::task::spawn_local(async move {
+            let begin =
+                || sidecar.upgrade().map(|_| keep_link(sidecar.clone(), own.clone(), receiver.clone()));
+            keep_going("the agent's link", begin).await;
+        });
         *link = Some(Running { control, traits: sender, task: task.abort_handle() });
     }
 
@@ -348,6 +354,14 @@
     }
 }
 
+/// The keys, and a client for reports and one for the watch.
+fn clients(agent: &str, files: &Files) -> Result<(Arc<Keyring>, Client, Client), String> {
+    let keyring = Keyring::load(files.clone())?;
+    let client = || Client::with(agent, &keyring);
+    let (reports, watch) = (client()?, client()?);
+    Ok((keyring, reports, watch))
+}
+
 /// Keeps the link to one agent.
 async fn keep_link(
     sidecar: Weak<Sidecar>,
@@ -361,12 +375,12 @@
         revoked: None,
     };
     let mut last = None;
-    let keyring = loop {
-        match Keyring::load(files.clone()) {
-            Ok(keyring) => break keyring,
+    let (keyring, reports, watch) = loop {
+        match clients(&control.agent, &files) {
+            Ok(made) => break made,
             Err(problem) if last.as_ref() == Some(&problem) => {}
             Err(problem) => {
-                tracing::warn!("control: no agent is asked until its keys can be read: {problem}");
+                tracing::warn!("control: no agent is asked until its keys can be read and used: {problem}");
                 last = Some(problem);
             }
         }
@@ -378,12 +392,6 @@
             files.certificate.display()
         );
     }
-    let clients =
-        Client::with(&control.agent, &keyring).and_then(|c| Ok((c, Client::with(&control.agent, &keyring)?)));
-    let (reports, watch) = match clients {
-        Ok(clients) => clients,
-        Err(problem) => return tracing::warn!("control: no agent is asked: {problem}"),
-    };
     let Some(own) = sidecar.upgrade() else { return };
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let who = Who {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,6 +22,7 @@
 mod flow;
 mod graphql;
 mod heads;
+mod kept;
 mod ledger;
 mod levels;
 mod limits;
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -6,6 +6,7 @@
 use super::common::{Common, Totals};
 use super::config::{Config, Keys, allowed_descriptors};
 use super::feed::FOLLOWERS;
+use super::kept::keep_going;
 use super::ledger::Keeper;
 use super::listener::{Listener, Manner, Socket, bind};
 use super::routing::Routing;
@@ -87,7 +88,10 @@
             tracing::info!(%at, "asked on {at}");
             tokio::task::spawn_local(second_address::serve(Rc::clone(&common), socket));
         }
-        tokio::task::spawn_local(alarms::run(Rc::clone(&common)));
+        let alarmed = Rc::clone(&common);
+        tokio::task::spawn_local(async move {
+            keep_going("timers", || Some(alarms::run(Rc::clone(&alarmed)))).await;
+        });
         let state = own.and_then(|operator| operator.state.clone());
         let kept = state.as_ref().map(|state| state.usual).unwrap_or_default();
         if let Some((state, (file, _))) = state.zip(operator.as_ref()) {
@@ -128,15 +132,7 @@
         self.follow_agent();
         let common = Rc::clone(&self.common);
         tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(SWEEP).await;
-                for service in common.services.borrow().iter() {
-                    service.connections.sweep();
-                    service.second();
-                }
-                common.keep_to_memory(CLOSED_AT_ONCE);
-                common.fleet_limits.look();
-            }
+            keep_going("upkeep", || Some(look_after(Rc::clone(&common)))).await
         });
         if let Some(scheduler) = &self.common.scheduler {
             tokio::task::spawn_local(Rc::clone(scheduler).run());
@@ -232,3 +228,16 @@
     let listener = Listener::start(common, name, place, (Manner::usual(), routing), limits);
     Ok((service, listener))
 }
+
+/// Looks every now and then after what no event brings about.
+async fn look_after(common: Rc<Common>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        for service in common.services.borrow().iter() {
+            service.connections.sweep();
+            service.second();
+        }
+        common.keep_to_memory(CLOSED_AT_ONCE);
+        common.fleet_limits.look();
+    }
+}
