--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -154,7 +154,7 @@
             // end as soon as they were told, two of an instance's calls fall into one.
             let each = span / many / if part_that_fails == 4 { 1.0 } else { 2.0 };
             let over = over(&calls, each);
-            assert!(over <= 4.0 * many.sqrt(), "{instances}, {part_that_fails} of 4 fail: {over}");
+            assert!(over <= 3.0 * many.sqrt(), "{instances}, {part_that_fails} of 4 fail: {over}");
         }
     }
 }
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -9,11 +9,16 @@
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
-const MANY: usize = 60;
-/// Each instance of the fleet has this much of the time over which first calls are drawn.
-const EACH: f64 = 0.08;
-/// Over which the first calls of all of them are drawn.
-const SPREAD: Duration = Duration::from_millis(80 * MANY as u64);
+/// `MADDERLOOM_MANY` sidecars start, or sixty; `MADDERLOOM_BINARY` says of which build.
+fn many() -> usize {
+    std::env::var("MADDERLOOM_MANY").ok().and_then(|many| many.parse().ok()).unwrap_or(60)
+}
+
+/// Over which the first calls of all of them are drawn: 80 ms for each, and nine tenths of what the rules allow at most.
+fn spread() -> Duration {
+    millis((80 * many() as u64).min(9_000))
+}
+
 /// A debug build of sixty takes so long to be up on a machine that is busy.
 const SLACK: Duration = Duration::from_secs(4);
 /// A call without any answer is given up after this.
@@ -59,7 +64,7 @@
         "name": format!("n{number}"), "listen": front.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{:016x}", 0x5eed + number), "known": known,
         "settings": {
-            "areas": ["a"], "kinds": ["m1"], "group_size": MANY, "my_zone": 0, "period": 5000,
+            "areas": ["a"], "kinds": ["m1"], "group_size": many(), "my_zone": 0, "period": 5000,
             "discovery": "subscribe",
             "services": [{"name": "submit", "effect": "unsafe", "key_scope": "all", "window": 4000000,
                 "on_time": 2000000, "give_up": 6000000, "worth": 10.0, "late_worth": 0.0}],
@@ -88,7 +93,7 @@
         before(&stage);
         let began = Instant::now();
         let mut fronts = BTreeMap::new();
-        for number in 0..MANY {
+        for number in 0..many() {
             let zone = ZONES[number % ZONES.len()];
             let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
             let file = directory.path().join(format!("{number}.json"));
@@ -117,16 +122,16 @@
 
     /// Waits until all have the list, and gives how long that took from the start on.
     fn all_told(&self) -> Duration {
-        until("each has the list", || (self.lists.told() == MANY).then_some(()));
+        until("each has the list", || (self.lists.told() == many()).then_some(()));
         self.began.elapsed()
     }
 
-    /// The ceiling that the page states: first calls come at one in 80 ms with a burst of 3√N, whatever fails.
+    /// The ceiling that the page states: N calls in the time of the first wave, with a burst of 3√N, whatever fails.
     fn judge_calls(&self) {
         eprintln!("died {} times", self.lists.deaths().len());
         let calls = self.lists.calls();
-        let burst = 3.0 * (MANY as f64).sqrt();
-        let over = calls.over(1.0 / EACH, burst, JITTER);
+        let many = many() as f64;
+        let over = calls.over(many / spread().as_secs_f64(), 3.0 * many.sqrt(), JITTER);
         let after = self.began.elapsed();
         eprintln!("{} calls, {} at once, over {over:.1}, after {after:.1?}", calls.len(), calls.most_open());
         assert!(over <= 0.0, "{over} calls over the ceiling of some window, of {}", calls.len());
@@ -151,7 +156,7 @@
         let part = served as f64 / got.len().max(1) as f64;
         eprintln!("{served} of {} served, {part:.3}", got.len());
         let least = if killed { 0.8 } else { 0.97 };
-        assert!(got.len() > 10 * MANY && part > least, "{served} of {} served", got.len());
+        assert!(got.len() > 10 * many() && part > least, "{served} of {} served", got.len());
     }
 }
 
@@ -160,11 +165,11 @@
     let fleet = Fleet::start(MANNER, |_| ());
     let load = fleet.load();
     let took = fleet.all_told();
-    assert!(took < SPREAD + SLACK, "the last had its list after {took:?}");
+    assert!(took < spread() + SLACK, "the last had its list after {took:?}");
     std::thread::sleep(millis(1_000));
     fleet.judge(&load.stop(), false);
     fleet.judge_calls();
-    assert_eq!((fleet.lists.calls().len(), fleet.lists.deaths().len()), (MANY, 0));
+    assert_eq!((fleet.lists.calls().len(), fleet.lists.deaths().len()), (many(), 0));
     for new in &fleet.servers[3..] {
         assert!(!new.seen().is_empty(), "{} is in no old list, and got nothing", new.name);
     }
@@ -185,10 +190,10 @@
     fleet.judge_calls();
     // The first wave goes on for as long as it would have: it can't know. Those who failed come in the next span,
     // which is twice as long, and in the one behind it; one who meets silence hears of it late.
-    assert!(took < 7 * SPREAD + SILENCE + SLACK, "the last had its list after {took:?}");
+    assert!(took < 7 * spread() + SILENCE + SLACK, "the last had its list after {took:?}");
     let deaths = fleet.lists.deaths();
     let last = deaths.last().map_or(Duration::ZERO, |at| at.duration_since(fleet.began));
-    assert!(last < 3 * SPREAD + SLACK, "it died {} times, at last after {last:?}", deaths.len());
+    assert!(last < 3 * spread() + SLACK, "it died {} times, at last after {last:?}", deaths.len());
 }
 
 /// First nothing that makes sense, then half of a list, then one that has no server.
@@ -202,7 +207,7 @@
     std::thread::sleep(millis(2_000));
     fleet.lists.behave(|manner| manner.says = Says::List);
     let took = fleet.all_told();
-    assert!(took < 7 * SPREAD + SLACK, "the last had its list after {took:?}");
+    assert!(took < 7 * spread() + SLACK, "the last had its list after {took:?}");
     fleet.judge(&load.stop(), false);
     fleet.judge_calls();
     assert_eq!(fleet.lists.deaths().len(), 0);
