--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -167,8 +167,8 @@
 
     // ---- Discovery ----
 
-    /// Instances start together and fail together: each calls once in every span of those that follow one another,
-    /// anywhere in it, so that all call at the same rate whatever becomes of their calls.
+    /// Instances start together and fail together: each calls once in every span of those that follow one
+    /// another, anywhere in it, so that all call at the same rate whatever becomes of their calls.
     fn ask_later(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.asking, true) {
             let (first, longest, allowed) = ask_wait(&self.settings);
