Give sidecars that are started again an address that nobody else can take

Cause: one run of the crash loop in some twenty never had all sidecars back. A port of 127.0.0.1 that a killed sidecar leaves is anybody's for 50 ms. Whether the single run that failed alone was of this kind is likely, not shown.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -28,6 +28,7 @@
 pub use server::{Arrivals, Server};
 pub use stage::{Slot, Stage};
 
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{LazyLock, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
@@ -50,6 +51,17 @@
     }
 }
 
+/// An address for a process that listens there again after it was killed: on a loopback address of this test process
+/// alone. A port of 127.0.0.1 may be taken meanwhile, by a connection of anybody.
+///
+/// # Panics
+/// No port is free there.
+pub fn own_address() -> SocketAddr {
+    let [.., a, b, c] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250);
+    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port is free")
+}
+
 /// What carries links, servers and loads: one thread beside the test's own.
 fn runtime() -> &'static Handle {
     static RUNTIME: LazyLock<Handle> = LazyLock::new(|| {
