One judge of answers, one worst window, one listener and one owned task, and no dead stand-in code

Found by reading the whole change again: - Who was served ran once, who was refused ran nowhere: written in the tests of starts and of limits, and its sum over servers a third time in the fleet's rig. Now rig::served and Server::seen_by; starts takes over the stricter of the two (a refusal's time is above 0). - The worst window over a rate stood in the rig, in quota's simulation and in the balancer's calls: rig::worst. - Each of the rig's three listeners was bound by its own lines; MADDERLOOM_BINARY was read in two places. - kept.rs had a second task that ends with its owner; pool.rs now uses that one. - Lists could change its list and say nothing, which no test did, and carried a version and a channel for it: gone. - A test and its comment told of an empty list that it never served: named for what it does.

--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use madderloom_balancer::*;
+use madderloom_rig::worst;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -125,17 +126,6 @@
     calls
 }
 
-/// By how many the worst window was over a call in each of these spans.
-fn over(calls: &[Micros], each: f64) -> f64 {
-    let (mut worst, mut lowest) = (0.0_f64, f64::INFINITY);
-    for (before, at) in calls.iter().enumerate() {
-        let line = *at as f64 / each;
-        lowest = lowest.min(before as f64 - line);
-        worst = worst.max((before + 1) as f64 - line - lowest);
-    }
-    worst
-}
-
 /// Where a call that failed was asked again at any time from then on, those who had failed called beside those who had not
 /// called yet: 60 instances were 25 calls over in one window.
 #[test]
@@ -153,7 +143,7 @@
             // After a list the rules want a call within 9 s, which may be before the next span is over: where watches
             // end as soon as they were told, two of an instance's calls fall into one.
             let each = span / many / if part_that_fails == 4 { 1.0 } else { 2.0 };
-            let over = over(&calls, each);
+            let over = worst(calls.iter().map(|at| *at as f64), 1.0 / each);
             assert!(over <= 3.0 * many.sqrt(), "{instances}, {part_that_fails} of 4 fail: {over}");
         }
     }
--- a/crates/cli/tests/fleet/limits.rs
+++ b/crates/cli/tests/fleet/limits.rs
@@ -4,7 +4,7 @@
 use crate::rig::{Rig, found, madderloom};
 use madderloom_rig::{
     Act, Arrivals, Direction, Fault, Got, Link, Load, Menu, Plan, Program, Server, Slot, Stage, own_address,
-    shrink, until,
+    served, shrink, until,
 };
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -157,23 +157,9 @@
         Arrivals::of(&self.rig.servers)
     }
 
-    /// Whoever was served ran once, whoever was refused ran nowhere and was told when to come again, and nobody got
-    /// anything else but where a sidecar was killed.
+    /// Each had its one answer, some were served and some refused, and no sidecar says that it is wrong.
     fn judge(&self, got: &[Got], killed: bool) {
-        let mut seen: BTreeMap<String, u32> = BTreeMap::new();
-        for (id, times) in self.rig.servers.iter().flat_map(Server::seen) {
-            *seen.entry(id).or_default() += times;
-        }
-        for got in got {
-            let ran = seen.get(&got.id).copied().unwrap_or(0);
-            match got.status {
-                Some(200) => assert_eq!(ran, 1, "{got:?}"),
-                Some(503) => assert!(ran == 0 && got.retry_after.is_some_and(|after| after > 0.0), "{got:?}"),
-                None if killed => assert!(ran <= 1, "{got:?}"),
-                _ => panic!("{got:?}, ran {ran} times"),
-            }
-        }
-        let served = got.iter().filter(|got| got.status == Some(200)).count();
+        let served = served(got, &self.rig.servers, killed);
         assert!(served > 20 && served < got.len(), "{served} of {} served prove nothing", got.len());
         for slot in self.stage.slots.values().filter_map(|slot| slot.program.as_ref()) {
             let log = slot.log();
--- a/crates/cli/tests/fleet/rig.rs
+++ b/crates/cli/tests/fleet/rig.rs
@@ -1,7 +1,7 @@
 //! An agent, instances that serve, servers behind them, clients that count what they got, and a network between the
 //! instances and the agent that can be cut in one direction.
 
-use madderloom_rig::{Got, Link, Program, Server, until};
+use madderloom_rig::{Got, Link, Program, Server, built, until};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -13,8 +13,7 @@
 
 /// The program of this build, or the one that `MADDERLOOM_BINARY` names: a release build, for figures.
 pub fn madderloom(at: &Path, arguments: &[&str]) -> Command {
-    let built = || env!("CARGO_BIN_EXE_madderloom").into();
-    let mut command = Command::new(std::env::var_os("MADDERLOOM_BINARY").unwrap_or_else(built));
+    let mut command = built(env!("CARGO_BIN_EXE_madderloom"));
     command.current_dir(at).args(arguments).env_remove("RELAY_CONFIG");
     command
 }
@@ -250,10 +249,7 @@
 
 /// Every request of these had its one answer from one server: none was lost, none repeated.
 pub fn judge(rig: &Rig, got: &[Got]) {
-    let mut seen: BTreeMap<String, u32> = BTreeMap::new();
-    for (id, times) in rig.servers.iter().flat_map(|server| server.seen()) {
-        *seen.entry(id).or_default() += times;
-    }
+    let seen = Server::seen_by(&rig.servers);
     let twice: Vec<_> = seen.iter().filter(|(_, times)| **times > 1).collect();
     assert!(twice.is_empty(), "seen twice: {twice:?}");
     let lost: Vec<_> =
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -2,11 +2,11 @@
 //! dies of too many calls are links, and parts of it all fail. What discovery and the servers counted is judged.
 
 use madderloom_rig::{
-    Got, Link, Lists, Load, Manner, PATIENCE, Program, Says, Server, Slot, Stage, listing, own_address,
+    Got, Link, Lists, Load, Manner, PATIENCE, Program, Says, Server, Slot, Stage, built, listing,
+    own_address, served,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::process::Command;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -95,8 +95,7 @@
             let discovery = stage.links[&format!("{zone}>lists")].address();
             std::fs::write(&file, config(number, front, discovery, &known)).expect("written");
             let make = move |_| {
-                let built = || env!("CARGO_BIN_EXE_madderloom").into();
-                let mut command = Command::new(std::env::var_os("MADDERLOOM_BINARY").unwrap_or_else(built));
+                let mut command = built(env!("CARGO_BIN_EXE_madderloom"));
                 command.arg("serve").env("RELAY_CONFIG", &file);
                 command
             };
@@ -140,22 +139,9 @@
         assert!(over <= 0.0, "{over} calls over the ceiling of some window, of {}", calls.len());
     }
 
-    /// Nobody is without an answer; whoever was served ran once, and whoever was refused ran nowhere.
+    /// Each had its one answer, and nearly all were served.
     fn judge(&self, got: &[Got], killed: bool) {
-        let mut seen: BTreeMap<String, u32> = BTreeMap::new();
-        for (id, times) in self.servers.iter().flat_map(Server::seen) {
-            *seen.entry(id).or_default() += times;
-        }
-        for got in got {
-            let ran = seen.get(&got.id).copied().unwrap_or(0);
-            match got.status {
-                Some(200) => assert_eq!(ran, 1, "{got:?}"),
-                Some(503) => assert!(ran == 0 && got.retry_after.is_some(), "{got:?}"),
-                None if killed => assert!(ran <= 1, "{got:?}"),
-                _ => panic!("{got:?}, ran {ran} times"),
-            }
-        }
-        let served = got.iter().filter(|got| got.status == Some(200)).count();
+        let served = served(got, &self.servers, killed);
         let part = served as f64 / got.len().max(1) as f64;
         eprintln!("{served} of {} served, {part:.3}", got.len());
         let least = if killed { 0.8 } else { 0.97 };
@@ -199,9 +185,9 @@
     assert!(last < 3 * spread() + SLACK, "it died {} times, at last after {last:?}", deaths.len());
 }
 
-/// First nothing that makes sense, then half of a list, then one that has no server.
+/// First lists that make no sense, then halves of one, then the list.
 #[test]
-fn lists_that_are_wrong_half_or_empty_stop_nobody_and_bring_no_storm() {
+fn lists_that_are_wrong_or_half_stop_nobody_and_bring_no_storm() {
     let manner = Manner { says: Says::Nonsense, ..MANNER };
     let fleet = Fleet::start(manner, |_| ());
     let load = fleet.load();
--- a/crates/lab/src/starts.rs
+++ b/crates/lab/src/starts.rs
@@ -65,8 +65,8 @@
 impl Started {
     fn end(&mut self, life: Life) {
         self.lives += 1;
-        for (age, _) in life.open.values() {
-            self.ages[*age].left += 1;
+        for open in life.open.values() {
+            self.ages[open.age].left += 1;
         }
         for (first, at) in [&mut self.list, &mut self.attempt, &mut self.answer].into_iter().zip(life.first) {
             match at {
@@ -83,6 +83,8 @@
 /// A request that is open.
 #[derive(Clone, Copy)]
 struct Open {
+    /// The place of its process's age among [`AGES`].
+    age: usize,
     came: u64,
     sent: bool,
 }
@@ -92,7 +94,7 @@
     began: u64,
     /// When those that are listed ready started.
     ready: HashMap<String, u64>,
-    open: HashMap<u64, (usize, Open)>,
+    open: HashMap<u64, Open>,
     /// List, attempt, answer.
     first: [Option<u64>; 3],
 }
@@ -140,12 +142,12 @@
             "request" => {
                 let place = AGES.iter().position(|most| age < *most).unwrap_or(AGES.len() - 1);
                 ages[place].requests += 1;
-                life.open.insert(heard.request, (place, Open { came: heard.t, sent: false }));
+                life.open.insert(heard.request, Open { age: place, came: heard.t, sent: false });
             }
             "send" => {
                 life.first[1].get_or_insert(age);
-                if let Some((place, open)) = life.open.get_mut(&heard.request) {
-                    ages[*place].sent += u64::from(!std::mem::replace(&mut open.sent, true));
+                if let Some(open) = life.open.get_mut(&heard.request) {
+                    ages[open.age].sent += u64::from(!std::mem::replace(&mut open.sent, true));
                 }
             }
             "ended" if heard.outcome == "Ok" => {
@@ -153,9 +155,9 @@
                 life.open.remove(&heard.request);
             }
             "refuse" | "fail" => {
-                let Some((place, open)) = life.open.remove(&heard.request) else { return };
+                let Some(open) = life.open.remove(&heard.request) else { return };
                 let warm = life.ready.values().any(|started| heard.t >= started.saturating_add(cold));
-                let at = &mut ages[place];
+                let at = &mut ages[open.age];
                 let cause = match open {
                     Open { sent: true, .. } => &mut at.tried,
                     Open { came, .. } if came == heard.t => &mut at.early,
--- a/crates/quota/tests/no_window_is_over_the_limit.rs
+++ b/crates/quota/tests/no_window_is_over_the_limit.rs
@@ -2,6 +2,7 @@
 //! and lenders that freeze, die and come back: in no window is more let in than the limit, and never is more open.
 
 use madderloom_quota::{Amount, Asks, Holder, Lender, Lent, Limit, Micros, Note, ONE, Safe, Who};
+use madderloom_rig::worst;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -244,13 +245,7 @@
     /// By how much the worst window was over.
     fn over(&self) -> f64 {
         let (rate, burst) = (self.limit.whole.rate as f64 / 1e3, self.limit.whole.burst as f64 / 1e3);
-        let (mut worst, mut lowest) = (f64::NEG_INFINITY, f64::INFINITY);
-        for (before, at) in self.admitted.iter().enumerate() {
-            let line = rate * *at as f64 / 1e6;
-            lowest = lowest.min(before as f64 - line);
-            worst = worst.max((before + 1) as f64 - line - lowest);
-        }
-        worst - burst
+        worst(self.admitted.iter().map(|at| *at as f64 / 1e6), rate) - burst
     }
 
     fn used(&self, from: Micros, to: Micros) -> f64 {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,10 +22,10 @@
 
 pub use link::{Direction, Link};
 pub use lists::{Lists, Manner, Says, listing};
-pub use load::{Got, Load};
+pub use load::{Got, Load, served};
 pub use plan::{Act, Fault, Menu, Plan, shrink};
-pub use program::{MOST_PROGRAMS, Program, Signal};
-pub use server::{Arrivals, Server};
+pub use program::{MOST_PROGRAMS, Program, Signal, built};
+pub use server::{Arrivals, Server, worst};
 pub use stage::{Slot, Stage};
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -74,6 +74,19 @@
     &RUNTIME
 }
 
+/// What listens at a free port of 127.0.0.1, and where. It can be bound beside the runtime, which then has it [`taken`].
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.set_nonblocking(true).expect("it can be");
+    let address = listener.local_addr().expect("it is bound");
+    (listener, address)
+}
+
+/// A listener in the hands of the runtime.
+fn taken(listener: TcpListener) -> tokio::net::TcpListener {
+    tokio::net::TcpListener::from_std(listener).expect("it is a listener")
+}
+
 /// This process may open as many descriptors as the system lets it.
 fn raise_descriptors() {
     use rustix::process::{Resource, getrlimit, setrlimit};
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -1,13 +1,13 @@
 //! A link between two processes: a port of its own, whose connections go on to where it leads.
 
-use crate::runtime;
+use crate::{listen, runtime, taken};
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -70,9 +70,7 @@
 impl Link {
     /// A link to this address, open in both directions.
     pub fn new(to: SocketAddr) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        listener.set_nonblocking(true).expect("it can be");
-        let address = listener.local_addr().expect("it is bound");
+        let (listener, address) = listen();
         let state = State {
             to,
             ways: [Way::default(); 2],
@@ -88,7 +86,7 @@
         });
         let own = Arc::clone(&shared);
         let task = runtime().spawn(async move {
-            let listener = TcpListener::from_std(listener).expect("it is a listener");
+            let listener = taken(listener);
             // Connections end with the link.
             let mut open = tokio::task::JoinSet::new();
             loop {
--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -1,11 +1,11 @@
 //! A stand-in discovery, which works through calls in turn and dies of too many.
 
-use crate::{Arrivals, Server, lock, runtime};
+use crate::{Arrivals, Server, listen, lock, runtime, taken};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{AbortHandle, JoinSet};
 
@@ -23,8 +23,6 @@
     Nonsense,
     /// The first half of the list, and the end.
     Half,
-    /// Nothing, for good.
-    Nothing,
 }
 
 /// What it bears, and how it answers.
@@ -42,9 +40,6 @@
 
 struct State {
     manner: Manner,
-    /// The list's entries as they are written, and its version.
-    entries: String,
-    index: u64,
     waiting: usize,
     down_until: Option<Instant>,
     deaths: Vec<Instant>,
@@ -53,10 +48,10 @@
 }
 
 struct Own {
+    /// As it is written.
+    list: String,
     state: Mutex<State>,
     turn: Semaphore,
-    /// Counts changes of the list.
-    changed: watch::Sender<u64>,
     /// Counts deaths, each of which ends all connections.
     died: watch::Sender<usize>,
 }
@@ -69,45 +64,31 @@
     task: AbortHandle,
 }
 
-fn entry(server: &Server, status: &str) -> String {
-    format!(
-        "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"m1\",\"group\":0,\"status\":\"{status}\",\
-         \"weight\":1.0,\"since_ms\":0}}",
-        server.name, server.address
-    )
-}
-
 /// A whole list, of this version, in which all serve.
 pub fn listing(index: u64, servers: &[&Server]) -> String {
-    let entries: Vec<String> = servers.iter().map(|server| entry(server, "in_service")).collect();
+    let entry = |server: &&Server| {
+        format!(
+            "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"m1\",\"group\":0,\
+             \"status\":\"in_service\",\"weight\":1.0,\"since_ms\":0}}",
+            server.name, server.address
+        )
+    };
+    let entries: Vec<String> = servers.iter().map(entry).collect();
     format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{}]}}", entries.join(","))
 }
 
 impl Lists {
     /// One that lists these, of version 2: a list that was known before is older.
     pub fn new(manner: Manner, servers: &[&Server]) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        listener.set_nonblocking(true).expect("it can be");
-        let address = listener.local_addr().expect("it is bound");
-        let (waiting, deaths, told) = Default::default();
-        let entries = listing(2, servers);
-        let state =
-            State { manner, entries, index: 2, waiting, down_until: None, deaths, calls: Vec::new(), told };
-        let (changed, died) = (watch::Sender::new(0), watch::Sender::new(0));
-        let own = Arc::new(Own { state: Mutex::new(state), turn: Semaphore::new(1), changed, died });
+        let (listener, address) = listen();
+        let (waiting, deaths, calls, told) = Default::default();
+        let state = State { manner, waiting, down_until: None, deaths, calls, told };
+        let (list, died) = (listing(2, servers), watch::Sender::new(0));
+        let own = Arc::new(Own { list, state: Mutex::new(state), turn: Semaphore::new(1), died });
         let task = runtime().spawn(accept(listener, Arc::clone(&own))).abort_handle();
         Lists { address, own, task }
     }
 
-    /// From now on it lists these, and tells those that watch.
-    pub fn list(&self, servers: &[&Server]) {
-        let mut state = lock(&self.own.state);
-        state.index += 1;
-        state.entries = listing(state.index, servers);
-        drop(state);
-        self.own.changed.send_modify(|many| *many += 1);
-    }
-
     /// It behaves otherwise from now on.
     pub fn behave(&self, change: impl FnOnce(&mut Manner)) {
         change(&mut lock(&self.own.state).manner);
@@ -149,7 +130,7 @@
 }
 
 async fn accept(listener: std::net::TcpListener, own: Arc<Own>) {
-    let listener = TcpListener::from_std(listener).expect("it is a listener");
+    let listener = taken(listener);
     let mut open = JoinSet::new();
     loop {
         while open.try_join_next().is_some() {}
@@ -193,7 +174,6 @@
         }
     }
     let came = Instant::now();
-    let mut changed = own.changed.subscribe();
     let waiting = Counted::new(own, |state| &mut state.waiting);
     {
         let mut state = lock(&own.state);
@@ -217,30 +197,20 @@
         call.into_iter().for_each(|(_, end)| *end = Instant::now());
         state.manner.says
     };
-    if says == Says::Nothing {
-        std::future::pending::<()>().await;
-    }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
-    changed.mark_unchanged();
-    let mut told = None;
-    let mut line = lock(&own.state).entries.clone();
+    let line = match says {
+        Says::List => format!("{}\n", own.list),
+        Says::Nonsense => "{\"index\":\"so\"}\n".into(),
+        Says::Half => own.list[..own.list.len() / 2].into(),
+    };
+    stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).await.ok()?;
+    if says == Says::Half {
+        return None;
+    }
+    let _told = (says == Says::List).then(|| Counted::new(own, |state| &mut state.told));
     loop {
-        match says {
-            Says::Nonsense => line = "{\"index\":\"so\"}".into(),
-            Says::Half => line.truncate(line.len() / 2),
-            _ => {}
-        }
-        let end = if says == Says::Half { "" } else { "\n" };
-        stream.write_all(format!("{:x}\r\n{line}{end}\r\n", line.len() + end.len()).as_bytes()).await.ok()?;
-        if says == Says::Half {
-            return None;
-        }
-        if says == Says::List && told.is_none() {
-            told = Some(Counted::new(own, |state| &mut state.told));
-        }
         tokio::select! {
-            _ = changed.changed() => line = lock(&own.state).entries.clone(),
-            () = tokio::time::sleep(THERE) => line = String::new(),
+            () = tokio::time::sleep(THERE) => stream.write_all(b"1\r\n\n\r\n").await.ok()?,
             gone = stream.readable() => {
                 gone.ok()?;
                 // The caller has no more to say: what there is to read is its end.
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -1,6 +1,6 @@
 //! Clients that ask, and keep what they got.
 
-use crate::{lock, runtime};
+use crate::{Server, lock, runtime};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -30,6 +30,25 @@
     pub retry_after: Option<f64>,
 }
 
+/// Whoever was served ran once, whoever was refused ran nowhere and was told when to come again, and nobody got anything
+/// else but where something was killed that had requests. Gives how many were served.
+///
+/// # Panics
+/// One of them got something else.
+pub fn served(got: &[Got], servers: &[Server], killed: bool) -> usize {
+    let seen = Server::seen_by(servers);
+    for got in got {
+        let ran = seen.get(&got.id).copied().unwrap_or(0);
+        match got.status {
+            Some(200) => assert_eq!(ran, 1, "{got:?}"),
+            Some(503) => assert!(ran == 0 && got.retry_after.is_some_and(|after| after > 0.0), "{got:?}"),
+            None if killed => assert!(ran <= 1, "{got:?}"),
+            _ => panic!("{got:?}, ran {ran} times"),
+        }
+    }
+    got.iter().filter(|got| got.status == Some(200)).count()
+}
+
 /// Clients that keep asking for an unsafe service, `POST /submit`, each on a connection that it keeps, until they are
 /// told to stop. Each asks again so long after an answer.
 pub struct Load {
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -14,6 +14,11 @@
 
 static RUNNING: AtomicUsize = AtomicUsize::new(0);
 
+/// What starts the program that `MADDERLOOM_BINARY` names, a release build for figures, or else this one.
+pub fn built(program: &str) -> Command {
+    Command::new(std::env::var_os("MADDERLOOM_BINARY").unwrap_or_else(|| program.into()))
+}
+
 /// A process, and what it logs. It is killed when this is dropped, stopped or not.
 pub struct Program {
     /// The process.
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -1,6 +1,6 @@
 //! Stand-in servers that answer what they are asked, and remember when each request arrived.
 
-use crate::{lock, runtime};
+use crate::{listen, lock, runtime, taken};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -13,9 +13,21 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, JoinSet};
 
+/// By how many the worst window that begins and ends with one of these times, in their order, was over this rate; below
+/// all numbers where there is none. Every window is looked at in one pass: times less the rate's line, against the lowest
+/// point before.
+pub fn worst(times: impl IntoIterator<Item = f64>, rate: f64) -> f64 {
+    let (mut worst, mut lowest) = (f64::NEG_INFINITY, f64::INFINITY);
+    for (before, at) in times.into_iter().enumerate() {
+        let line = rate * at;
+        lowest = lowest.min(before as f64 - line);
+        worst = worst.max((before + 1) as f64 - line - lowest);
+    }
+    worst
+}
+
 /// When requests arrived and for how long each was open, as a server saw it. Those of several servers may be put
 /// together.
 #[derive(Clone, Debug, Default)]
@@ -53,17 +65,10 @@
     /// By how much the worst window was over a rate with a burst: over every window that begins and ends with an
     /// arrival, so many arrived more than `rate × length + burst`. At or below 0 where the bound was kept. `jitter` is
     /// how much later one may arrive than it was let in; each window is taken as that much longer.
-    ///
-    /// Every window is looked at in one pass: arrivals less the rate's line, against the lowest point before.
     pub fn over(&self, rate: f64, burst: f64, jitter: Duration) -> f64 {
         let Some((first, _)) = self.0.first() else { return f64::NEG_INFINITY };
-        let (mut worst, mut lowest) = (f64::NEG_INFINITY, f64::INFINITY);
-        for (before, (at, _)) in self.0.iter().enumerate() {
-            let line = rate * at.duration_since(*first).as_secs_f64();
-            lowest = lowest.min(before as f64 - line);
-            worst = worst.max((before + 1) as f64 - line - lowest);
-        }
-        worst - burst - rate * jitter.as_secs_f64()
+        let times = self.0.iter().map(|(at, _)| at.duration_since(*first).as_secs_f64());
+        worst(times, rate) - burst - rate * jitter.as_secs_f64()
     }
 
     /// The most that were open at once.
@@ -115,13 +120,11 @@
 
     /// One that takes so long for each request.
     pub fn that_takes(name: &str, time: Duration) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        listener.set_nonblocking(true).expect("it can be");
-        let address = listener.local_addr().expect("it is bound");
+        let (listener, address) = listen();
         let seen: Arc<Mutex<Seen>> = Arc::default();
         let own = Arc::clone(&seen);
         let task = runtime().spawn(async move {
-            let listener = TcpListener::from_std(listener).expect("it is a listener");
+            let listener = taken(listener);
             let mut open = JoinSet::new();
             loop {
                 while open.try_join_next().is_some() {}
@@ -135,6 +138,15 @@
         Server { name: name.into(), address, seen, task: task.abort_handle() }
     }
 
+    /// How often each request was seen by all of these together.
+    pub fn seen_by(servers: &[Server]) -> BTreeMap<String, u32> {
+        let mut seen = BTreeMap::new();
+        for (id, times) in servers.iter().flat_map(Server::seen) {
+            *seen.entry(id).or_default() += times;
+        }
+        seen
+    }
+
     /// How often each request was seen, by its `X-Trace-Id`.
     pub fn seen(&self) -> BTreeMap<String, u32> {
         lock(&self.seen).ids.clone()
--- a/crates/sidecar/src/kept.rs
+++ b/crates/sidecar/src/kept.rs
@@ -9,10 +9,10 @@
 /// A task that ran for so long has recovered: it is begun again after the first wait.
 const RECOVERED: Duration = Duration::from_secs(30);
 
-/// Ends the task where its keeper is ended.
-struct Owned(JoinHandle<()>);
+/// A task that ends with whoever has this.
+pub(super) struct OwnedTask(pub(super) JoinHandle<()>);
 
-impl Drop for Owned {
+impl Drop for OwnedTask {
     fn drop(&mut self) {
         self.0.abort();
     }
@@ -27,7 +27,7 @@
     let mut wait = WAITS.0;
     while let Some(task) = begin() {
         let began = Instant::now();
-        let mut task = Owned(tokio::task::spawn_local(task));
+        let mut task = OwnedTask(tokio::task::spawn_local(task));
         let how = match (&mut task.0).await {
             Ok(()) => "ended".to_string(),
             Err(problem) => problem.to_string(),
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,5 +1,6 @@
 //! The pool: discovery's list of servers and its watch on changes, as news for the module.
 
+use super::kept::OwnedTask;
 use super::service::Service;
 use bytes::{Bytes, BytesMut};
 use foldhash::quality::FixedState;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 /// Discovery that says nothing for this long, no heartbeat either, is taken to be cut off. It beats every
@@ -425,15 +426,6 @@
     }
 }
 
-/// Ends a connection's task with the watch that reads from it.
-struct OwnedTask(JoinHandle<()>);
-
-impl Drop for OwnedTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Follows the watch for as long as it holds.
 async fn follow(service: &Rc<Service>, discovery: SocketAddr) -> Result<Infallible, String> {
     let pool = &service.pool;
