Give no address of the rig twice, and say in a failed wait what the log held

A probe of 60 draws had a port twice in 209 of 1,000 runs, 600 draws had 29 twice; so two sidecars got one address and the later one could not bind. That also explains the crash-loop test that failed once alone in some 20 runs.

A wait for a line of the log ends with the process, and its failure tells the end of the log.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -28,6 +28,7 @@
 pub use server::{Arrivals, Server, worst};
 pub use stage::{Slot, Stage};
 
+use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{LazyLock, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -36,6 +37,9 @@
 /// Ends a test in which something never happens.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
+/// So long lies between two looks.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// Waits for something to happen, for [`PATIENCE`] at most.
 ///
 /// # Panics
@@ -47,19 +51,23 @@
             return found;
         }
         assert!(begin.elapsed() < PATIENCE, "never: {what}");
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(LOOK);
     }
 }
 
 /// An address for a process that listens there again after it was killed: on a loopback address of this test process
-/// alone. A port of 127.0.0.1 may be taken meanwhile, by a connection of anybody.
+/// alone, and never the same twice. A port of 127.0.0.1 may be taken meanwhile, by a connection of anybody; and the
+/// system gives a port that it gave a moment ago once more as long as nobody listens there yet.
 ///
 /// # Panics
 /// No port is free there.
 pub fn own_address() -> SocketAddr {
+    static GIVEN: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
     let [.., a, b, c] = std::process::id().to_be_bytes();
     let own = Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250);
-    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port is free")
+    let draw =
+        || TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port is free");
+    std::iter::repeat_with(draw).find(|drawn| lock(&GIVEN).insert(*drawn)).expect("it goes on drawing")
 }
 
 /// What carries links, servers and loads: one thread beside the test's own.
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -1,11 +1,13 @@
 //! Processes that the test has started.
 
-use crate::{lock, until};
+use crate::{LOOK, PATIENCE, lock};
 use rustix::process::{Pid, kill_process};
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Instant;
 
 pub use rustix::process::Signal;
 
@@ -24,6 +26,7 @@
     /// The process.
     pub child: Child,
     log: Arc<Mutex<Vec<String>>>,
+    reader: JoinHandle<()>,
 }
 
 impl Program {
@@ -38,8 +41,9 @@
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let kept = Arc::clone(&log);
-        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| lock(&kept).push(line)));
-        Program { child, log }
+        let reader =
+            std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| lock(&kept).push(line)));
+        Program { child, log, reader }
     }
 
     /// What it has logged so far.
@@ -48,9 +52,25 @@
     }
 
     /// Waits for a line of the log that holds this.
+    ///
+    /// # Panics
+    /// It never came, or not before the log ended with the process; the end of the log is told.
     pub fn wait_for(&self, text: &str) -> String {
-        let found = || lock(&self.log).iter().find(|line| line.contains(text)).cloned();
-        until(&format!("{text} in the log"), found)
+        let waits = Instant::now();
+        loop {
+            // Asked before the look: what is logged goes before the log's end.
+            let ended = self.reader.is_finished();
+            let log = self.log();
+            if let Some(line) = log.iter().find(|line| line.contains(text)) {
+                return line.clone();
+            }
+            let end = &log[log.len().saturating_sub(3)..];
+            assert!(
+                !ended && waits.elapsed() < PATIENCE,
+                "never: {text} in the log, which ends with {end:#?}"
+            );
+            std::thread::sleep(LOOK);
+        }
     }
 
     /// Sends it a signal.
