--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -9,6 +9,7 @@
 use madderloom_fleet::protocol::{ToAgent, ToInstance};
 use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules};
 use madderloom_quota::Note as Quota;
+use madderloom_roster::{Note as List, Relay};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -79,6 +80,8 @@
     lending: Lending,
     storage: Option<Box<dyn Storage>>,
     fleet: Result<Fleet, Unable>,
+    /// The lists that the fleet shares. Each term learns them anew.
+    relay: Relay,
     watches: BTreeMap<String, (u64, mpsc::Sender<ToInstance>)>,
     rng: oorandom::Rand64,
     above: u64,
@@ -102,6 +105,7 @@
         lending,
         storage: Some(storage),
         fleet: Err(Unable(String::new())),
+        relay: Relay::new(0, 0),
         watches: BTreeMap::new(),
         rng: oorandom::Rand64::new(seed),
         above,
@@ -182,7 +186,9 @@
                             let (own, mut others): (Vec<_>, Vec<_>) =
                                 keep(out).into_iter().partition(|(to, _)| to == name);
                             sends.append(&mut others);
-                            let own = own.into_iter().map(|(_, message)| message).collect();
+                            let mut own: Vec<ToInstance> =
+                                own.into_iter().map(|(_, message)| message).collect();
+                            sends.extend(pass_on_lists(&mut self.relay, time.now, &message, &mut own));
                             held.push(hold(reply, own));
                         }
                         Ask::Push(change, by, reply) => {
@@ -270,12 +276,35 @@
         let lends = fleet.lend(self.clock.time(), self.lending.clone(), self.rng.rand_u64());
         out.saves.extend(lends.saves);
         self.commit(out.saves).await?;
+        self.relay = Relay::new(fleet.term(), self.rng.rand_u64());
         tracing::info!("term {} begins at revision {}", fleet.term(), fleet.newest());
         self.fleet = Ok(fleet);
         Ok(())
     }
 }
 
+/// What a report says of lists goes on to others, where the one who says so is known by its name; the answer goes with its
+/// own messages.
+fn pass_on_lists(
+    relay: &mut Relay,
+    now: Micros,
+    message: &ToAgent,
+    own: &mut Vec<ToInstance>,
+) -> Vec<(String, ToInstance)> {
+    let ToAgent::Report(report) = message else { return Vec::new() };
+    let is_known = own.iter().any(|message| matches!(message, ToInstance::Renewed { .. }));
+    let Some(tells) = report.tells.as_ref().filter(|_| is_known) else { return Vec::new() };
+    let (answer, others, notes) = relay.hear(now, &report.who.name, report.who.start, tells);
+    for note in notes {
+        match note {
+            List::Newer { .. } => tracing::info!("{note}"),
+            List::Odd { .. } => tracing::warn!("{note}"),
+        }
+    }
+    own.push(ToInstance::Lists(answer));
+    others.into_iter().map(|(name, lists)| (name, ToInstance::Lists(lists))).collect()
+}
+
 fn hold<T: 'static>(reply: Reply<T>, answer: T) -> Held {
     Box::new(move |lasting| drop(reply.send(lasting.map(|()| answer))))
 }
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -9,9 +9,10 @@
 use madderloom_fleet::settings::Overlay;
 use madderloom_fleet::{Action, Event, Instance, Memory, Session};
 use madderloom_quota::{Asks, Lent};
+use madderloom_roster::{Lists, Tells};
 use std::pin::Pin;
 use std::rc::Rc;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
 
 /// Requests to the agent that are under way at once; what comes beyond is dropped, since the next report heals it.
@@ -38,6 +39,14 @@
     fn lent(&mut self, _lent: &Lent) -> bool {
         false
     }
+    /// What it says of lists that the fleet shares with the report that is made now. None where it takes part in none.
+    fn tells(&mut self) -> Option<Tells> {
+        None
+    }
+    /// This is what the fleet goes by. Gives whether the agent wants a report at once.
+    fn lists(&mut self, _lists: &Lists) -> bool {
+        false
+    }
 }
 
 /// An instance's link.
@@ -50,6 +59,7 @@
     watching: Option<AbortHandle>,
     taking: Option<Taking>,
     traits: Option<watch::Receiver<Traits>>,
+    news: Option<Rc<Notify>>,
     under_way: Rc<()>,
     rng: oorandom::Rand64,
 }
@@ -73,6 +83,7 @@
             watching: None,
             taking: None,
             traits: None,
+            news: None,
             under_way: Rc::default(),
             rng: oorandom::Rand64::new(seed),
         }
@@ -84,6 +95,12 @@
         self
     }
 
+    /// Reports at once whenever this is notified.
+    pub fn told_by(mut self, news: Rc<Notify>) -> Self {
+        self.news = Some(news);
+        self
+    }
+
     /// Keeps the link for as long as it is polled, within a [`tokio::task::LocalSet`].
     pub async fn run(mut self) {
         let (sender, mut came) = mpsc::channel::<Came>(16);
@@ -115,6 +132,7 @@
                     Some(traits) => self.handle(Event::FileChanged(&traits), &sender),
                     None => self.traits = None,
                 },
+                () = notified(self.news.as_deref()) => self.handle(Event::Report, &sender),
             }
             self.follow_session(&sender);
         }
@@ -129,7 +147,8 @@
                 Action::Take(order) => self.taking = Some(self.settings.take(&order.overlay)),
                 Action::Send(mut message) => {
                     if let ToAgent::Report(report) = &mut message {
-                        report.asks = self.settings.asks(report.term);
+                        report.asks = self.settings.asks(report.term).map(Box::new);
+                        report.tells = self.settings.tells().map(Box::new);
                     }
                     self.send(message, sender.clone());
                 }
@@ -138,6 +157,11 @@
                         self.handle(Event::Report, sender);
                     }
                 }
+                Action::Lists(lists) => {
+                    if self.settings.lists(&lists) {
+                        self.handle(Event::Report, sender);
+                    }
+                }
             }
         }
     }
@@ -205,6 +229,14 @@
     }
 }
 
+/// Whoever has news for the agent, if anybody ever has.
+async fn notified(news: Option<&Notify>) {
+    match news {
+        Some(news) => news.notified().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What the instance says of itself, once that has changed; none if it never will again.
 async fn changed(traits: &mut Option<watch::Receiver<Traits>>) -> Option<Traits> {
     match traits {
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -32,27 +32,29 @@
         let operator = extension == Some("toml") || (extension != Some("json") && !is_object());
         let checked = if operator && is_agents(&text) {
             let read = madderloom_agent::Config::read(&text, &self.file);
-            read.map(|config| (agents_summary(&config), agents_bounds(&config), Vec::new()))
+            read.map(|config| (agents_summary(&config), agents_bounds(&config), Vec::new(), Vec::new()))
         } else if operator {
             Operator::load(&self.file)
-                .map(|o| (o.summary(), safe_parts(&o), o.levels()))
+                .map(|o| (o.summary(), safe_parts(&o), shared_lists(&o), o.levels()))
                 .map_err(|faults| faults.problems)
         } else {
-            Config::from_json(&text).map(|c| (c.summary(), Vec::new(), Vec::new())).map_err(|problem| {
+            let summary = |c: Config| (c.summary(), Vec::new(), Vec::new(), Vec::new());
+            Config::from_json(&text).map(summary).map_err(|problem| {
                 let madderloom_sidecar::Problem { field, line, column, problem } = problem;
                 vec![Problem { field, line, column, problem }]
             })
         };
         match (&checked, self.output) {
-            (Ok((summary, limits, levels)), Output::Text) => {
+            (Ok((summary, limits, lists, levels)), Output::Text) => {
                 let levels: String = levels.iter().map(|levels| format!("\n{levels}")).collect();
-                let limits: String = limits.iter().map(|limit| format!("\n{limit}")).collect();
+                let limits: String = limits.iter().chain(lists).map(|limit| format!("\n{limit}")).collect();
                 tell(format_args!("{name}: makes sense: {summary}{limits}{levels}"));
             }
-            (Ok((summary, limits, levels)), Output::Json) => {
+            (Ok((summary, limits, lists, levels)), Output::Json) => {
                 let levels: serde_json::Value = levels.iter().map(PoolLevels::to_json).collect();
                 let told = serde_json::json!({
-                    "file": self.file, "summary": summary, "fleet_limits": limits, "levels": levels, "problems": [],
+                    "file": self.file, "summary": summary, "fleet_limits": limits, "shared_lists": lists,
+                    "levels": levels, "problems": [],
                 });
                 tell(told);
             }
@@ -95,6 +97,23 @@
     told.collect()
 }
 
+/// How old a list of each pool that is shared with the fleet may be.
+fn shared_lists(operator: &Operator) -> Vec<String> {
+    let shares = operator.control.as_ref().is_some_and(|control| control.share_lists.is_some());
+    let pools = operator.pools.iter().filter(|pool| shares && pool.discovery.is_some());
+    let told = pools.map(|pool| {
+        let ask_within = pool.site.settings.rules.ask_within;
+        let (after, spread) = madderloom_roster::own_calls(ask_within);
+        let (name, seconds) = (&pool.name, |micros: u64| micros as f64 / 1e6);
+        let (after, spread, within) = (seconds(after), seconds(spread), seconds(ask_within));
+        format!(
+            "pool {name}: its list is shared: this instance calls discovery itself once what it knows is {after} s old, \
+             and up to {spread} s later: with 5% for its clock within {within} s"
+        )
+    });
+    told.collect()
+}
+
 /// What an agent's file configures, in a few words.
 fn agents_summary(config: &madderloom_agent::Config) -> String {
     let state = config.state.as_ref().map_or("nowhere".to_string(), |state| state.display().to_string());
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -153,6 +153,7 @@
     }
     told += &format!("\n{}", table(&rows));
     told += &fleet_limits(&status["fleet_limits"]);
+    told += &shared_lists(&status["shared_lists"]);
     told += &levels(list(&status["pools"]), classes);
     if classes {
         let mut rows = vec![row(&["class", "effect", "open", "usual ms", "slow ms", "delay", "served/s"])];
@@ -222,6 +223,16 @@
     format!("\n{lease}\n{}", table(&rows))
 }
 
+/// Lists that the fleet shares, with how old what is known of each may be.
+fn shared_lists(of: &Value) -> String {
+    let Some(lists) = of.as_object() else { return String::new() };
+    let mut rows = vec![row(&["shared list", "version", "age"])];
+    for (name, list) in lists {
+        rows.push(vec![name.clone(), text(&list["version"]), humantime(number(&list["age_us"]))]);
+    }
+    format!("\n{}", table(&rows))
+}
+
 /// The level of each pool that has levels, with what caused it, the orders that hold and, `in_full`, the last changes
 /// and the signals.
 fn levels(pools: &[Value], in_full: bool) -> String {
--- a/crates/cli/tests/fleet/limits.rs
+++ b/crates/cli/tests/fleet/limits.rs
@@ -1,13 +1,10 @@
 //! A fleet-wide limit over real sidecars, an agent and faults between them. What arrives at the stand-in servers keeps to
 //! the limit in every window, and nothing is lost or runs twice.
 
-use crate::rig::{Rig, found, madderloom};
-use madderloom_rig::{
-    Act, Arrivals, Direction, Fault, Got, Link, Load, Menu, Plan, Program, Server, Slot, Stage, own_address,
-    served, shrink, until,
-};
-use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use crate::many::Fleet;
+use crate::rig::{found, madderloom};
+use madderloom_rig::{Act, Arrivals, Direction, Fault, Got, Link, Menu, Plan, Server, served, shrink, until};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -17,8 +14,6 @@
 const OUT: Duration = Duration::from_millis(3_500);
 /// A request arrives so much later than it was let in at most, on a machine that is busy.
 const JITTER: Duration = Duration::from_millis(100);
-/// Between an answer and a client's next request: some 50 a second each, far more than the limit has.
-const PAUSE: Duration = Duration::from_millis(20);
 
 fn limit(name: &str, figures: &str) -> String {
     format!("[[fleet_limits]]\nname = \"{name}\"\n{figures}\n")
@@ -28,18 +23,6 @@
     Duration::from_millis(millis)
 }
 
-/// An agent at a port that it keeps, sidecars with a link of their own to it, and servers.
-struct Fleet {
-    rig: Rig,
-    stage: Stage,
-    fronts: BTreeMap<String, SocketAddr>,
-}
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound").port()
-}
-
 impl Fleet {
     /// So many sidecars that take part in the limits of this text, each in one of two zones, `north-N` and `south-N`.
     fn new(count: usize, limits: &str, own: &str) -> Self {
@@ -49,37 +32,21 @@
     }
 
     fn with(count: usize, leases: &str, limits: &str, own: &str) -> Self {
-        let directory = found(&format!("{leases}{limits}"));
-        let port = free_port();
-        let file = directory.path().join("agent.toml");
-        let text = std::fs::read_to_string(&file).expect("written");
-        std::fs::write(&file, text.replace("127.0.0.1:0", &format!("127.0.0.1:{port}"))).expect("written");
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
         let servers = (0..3).map(|n| Server::that_takes(&format!("w{n}"), millis(5))).collect();
-        let (instances, roads) = Default::default();
-        let rig = Rig { directory, agent: None, address, roads, servers, instances };
-        let mut fleet = Fleet { rig, stage: Stage::default(), fronts: BTreeMap::new() };
-        fleet.add_agent("agent", "agent.toml", "state");
+        let mut fleet = Fleet::found(&format!("{leases}{limits}"), servers, SITE);
         for number in 0..count {
             let zone = ["north", "south"][number % 2];
-            fleet.add(&format!("{zone}-{number}"), &format!("shop-{number}"), own);
+            fleet.add_one(&format!("{zone}-{number}"), &format!("shop-{number}"), own);
         }
         fleet.stage.program("agent").wait_for("all of them can be lent");
         until("each has a lease", || fleet.all_leased().then_some(()));
         fleet
     }
 
-    fn add_agent(&mut self, name: &str, file: &'static str, state: &'static str) {
-        let at = self.rig.directory.path().to_path_buf();
-        let make = move |afresh: bool| {
-            if afresh {
-                let _ = std::fs::remove_dir_all(at.join(state));
-            }
-            madderloom(&at, &["agent", "--config", file])
-        };
-        let program = Program::start(make(false));
-        program.wait_for("listening on ");
-        self.stage.slots.insert(name.into(), Slot::new(program, make));
+    /// A sidecar that knows the servers.
+    fn add_one(&mut self, name: &str, own_name: &str, own: &str) {
+        let pool = format!("servers = [{}]", self.rig.entries());
+        self.add(name, own_name, own, &pool);
     }
 
     /// A second agent, of `second.toml`, on this state; gives where it listens.
@@ -95,37 +62,6 @@
         self.stage.act(name, Act::Reset);
     }
 
-    /// A sidecar with a link of its own to the agent. It listens where it did before when it is started again.
-    fn add(&mut self, name: &str, own_name: &str, own: &str) {
-        let link = Link::new(self.rig.address);
-        let front = own_address();
-        let zone = name.split('-').next().expect("a zone");
-        let servers: Vec<String> = self
-            .rig
-            .servers
-            .iter()
-            .map(|server| format!("{{ name = \"{}\", address = \"{}\" }}", server.name, server.address))
-            .collect();
-        let text = format!(
-            "version = 1\n[admin]\nlisten = \"127.0.0.1:0\"\n[control]\nagent = \"{}\"\nname = \"{own_name}\"\n\
-             zone = \"{zone}\"\nkeys = {{ authority = \"authority.pem\", certificate = \"shop-any.pem\", key = \
-             \"shop-any.key\" }}\n{own}\n[[listeners]]\nname = \"front\"\naddress = \"{front}\"\n\
-             [[pools]]\nname = \"shop\"\nservers = [{}]\nsettings_file = \"site.json\"\n\
-             [[routes]]\nname = \"all\"\npool = \"shop\"\n",
-            link.address(),
-            servers.join(", "),
-        );
-        std::fs::write(self.rig.at("site.json"), SITE).expect("written");
-        std::fs::write(self.rig.at(&format!("{name}.toml")), text).expect("written");
-        let (at, file) = (self.rig.directory.path().to_path_buf(), format!("{name}.toml"));
-        let make = move |_| madderloom(&at, &["serve", "--operator", &file]);
-        let program = Program::start(make(false));
-        program.wait_for("front: listening on ");
-        self.fronts.insert(name.into(), front);
-        self.stage.links.insert(format!("{name}>agent"), link);
-        self.stage.slots.insert(name.into(), Slot::new(program, make));
-    }
-
     fn all_leased(&self) -> bool {
         let leased = |name: &String| {
             let log = self.stage.program(name).log();
@@ -135,28 +71,6 @@
         self.fronts.keys().all(leased)
     }
 
-    /// Two clients at each sidecar.
-    fn load(&self) -> Load {
-        self.load_with(PAUSE)
-    }
-
-    fn load_with(&self, pause: Duration) -> Load {
-        let fronts: Vec<SocketAddr> = self.fronts.values().flat_map(|front| [*front; 2]).collect();
-        Load::on(&fronts, pause)
-    }
-
-    /// Seconds of CPU that a process has used.
-    fn cpu(&self, name: &str) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.stage.program(name).child.id()));
-        let stat = stat.expect("it is up");
-        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
-        fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
-    }
-
-    fn arrivals(&self) -> Arrivals {
-        Arrivals::of(&self.rig.servers)
-    }
-
     /// Each had its one answer, some were served and some refused, and no sidecar says that it is wrong.
     fn judge(&self, got: &[Got], killed: bool) {
         let served = served(got, &self.rig.servers, killed);
@@ -412,7 +326,7 @@
         + &limit("node", "requests_per_second = 4\nburst = 6\neach_server = true");
     let own = format!("{OWN}[[control.fleet_limits]]\nname = \"node\"\neach_server = true\n");
     let mut fleet = Fleet::new(8, &few, &own);
-    fleet.add("north-8", "shop-0", &own);
+    fleet.add_one("north-8", "shop-0", &own);
     let load = fleet.load();
     std::thread::sleep(millis(9_000));
     let arrivals = fleet.arrivals();
--- /dev/null
+++ b/crates/cli/tests/fleet/lists.rs
@@ -0,0 +1,205 @@
+//! Lists that many real sidecars share over an agent, with faults between them, the agent and discovery. What discovery
+//! and the servers counted is judged.
+
+use crate::many::Fleet;
+use madderloom_rig::{Act, Got, Link, Lists, Load, Manner, Says, Server, served, until};
+use std::time::{Duration, Instant};
+
+/// What discovery bears: some 50 calls a second, of which 16 may wait.
+const MANNER: Manner = Manner { each: millis(20), most: 16, down: Duration::from_secs(1), says: Says::List };
+const ZONES: [&str; 3] = ["north", "south", "east"];
+/// So long after its evidence an instance has called discovery at the latest.
+const ASK_WITHIN: Duration = millis(5_000);
+/// What a busy machine takes for timers and messages.
+const SLACK: Duration = millis(1_500);
+const AGENT: &str = "report = \"500ms\"\nlease = \"5s\"\ngrace = \"5s\"\n[registrations]\nhorizon = \"1s\"\n";
+const PASSED_ON: &str = "by way of the agent";
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// `MADDERLOOM_MANY` sidecars, or forty-five; `MADDERLOOM_BINARY` says of which build.
+fn many() -> usize {
+    std::env::var("MADDERLOOM_MANY").ok().and_then(|many| many.parse().ok()).unwrap_or(45)
+}
+
+fn site() -> String {
+    let site = serde_json::json!({
+        "areas": ["a"], "kinds": ["m1"], "group_size": many(), "my_zone": 0, "period": 5000,
+        "discovery": "subscribe",
+        "services": [{"name": "submit", "effect": "unsafe", "key_scope": "all", "window": 4000000,
+            "on_time": 2000000, "give_up": 6000000, "worth": 10.0}],
+        "limits": {"cancel": true, "max_attempts": 6, "retry_after": true, "max_retry_after": 1500000,
+            "probes": false},
+        "safety": {"ask_within": ASK_WITHIN.as_micros() as u64, "cold": 1000000, "cold_from": 0.3, "fall": 1000000}});
+    site.to_string()
+}
+
+struct Shared {
+    fleet: Fleet,
+    lists: Lists,
+    began: Instant,
+}
+
+impl Shared {
+    /// Many sidecars that start as fast as they can be and know one server of three; discovery knows all. With
+    /// `MADDERLOOM_UNSHARED` they share nothing, to see what that costs.
+    fn start(cut: &[&str]) -> Self {
+        let servers: Vec<Server> = (0..3).map(|n| Server::that_takes(&format!("w{n}"), millis(5))).collect();
+        let lists = Lists::new(MANNER, &servers.iter().collect::<Vec<_>>());
+        let known = format!("servers = [{{ name = \"w0\", address = \"{}\" }}]", servers[0].address);
+        let mut fleet = Fleet::found(AGENT, servers, &site());
+        for zone in ZONES {
+            let link = Link::new(lists.address);
+            if cut.contains(&zone) {
+                link.cut_both();
+            }
+            fleet.stage.links.insert(format!("{zone}>lists"), link);
+        }
+        let unshared = std::env::var_os("MADDERLOOM_UNSHARED").is_some();
+        let own = if unshared { "" } else { "share_lists = \"fleet\"\n" };
+        let began = Instant::now();
+        for number in 0..many() {
+            let zone = ZONES[number % ZONES.len()];
+            let discovery = fleet.stage.links[&format!("{zone}>lists")].address();
+            let pool = format!("discovery = \"{discovery}\"\n{known}");
+            fleet.begin(&format!("{zone}-{number}"), &format!("shop-{number}"), own, &pool);
+        }
+        let shared = Shared { fleet, lists, began };
+        shared.wait("front: listening on ", "");
+        shared
+    }
+
+    /// Waits until each sidecar whose name begins so has logged this since it was last started.
+    fn wait(&self, text: &str, names: &str) {
+        for name in self.fleet.fronts.keys().filter(|name| name.starts_with(names)) {
+            self.fleet.stage.program(name).wait_for(text);
+        }
+    }
+
+    /// Those that watch, and those that had the list by way of the agent.
+    fn have_it(&self) -> (usize, usize) {
+        let passed_on =
+            |name: &&String| self.fleet.stage.program(name).log().iter().any(|line| line.contains(PASSED_ON));
+        (self.lists.told(), self.fleet.fronts.keys().filter(passed_on).count())
+    }
+
+    /// Waits until all have the list, and says how long that took from then on.
+    fn all_have_it(&self, since: Instant) -> Duration {
+        until("all have the list", || {
+            let (watch, told) = self.have_it();
+            (watch + told >= many()).then_some(())
+        });
+        since.elapsed()
+    }
+
+    /// A client at each of these, which keeps its connection.
+    fn load(&self, zones: &[&str]) -> Load {
+        let at = self.fleet.fronts.iter().filter(|(name, _)| zones.iter().any(|zone| name.starts_with(zone)));
+        Load::on(&at.map(|(_, front)| *front).collect::<Vec<_>>(), millis(50))
+    }
+
+    /// Does this to the processes of these zones.
+    fn act_on(&mut self, zones: &[&str], act: Act) {
+        for name in self.fleet.fronts.keys().filter(|name| zones.iter().any(|zone| name.starts_with(zone))) {
+            self.fleet.stage.act(name, act);
+        }
+    }
+
+    fn publish(&self, index: u64, draining: &[&str]) -> Instant {
+        self.lists.publish(index, &self.fleet.rig.servers.iter().collect::<Vec<_>>(), draining);
+        Instant::now()
+    }
+
+    fn judge(&self, got: &[Got], killed: bool) {
+        let served = served(got, &self.fleet.rig.servers, killed);
+        eprintln!("{served} of {} served", got.len());
+        let least = if killed { 0.5 } else { 0.97 };
+        assert!(got.len() > many() && served as f64 > least * got.len() as f64, "{served} of {}", got.len());
+    }
+
+    /// What came to a server from then on.
+    fn came(&self, server: usize, from: Instant) -> usize {
+        madderloom_rig::Arrivals::of([&self.fleet.rig.servers[server]]).since(from).len()
+    }
+}
+
+/// A third can't reach discovery and never calls; the first that are answered tell all. Then a drain reaches all, seven in
+/// ten die and come back, and the agent comes back without knowing anything.
+#[test]
+fn a_few_calls_serve_all_also_those_that_discovery_does_not_reach() {
+    let mut shared = Shared::start(&["south"]);
+    let load = shared.load(&ZONES);
+    let took = shared.all_have_it(shared.began);
+    let calls = shared.lists.calls().len();
+    eprintln!("{calls} calls for {} sidecars, all have the list after {took:.1?}", many());
+    assert!(calls <= many() / 3, "{calls} calls");
+    shared.wait(PASSED_ON, "south");
+    let drained = shared.publish(3, &["w2"]);
+    std::thread::sleep(millis(1_500));
+    let late = drained + millis(1_000);
+    assert_eq!(shared.came(2, late), 0, "it drains, and all were told");
+    shared.judge(&load.stop(), false);
+
+    // North watches still: whoever comes back is told by the fleet.
+    let load = shared.load(&ZONES);
+    shared.act_on(&["south", "east"], Act::Kill);
+    let before = shared.lists.calls().len();
+    shared.act_on(&["south", "east"], Act::Start);
+    let again = Instant::now();
+    shared.wait(PASSED_ON, "south");
+    let took = again.elapsed();
+    std::thread::sleep(millis(1_000));
+    let calls = shared.lists.calls().len() - before;
+    eprintln!("{calls} calls for two thirds that come back, south has the list after {took:.1?}");
+    assert!(calls <= many() / 6, "{calls} calls");
+    assert_eq!(shared.came(2, again + SLACK), 0, "nobody forgets that it drains");
+
+    shared.fleet.stage.act("agent", Act::Kill);
+    shared.fleet.stage.act("agent", Act::StartAfresh);
+    shared.fleet.stage.program("agent").wait_for("is at version 3");
+    shared.judge(&load.stop(), true);
+}
+
+/// All links to the agent are cut at once: whoever can calls discovery, in the time that the settings name and not all at
+/// once; who can't goes on with what it has.
+#[test]
+fn cut_off_from_the_fleet_each_calls_discovery_in_time() {
+    let shared = Shared::start(&[]);
+    let load = shared.load(&ZONES);
+    shared.all_have_it(shared.began);
+    let watching = shared.lists.told();
+    assert!(watching <= many() / 2, "{watching} watch");
+    // The evidence of all is as young as it gets.
+    std::thread::sleep(millis(1_200));
+    let cut = Instant::now();
+    shared
+        .fleet
+        .stage
+        .links
+        .iter()
+        .filter(|(name, _)| name.ends_with(">agent"))
+        .for_each(|(_, link)| link.cut_both());
+    shared.publish(3, &["w2"]);
+    let due = ASK_WITHIN + SLACK;
+    std::thread::sleep(due.saturating_sub(cut.elapsed()));
+    assert_eq!(shared.lists.told(), many(), "all have called, and watch");
+    std::thread::sleep(millis(500));
+    assert_eq!(shared.came(2, cut + due), 0, "none goes by a list that is older than it may be");
+    let calls = shared.lists.calls().since(cut);
+    // They are spread over two fifths of the time.
+    let over = calls.over(
+        many() as f64 / (0.4 * ASK_WITHIN.as_secs_f64()),
+        3.0 * (many() as f64).sqrt(),
+        millis(150),
+    );
+    eprintln!(
+        "{} calls after the cut, {over:.1} over; died {} times",
+        calls.len(),
+        shared.lists.deaths().len()
+    );
+    assert!(over <= 0.0, "{over} calls over the ceiling of some window");
+    assert_eq!(shared.lists.deaths().len(), 0);
+    shared.judge(&load.stop(), false);
+}
--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -3,6 +3,8 @@
 mod commands;
 mod faults;
 mod limits;
+mod lists;
+mod many;
 mod overlay;
 mod rig;
 mod wire;
--- a/crates/cli/tests/fleet/rig.rs
+++ b/crates/cli/tests/fleet/rig.rs
@@ -132,14 +132,15 @@
         self.agent = None;
     }
 
+    /// The servers as a pool of an operator file lists them.
+    pub fn entries(&self) -> String {
+        let listed = |s: &Server| format!("{{ name = \"{}\", address = \"{}\" }}", s.name, s.address);
+        self.servers.iter().map(listed).collect::<Vec<_>>().join(", ")
+    }
+
     /// The operator file of an instance.
     pub fn file(&self, number: usize, more: &str) -> String {
         let road = &self.roads[ZONES[number % 2]];
-        let servers: Vec<String> = self
-            .servers
-            .iter()
-            .map(|s| format!("{{ name = \"{}\", address = \"{}\" }}", s.name, s.address))
-            .collect();
         format!(
             "version = 1\n[admin]\nlisten = \"127.0.0.1:0\"\n[control]\nagent = \"{}\"\nname = \"shop-{number}\"\n\
              zone = \"{}\"\nstate = \"kept-{number}\"\nkeys = {{ authority = \"authority.pem\", certificate = \
@@ -153,7 +154,7 @@
              [[routes]]\nname = \"all\"\npool = \"shop\"\n{more}",
             road.address(),
             ZONES[number % 2],
-            servers.join(", "),
+            self.entries(),
         )
     }
 
--- a/crates/fleet/src/explore/world.rs
+++ b/crates/fleet/src/explore/world.rs
@@ -479,7 +479,7 @@
                 Action::Take(order) => process.taking = Some(order),
                 Action::Send(message) => world.insert(Packet::Up { name, message }),
                 // These worlds lend nothing: see `lending`.
-                Action::Lent(_) => {}
+                Action::Lent(_) | Action::Lists(_) => {}
             }
         }
         world.processes[at] = Hashed::new(process);
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -10,6 +10,7 @@
 use crate::settings::Overlay;
 use crate::{Micros, Planted, planted};
 use madderloom_quota::Lent;
+use madderloom_roster::Lists;
 use serde::{Deserialize, Serialize};
 
 /// How long an answer to a registration is waited for, in microseconds.
@@ -60,7 +61,7 @@
     Lost,
     /// Its own file was read again: what was refused may be tried again.
     FileChanged(&'a Traits),
-    /// The agent is to be told at once: something that was lent is not used any more.
+    /// The agent is to be told at once: something that was lent is not used any more, or discovery has spoken.
     Report,
 }
 
@@ -75,6 +76,8 @@
     Send(ToAgent),
     /// This is lent of fleet-wide limits.
     Lent(Lent),
+    /// This is what the fleet goes by of lists that it shares.
+    Lists(Lists),
 }
 
 /// One start of an instance.
@@ -266,6 +269,13 @@
             {
                 actions.push(Action::Lent(lent.clone()));
             }
+            ToInstance::Lists(lists)
+                if lists.start == self.who.start
+                    && self.session == Session::In
+                    && self.hear(lists.stamp.term, actions) =>
+            {
+                actions.push(Action::Lists(lists.clone()));
+            }
             ToInstance::Order(order) if order.start == self.who.start => self.order(order, actions),
             _ => {}
         }
@@ -359,6 +369,7 @@
             holding: self.holding.clone(),
             counts: self.counts,
             asks: None,
+            tells: None,
         })
     }
 
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -9,6 +9,7 @@
 use crate::gate::Counts;
 use crate::settings::{Fingerprint, Overlay, check_name};
 use madderloom_quota::{Asks, Lent};
+use madderloom_roster::{Lists, Tells};
 use serde::{Deserialize, Serialize};
 
 /// The version of the protocol; it stands in the path of every request.
@@ -143,7 +144,10 @@
     pub counts: Counts,
     /// What it says of fleet-wide limits; nothing where it takes part in none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub asks: Option<Asks>,
+    pub asks: Option<Box<Asks>>,
+    /// What it says of lists that the fleet shares; nothing where it takes part in none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tells: Option<Box<Tells>>,
 }
 
 /// What the agent sends to an instance.
@@ -184,6 +188,8 @@
     Order(Order),
     /// What it is lent of fleet-wide limits. It goes to those alone that asked, and so know of it.
     Lent(Lent),
+    /// What the fleet goes by of lists that it shares. It goes to those alone that told of theirs, and so know of it.
+    Lists(Lists),
 }
 
 impl ToInstance {
@@ -193,6 +199,7 @@
             ToInstance::Welcome(welcome) => welcome.start,
             ToInstance::Order(order) => order.start,
             ToInstance::Lent(lent) => lent.start,
+            ToInstance::Lists(lists) => lists.start,
             ToInstance::Superseded { start, .. }
             | ToInstance::Later { start, .. }
             | ToInstance::Unknown { start }
--- a/crates/operator/src/control.rs
+++ b/crates/operator/src/control.rs
@@ -19,6 +19,7 @@
     labels: BTreeMap<String, String>,
     state: Option<PathBuf>,
     keys: Keys,
+    share_lists: String,
     fleet_limits: Vec<fleet_limits::Section>,
 }
 
@@ -49,13 +50,15 @@
     pub certificate: PathBuf,
     /// Its key.
     pub key: PathBuf,
+    /// Under which name it shares the lists of its pools with the fleet; none where it shares nothing.
+    pub share_lists: Option<String>,
     /// The fleet-wide limits that it takes part in.
     pub fleet_limits: Vec<FleetLimit>,
 }
 
 impl Section {
     pub(crate) fn check(self, document: &mut Document<'_>, process: &str, pools: &Names) -> Control {
-        let Section { agent, name, zone, labels, state, keys, fleet_limits } = self;
+        let Section { agent, name, zone, labels, state, keys, share_lists, fleet_limits } = self;
         let fleet_limits = fleet_limits::check(document, fleet_limits, pools);
         let port = agent.rsplit_once(':').filter(|(host, _)| !host.is_empty()).map(|(_, port)| port);
         let sound = port.is_some_and(|port| port.parse::<u16>().is_ok());
@@ -77,8 +80,13 @@
                 "is missing; write the path of a file",
             );
         }
+        let share_lists = Some(share_lists).filter(|name| !name.is_empty());
+        if let Some(Err(problem)) = share_lists.as_deref().map(check_name) {
+            document
+                .problem("control.share_lists", format_args!("{problem}; it is the same for all that share"));
+        }
         let Keys { authority, certificate, key } = keys;
-        Control { agent, name, zone, labels, state, authority, certificate, key, fleet_limits }
+        Control { agent, name, zone, labels, state, authority, certificate, key, share_lists, fleet_limits }
     }
 }
 
--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -48,8 +48,8 @@
 }
 
 struct Own {
-    /// As it is written.
-    list: String,
+    /// As it is written, to those who call and to those who watch.
+    list: watch::Sender<String>,
     state: Mutex<State>,
     turn: Semaphore,
     /// Counts deaths, each of which ends all connections.
@@ -66,10 +66,16 @@
 
 /// A whole list, of this version, in which all serve.
 pub fn listing(index: u64, servers: &[&Server]) -> String {
+    listing_but(index, servers, &[])
+}
+
+/// A whole list, of this version, in which those of these names drain and all others serve.
+fn listing_but(index: u64, servers: &[&Server], draining: &[&str]) -> String {
     let entry = |server: &&Server| {
+        let status = if draining.contains(&server.name.as_str()) { "terminating" } else { "in_service" };
         format!(
             "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"m1\",\"group\":0,\
-             \"status\":\"in_service\",\"weight\":1.0,\"since_ms\":0}}",
+             \"status\":\"{status}\",\"weight\":1.0,\"since_ms\":0}}",
             server.name, server.address
         )
     };
@@ -83,7 +89,7 @@
         let (listener, address) = listen();
         let (waiting, deaths, calls, told) = Default::default();
         let state = State { manner, waiting, down_until: None, deaths, calls, told };
-        let (list, died) = (listing(2, servers), watch::Sender::new(0));
+        let (list, died) = (watch::Sender::new(listing(2, servers)), watch::Sender::new(0));
         let own = Arc::new(Own { list, state: Mutex::new(state), turn: Semaphore::new(1), died });
         let task = runtime().spawn(accept(listener, Arc::clone(&own))).abort_handle();
         Lists { address, own, task }
@@ -94,6 +100,11 @@
         change(&mut lock(&self.own.state).manner);
     }
 
+    /// From now on its list is of this version, and those of these names drain in it; open watches hear of it at once.
+    pub fn publish(&self, index: u64, servers: &[&Server], draining: &[&str]) {
+        self.own.list.send_replace(listing_but(index, servers, draining));
+    }
+
     /// It dies now, and is back after so long.
     pub fn die(&self, down: Duration) {
         die(&self.own, &mut lock(&self.own.state), down);
@@ -198,10 +209,12 @@
         state.manner.says
     };
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+    let mut news = own.list.subscribe();
+    let list = news.borrow_and_update().clone();
     let line = match says {
-        Says::List => format!("{}\n", own.list),
+        Says::List => format!("{list}\n"),
         Says::Nonsense => "{\"index\":\"so\"}\n".into(),
-        Says::Half => own.list[..own.list.len() / 2].into(),
+        Says::Half => list[..list.len() / 2].into(),
     };
     stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).await.ok()?;
     if says == Says::Half {
@@ -211,6 +224,10 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(THERE) => stream.write_all(b"1\r\n\n\r\n").await.ok()?,
+            _ = news.changed() => {
+                let list = news.borrow_and_update().clone();
+                stream.write_all(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes()).await.ok()?;
+            }
             gone = stream.readable() => {
                 gone.ok()?;
                 // The caller has no more to say: what there is to read is its end.
--- /dev/null
+++ b/crates/roster/src/relay.rs
@@ -0,0 +1,215 @@
+//! The agent's side: the newest list of each name, and who holds which.
+
+use crate::{LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, aged};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One instance at a time is asked for a list, for so long. In microseconds.
+const ASKED: Micros = 1_000_000;
+/// Evidence that comes after so long without any is passed on at once and not with the next reports: instances wait for it
+/// that would call discovery. In microseconds.
+const MISSED: Micros = 5_000_000;
+/// An instance that was not heard for so long gets nothing any more until it reports. In microseconds.
+const GONE: Micros = 60_000_000;
+/// The most instances that are known of.
+const MOST_INSTANCES: usize = 16_384;
+
+/// What may be worth a line of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// The fleet goes by another list.
+    Newer {
+        /// Its name.
+        list: String,
+        /// Its version.
+        index: u64,
+        /// Whom it came from.
+        from: String,
+    },
+    /// An instance says what makes no sense; that line is passed over and its others are kept.
+    Odd {
+        /// Whom it came from.
+        from: String,
+        /// What is wrong.
+        problem: &'static str,
+    },
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Note::Newer { list, index, from } => {
+                write!(f, "lists: {list} is at version {index}, as {from} heard")
+            }
+            Note::Odd { from, problem } => write!(f, "lists: {from} tells {problem}: passed over"),
+        }
+    }
+}
+
+struct Kept {
+    version: Version,
+    text: String,
+    /// When there was evidence for it, by this clock.
+    heard: Micros,
+}
+
+struct Seen {
+    start: u64,
+    seq: u64,
+    came: Micros,
+    holds: BTreeMap<String, Option<Version>>,
+}
+
+/// Passes the newest list of each name on. What it holds is bounded: [`MOST_LISTS`] lists of [`MOST_TEXT`] bytes, and a
+/// line for each instance that was heard of late. It keeps nothing for its next start: the instances tell it again.
+pub struct Relay {
+    term: u64,
+    id: u64,
+    lists: BTreeMap<String, Kept>,
+    /// Until when somebody is being asked for a list.
+    asked: BTreeMap<String, Micros>,
+    instances: BTreeMap<String, Seen>,
+}
+
+impl Relay {
+    /// One that knows nothing yet. `id` is drawn at random at each start.
+    pub fn new(term: u64, id: u64) -> Self {
+        Relay { term, id, lists: BTreeMap::new(), asked: BTreeMap::new(), instances: BTreeMap::new() }
+    }
+
+    /// A report has come from a start of an instance that goes by this name. Gives the answer, and what others are to be
+    /// told at once.
+    pub fn hear(
+        &mut self,
+        now: Micros,
+        name: &str,
+        start: u64,
+        tells: &Tells,
+    ) -> (Lists, Vec<(String, Lists)>, Vec<Note>) {
+        let mut notes = Vec::new();
+        let (mut told, mut wanted) = (Vec::new(), Vec::new());
+        for tell in tells.of.iter().take(MOST_LISTS) {
+            match self.tell(now, name, tells, tell, &mut notes) {
+                Said::Changed => told.push(tell.list.clone()),
+                Said::Wanted => wanted.push(tell.list.as_str()),
+                Said::Nothing => {}
+            }
+        }
+        let full = self.instances.len() >= MOST_INSTANCES && !self.instances.contains_key(name);
+        let newer = self.instances.get(name).is_none_or(|seen| seen.start != start || seen.seq < tells.seq);
+        if newer && !full {
+            let holds =
+                tells.of.iter().take(MOST_LISTS).map(|tell| (tell.list.clone(), tell.version)).collect();
+            self.instances.insert(name.into(), Seen { start, seq: tells.seq, came: now, holds });
+        }
+        let mut of: Vec<Line> = Vec::new();
+        for tell in tells.of.iter().take(MOST_LISTS) {
+            let line = self.line(now, &tell.list, tell.version);
+            let wanted = wanted.contains(&tell.list.as_str());
+            if line.is_some() || wanted {
+                of.push(Line { list: tell.list.clone(), wanted, ..line.unwrap_or_default() });
+            }
+        }
+        let own = Lists { start, stamp: self.stamp(now), answers: tells.seq, of };
+        let others = if told.is_empty() { Vec::new() } else { self.pass_on(now, name, &told) };
+        (own, others, notes)
+    }
+
+    /// Which list of this name the fleet goes by, and how old the evidence for it is.
+    pub fn views(&self, now: Micros) -> impl Iterator<Item = (&str, u64, Micros)> {
+        self.lists
+            .iter()
+            .map(move |(name, kept)| (name.as_str(), kept.version.index, now.saturating_sub(kept.heard)))
+    }
+
+    fn stamp(&self, at: Micros) -> Stamp {
+        Stamp { term: self.term, id: self.id, at }
+    }
+
+    fn tell(&mut self, now: Micros, name: &str, tells: &Tells, tell: &Tell, notes: &mut Vec<Note>) -> Said {
+        let Some(version) = tell.version else { return Said::Nothing };
+        let mut odd = |problem| {
+            notes.push(Note::Odd { from: name.into(), problem });
+            Said::Nothing
+        };
+        if tell.list.is_empty() || tell.list.len() > LONGEST_NAME {
+            return odd("a list without a name, or with one that is too long");
+        }
+        if let Some(text) = &tell.text {
+            if text.len() > MOST_TEXT {
+                return odd("a list that is too long");
+            }
+            if Version::of(version.index, text) != version {
+                return odd("a list that is not the one that it says");
+            }
+        }
+        if !self.lists.contains_key(&tell.list) && self.lists.len() >= MOST_LISTS {
+            return odd("more lists than an agent keeps");
+        }
+        // What this agent said to it, and when, is known; all that came after is counted as its clock says, at worst.
+        let known = tells.stamp.filter(|stamp| (stamp.term, stamp.id) == (self.term, self.id));
+        let heard = known.map(|stamp| {
+            let reported =
+                stamp.at.saturating_add(tells.since.saturating_sub(tells.since.div_ceil(crate::DRIFT)));
+            reported.min(now).saturating_sub(aged(tell.age))
+        });
+        match (self.lists.get_mut(&tell.list), heard) {
+            (Some(kept), Some(heard)) if kept.version == version => {
+                let missed = now.saturating_sub(kept.heard) > MISSED;
+                kept.heard = kept.heard.max(heard);
+                if missed && now.saturating_sub(heard) <= MISSED { Said::Changed } else { Said::Nothing }
+            }
+            (Some(kept), _) if kept.version == version => Said::Nothing,
+            // Nothing is known of its age before an answer was heard: then it may come with the whole of it.
+            (Some(kept), heard)
+                if !version.goes_before(heard.unwrap_or(now), kept.version, kept.heard, now) =>
+            {
+                Said::Nothing
+            }
+            (_, heard) => match (&tell.text, heard) {
+                (Some(text), Some(heard)) => {
+                    self.asked.remove(&tell.list);
+                    let kept = Kept { version, text: text.clone(), heard };
+                    self.lists.insert(tell.list.clone(), kept);
+                    let (list, index, from) = (tell.list.clone(), version.index, name.into());
+                    notes.push(Note::Newer { list, index, from });
+                    Said::Changed
+                }
+                _ => {
+                    self.asked.retain(|_, until| *until > now);
+                    if self.asked.contains_key(&tell.list) || self.asked.len() >= MOST_LISTS {
+                        return Said::Nothing;
+                    }
+                    self.asked.insert(tell.list.clone(), now.saturating_add(ASKED));
+                    Said::Wanted
+                }
+            },
+        }
+    }
+
+    fn line(&self, from: Micros, list: &str, holds: Option<Version>) -> Option<Line> {
+        let kept = self.lists.get(list)?;
+        let text = (holds != Some(kept.version)).then(|| kept.text.clone());
+        let ago = from.saturating_sub(kept.heard);
+        Some(Line { list: list.into(), version: kept.version, ago, text, wanted: false })
+    }
+
+    fn pass_on(&mut self, now: Micros, but: &str, told: &[String]) -> Vec<(String, Lists)> {
+        self.instances.retain(|_, seen| now.saturating_sub(seen.came) <= GONE);
+        let to = |(name, seen): (&String, &Seen)| {
+            let lines = told.iter().filter_map(|list| self.line(seen.came, list, *seen.holds.get(list)?));
+            let of: Vec<Line> = lines.collect();
+            let lists = Lists { start: seen.start, stamp: self.stamp(now), answers: seen.seq, of };
+            (!lists.of.is_empty()).then(|| (name.clone(), lists))
+        };
+        self.instances.iter().filter(|(name, _)| *name != but).filter_map(to).collect()
+    }
+}
+
+enum Said {
+    Nothing,
+    /// Others are to hear of it at once.
+    Changed,
+    /// The whole of it is wanted.
+    Wanted,
+}
--- a/crates/sidecar/src/agent_link.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -22,6 +22,7 @@
 use madderloom_keys::{Files, Keyring, Role};
 use madderloom_operator::{Operator, Source};
 use madderloom_quota::{Asks, Lent};
+use madderloom_roster::{Lists, Tells};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -274,8 +275,9 @@
         let mut link = self.agent_link.link.borrow_mut();
         if let Some(running) = link.as_mut().filter(|running| {
             let (zone, labels) = (control.zone.clone(), control.labels.clone());
-            let fleet_limits = control.fleet_limits.clone();
-            madderloom_operator::Control { zone, labels, fleet_limits, ..running.control.clone() } == control
+            let (fleet_limits, share_lists) = (control.fleet_limits.clone(), control.share_lists.clone());
+            let former = running.control.clone();
+            madderloom_operator::Control { zone, labels, fleet_limits, share_lists, ..former } == control
         }) {
             running.control = control;
             running.traits.send_if_modified(|former| std::mem::replace(former, traits.clone()) != traits);
@@ -403,11 +405,12 @@
     let machine = Instance::new(0, who, traits.borrow().clone(), memory.clone());
     // Kept before it is used, so that no two starts go by one incarnation.
     own.agent_link.keep(&Memory { incarnation: machine.who().incarnation, ..memory });
-    drop(own);
     tracing::info!("control: {} registers with the agent at {}", control.name, control.agent);
     let seed = u128::from(RandomState::new().hash_one(0));
+    let news = own.common.shared_lists.news();
+    drop(own);
     let settings = Own { sidecar, window: Window::default() };
-    let link = Link::new(machine, settings, reports, watch, seed).following(traits);
+    let link = Link::new(machine, settings, reports, watch, seed).following(traits).told_by(news);
     tokio::select! {
         () = link.run() => {}
         () = follow_files(&keyring, &files) => {}
@@ -466,6 +469,22 @@
         self.sidecar.upgrade().is_some_and(|sidecar| sidecar.common.fleet_limits.take(lent))
     }
 
+    fn tells(&mut self) -> Option<Tells> {
+        self.sidecar.upgrade()?.common.shared_lists.tell()
+    }
+
+    fn lists(&mut self, lists: &Lists) -> bool {
+        let Some(sidecar) = self.sidecar.upgrade() else { return false };
+        let common = &sidecar.common;
+        common.shared_lists.hear(lists, |pool, offer, age| {
+            let services = common.services.borrow();
+            let service = services.iter().find(|service| service.name == pool).cloned();
+            drop(services);
+            let service = service.ok_or("no such pool is there any more")?;
+            pool::passed_on(&service, offer.version.index, &offer.text, age)
+        })
+    }
+
     fn keep(&mut self, memory: &Memory) {
         if let Some(sidecar) = self.sidecar.upgrade() {
             sidecar.agent_link.keep(memory);
--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -1,11 +1,20 @@
 //! Time for the decisions: whole microseconds on the monotonic clock.
 
 use madderloom_balancer::Micros;
+use rustix::time::{ClockId, clock_gettime};
 use std::cell::Cell;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 use tz::TimeZone;
 
+/// The time by a clock that also runs while the machine is suspended, by which what holds for a time ends. It is read anew
+/// each time; its zero means nothing.
+pub(super) fn boottime() -> Micros {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = Micros::try_from(time.tv_sec).unwrap_or(0);
+    seconds.saturating_mul(1_000_000).saturating_add(Micros::try_from(time.tv_nsec / 1_000).unwrap_or(0))
+}
+
 /// The monotonic clock, its zero put so that at the start it reads as Unix time does. Unix times that
 /// discovery gives are thus times of this clock as they are, and later steps of the wall clock change nothing.
 pub(super) struct Clock {
--- a/crates/sidecar/src/common.rs
+++ b/crates/sidecar/src/common.rs
@@ -10,6 +10,7 @@
 use super::listener::Listener;
 use super::pool::Steering;
 use super::service::Service;
+use super::shared_lists::SharedLists;
 use super::turns::{Account, Scheduler};
 use madderloom_operations::duty::Duty;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -63,6 +64,8 @@
     pub(super) processor: Processor,
     /// Fleet-wide limits, where the operator file has any.
     pub(super) fleet_limits: Rc<FleetLimits>,
+    /// Lists of servers that the fleet shares, where the operator file says so.
+    pub(super) shared_lists: SharedLists,
 }
 
 /// What all services and listeners share.
@@ -147,6 +150,7 @@
             keeper: OnceCell::new(),
             processor: Processor::default(),
             fleet_limits: Rc::default(),
+            shared_lists: SharedLists::default(),
         })
     }
 
--- a/crates/sidecar/src/fleet_limits.rs
+++ b/crates/sidecar/src/fleet_limits.rs
@@ -4,10 +4,10 @@
 //! Leases end by a clock that also runs while the machine is suspended, read anew for each request: whoever stood still
 //! in between must not go by what the clock said before.
 
+use super::clock::boottime as now;
 use hyper::HeaderMap;
 use madderloom_operator::FleetLimit;
-use madderloom_quota::{Amount, Asks, Denied, Holder, Lent, Micros, ONE, UNBOUNDED};
-use rustix::time::{ClockId, clock_gettime};
+use madderloom_quota::{Amount, Asks, Denied, Holder, Lent, ONE, UNBOUNDED};
 use serde_json::{Value, json};
 use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
@@ -35,13 +35,6 @@
     }
 }
 
-/// The time that leases end by.
-fn now() -> Micros {
-    let time = clock_gettime(ClockId::Boottime);
-    let seconds = Micros::try_from(time.tv_sec).unwrap_or(0);
-    seconds.saturating_mul(1_000_000).saturating_add(Micros::try_from(time.tv_nsec / 1_000).unwrap_or(0))
-}
-
 impl FleetLimits {
     /// Takes part in these from now on. A lease that holds stays, and what is open stays counted.
     pub(super) fn follow(&self, limits: &[FleetLimit]) {
--- a/crates/sidecar/src/levels.rs
+++ b/crates/sidecar/src/levels.rs
@@ -93,7 +93,7 @@
         failing: service.failing(now),
         open: Some(part(numbers.used as f64, numbers.part.most as f64).max(own)),
         cpu: service.common.processor.share(now),
-        list_age: service.pool.age(now),
+        list_age: service.list_age(now),
     };
     let change = service.keeper.borrow_mut().as_mut().and_then(|keeper| keeper.look(now, &outside));
     if change.is_some() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -40,6 +40,7 @@
 mod routing;
 mod second_address;
 mod service;
+mod shared_lists;
 mod teller;
 mod trail;
 mod transaction;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -11,7 +11,7 @@
 use madderloom_balancer::{Event, Listed, Members, Micros, ServerId, ServerState};
 use madderloom_ledger::{ListedMemory, ServerMemory};
 use madderloom_operator::Server;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
@@ -99,7 +99,11 @@
     since_ms: u64,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+/// A server in a list that is shared: short, since many such lists are on their way.
+#[derive(Serialize, Deserialize)]
+struct Row(Box<str>, SocketAddr, String, String, u32, Status, f64, u64);
+
+#[derive(Serialize, Deserialize, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
 enum Status {
     InService,
@@ -249,6 +253,26 @@
         ready.map(memory).collect()
     }
 
+    /// All of the list as it is shared with the fleet: the same text for the same list.
+    fn shared(&self) -> String {
+        let name = |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_default();
+        let (members, names) = (self.members.borrow(), self.names.borrow());
+        let row = |member: &Member| {
+            let listed = &member.listed;
+            let status = match listed.state {
+                ServerState::Ready => Status::InService,
+                ServerState::Draining => Status::Terminating,
+                ServerState::Gone => Status::Terminated,
+            };
+            let (zone, kind) = (name(&names.0, listed.zone), name(&names.1, listed.kind));
+            let weight = listed.capacity;
+            Row(member.name.clone(), member.address, zone, kind, listed.cell, status, weight, member.since_ms)
+        };
+        let mut rows: Vec<Row> = members.values().map(row).collect();
+        rows.sort_unstable_by(|one, other| one.0.cmp(&other.0));
+        serde_json::to_string(&rows).unwrap_or_default()
+    }
+
     fn listed(&self, endpoint: &Endpoint, started: Option<Micros>) -> Listed {
         // A name that the settings do not hold stands for one place of its own.
         let place =
@@ -383,6 +407,32 @@
     service.handle(service.common.clock.now(), Event::Members(Members::Changes(&changes)));
 }
 
+/// The fleet goes by this list, which is so old: as if discovery had told it then.
+pub(super) fn passed_on(service: &Rc<Service>, index: u64, text: &str, age: Micros) -> Result<(), String> {
+    let rows: Vec<Row> = serde_json::from_str(text).map_err(|e| format!("makes no sense: {e}"))?;
+    if rows.len() > SERVERS {
+        return Err(format!("holds {} servers", rows.len()));
+    }
+    if service.pool.discovery.get().is_none() || service.is_leaving() {
+        return Err("the pool follows no discovery any more".to_string());
+    }
+    let endpoint = |Row(name, address, zone, kind, group, status, weight, since_ms)| Endpoint {
+        name,
+        address,
+        zone,
+        kind,
+        group,
+        status,
+        weight,
+        since_ms,
+    };
+    let endpoints = rows.into_iter().map(endpoint).collect();
+    let now = service.common.clock.now();
+    apply_update(service, now, Listing { index, snapshot: true, endpoints });
+    service.pool.heard.set(service.pool.heard.get().max(now.saturating_sub(age)));
+    Ok(())
+}
+
 fn apply_update(service: &Rc<Service>, now: Micros, listing: Listing) {
     let full = listing.snapshot;
     if !full && listing.index < service.pool.index.get() {
@@ -405,6 +455,7 @@
     tracing::info!(%discovery, "{of}configuration read again: discovery is at {discovery}");
     if former != Some(discovery) {
         service.pool.index.set(0);
+        service.common.shared_lists.forget(&service.name);
         subscribe(service);
     }
 }
@@ -415,6 +466,9 @@
     let Some(discovery) = service.pool.discovery.get() else { return };
     let own = Rc::clone(service);
     let watch = tokio::task::spawn_local(async move {
+        // Whoever is told by its fleet spares discovery the call.
+        let ask_within = own.tuned().site.settings.rules.ask_within;
+        own.common.shared_lists.wait_to_call(&own.name, ask_within).await;
         let Err(problem) = follow(&own, discovery).await;
         let of = &own.label;
         tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
@@ -467,9 +521,19 @@
                 if listing.endpoints.len() > SERVERS {
                     return Err(format!("lists {} servers", listing.endpoints.len()));
                 }
+                let ask_within = service.tuned().site.settings.rules.ask_within;
+                let shared = &service.common.shared_lists;
+                if listing.snapshot && !shared.allows(&service.name, listing.index, ask_within) {
+                    return Err(format!("lists version {}, which is older than the fleet's", listing.index));
+                }
                 apply_update(service, now, listing);
+                shared.told(&service.name, service.pool.version(), || service.pool.shared());
             }
         }
+        if unread.is_empty() {
+            // Where a line is on its way, something has changed.
+            service.common.shared_lists.beat(&service.name);
+        }
         if unread.len() > LINE {
             return Err("a line is too long".to_string());
         }
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -123,6 +123,9 @@
         let first = self.first_place();
         let limits = operator.control.as_ref().map(|control| control.fleet_limits.as_slice());
         self.common.fleet_limits.follow(limits.unwrap_or_default());
+        let shared = operator.control.as_ref().and_then(|control| control.share_lists.as_deref());
+        let followed = operator.pools.iter().filter(|pool| pool.discovery.is_some());
+        self.common.shared_lists.follow(shared, followed.map(|pool| pool.name.clone()));
         self.common.set_totals(totals(
             self.descriptors,
             self.memory,
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -171,6 +171,12 @@
         levels::set(self, pool.levels.clone());
     }
 
+    /// How old its list may be, by discovery's word or the fleet's; none where it is fixed.
+    pub(super) fn list_age(&self, now: Micros) -> Option<Micros> {
+        let shared = self.common.shared_lists.age(&self.name);
+        self.pool.age(now).map(|age| shared.map_or(age, |shared| shared.min(age)))
+    }
+
     pub(super) fn change_limits(&self, limits: MemberLimits, parts: Parts) {
         self.connections.seats.change(parts.connections);
         self.allowance.change(parts.open, parts.bodies, limits.rate);
--- /dev/null
+++ b/crates/sidecar/src/shared_lists.rs
@@ -0,0 +1,143 @@
+//! Lists of servers that this instance shares with its fleet: what goes to the agent, what comes of it, and when discovery
+//! is called all the same. It knows nothing of services or of the link; what decides is [`madderloom_roster::Share`].
+//!
+//! Ages are taken by a clock that also runs while the machine is suspended.
+
+use super::clock::boottime;
+use madderloom_roster::{Lists, Micros, Offer, Share, Tells, own_calls};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// The shortest gap between two reports that a list brings about, in microseconds. What changes within it goes with the
+/// next report.
+const GAP: Micros = 100_000;
+/// The longest sleep before the clock is looked at again: the timers stand still while the machine is suspended.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// The lists that this instance shares; nothing where its file shares none.
+#[derive(Default)]
+pub(super) struct SharedLists {
+    share: RefCell<Share>,
+    /// What they go by in the fleet, before the name of the pool.
+    name: RefCell<Option<String>>,
+    news: Rc<Notify>,
+    told: Cell<Micros>,
+}
+
+impl SharedLists {
+    /// Shares the lists of these pools under this name from now on. What is known of those that stay so is kept.
+    pub(super) fn follow(&self, name: Option<&str>, pools: impl Iterator<Item = String>) {
+        let all = pools.filter_map(|pool| Some(format!("{}/{pool}", name?)));
+        self.share.borrow_mut().follow(all);
+        self.name.replace(name.map(str::to_string));
+    }
+
+    /// What the list of a pool goes by in the fleet; none where it is not shared.
+    fn list(&self, pool: &str) -> Option<String> {
+        let list = format!("{}/{pool}", self.name.borrow().as_ref()?);
+        self.share.borrow().follows(&list).then_some(list)
+    }
+
+    /// Is notified where the agent is to hear of news at once.
+    pub(super) fn news(&self) -> Rc<Notify> {
+        Rc::clone(&self.news)
+    }
+
+    /// Discovery has told this pool's list, all of which is this now.
+    pub(super) fn told(&self, pool: &str, index: u64, text: impl FnOnce() -> String) {
+        let Some(list) = self.list(pool) else { return };
+        let now = boottime();
+        let mut share = self.share.borrow_mut();
+        let was_too_long = share.is_too_long(&list);
+        let at_once = share.told(now, &list, index, text());
+        if share.is_too_long(&list) && !was_too_long {
+            tracing::warn!(%pool, "{pool}: its list is too long to be shared: each instance calls discovery itself");
+        }
+        if at_once && now.saturating_sub(self.told.get()) >= GAP {
+            self.told.set(now);
+            self.news.notify_one();
+        }
+    }
+
+    /// Discovery has said that it is there and that nothing has changed.
+    pub(super) fn beat(&self, pool: &str) {
+        if let Some(list) = self.list(pool) {
+            self.share.borrow_mut().beat(boottime(), &list);
+        }
+    }
+
+    /// What is known of this pool's list is of another discovery than the one that is followed now.
+    pub(super) fn forget(&self, pool: &str) {
+        if let Some(list) = self.list(pool) {
+            self.share.borrow_mut().forget(&list);
+        }
+    }
+
+    /// Whether a whole list of this version from discovery may be taken; see [`Share::allows`].
+    pub(super) fn allows(&self, pool: &str, index: u64, ask_within: Micros) -> bool {
+        self.list(pool).is_none_or(|list| self.share.borrow().allows(boottime(), &list, index, ask_within))
+    }
+
+    /// How old the evidence for this pool's list is; none where it is not shared, or nobody has told of it.
+    pub(super) fn age(&self, pool: &str) -> Option<Micros> {
+        let heard = self.share.borrow().due(&self.list(pool)?, 0)?;
+        Some(boottime().saturating_sub(heard))
+    }
+
+    /// Waits until discovery has to be called for this pool: at once where nobody has told of its list.
+    pub(super) async fn wait_to_call(&self, pool: &str, ask_within: Micros) {
+        let Some(list) = self.list(pool) else { return };
+        let (after, spread) = own_calls(ask_within);
+        let own = RandomState::new().hash_one(0) % spread.max(1);
+        let due = || self.share.borrow().due(&list, after.saturating_add(own));
+        while let Some(left) = due().and_then(|due| due.checked_sub(boottime())).filter(|left| *left > 0) {
+            tokio::time::sleep(LOOK.min(Duration::from_micros(left))).await;
+        }
+    }
+
+    /// What goes with a report that is made now; none where no list is shared.
+    pub(super) fn tell(&self) -> Option<Tells> {
+        let mut share = self.share.borrow_mut();
+        (!share.is_empty()).then(|| share.tell(boottime()))
+    }
+
+    /// The agent's word has come. What goes before what is held is given to `apply`, with the pool's name and its age,
+    /// which says whether it makes sense. Gives whether the agent wants a report at once.
+    pub(super) fn hear(
+        &self,
+        lists: &Lists,
+        mut apply: impl FnMut(&str, &Offer, Micros) -> Result<(), String>,
+    ) -> bool {
+        let now = boottime();
+        let (offers, at_once) = self.share.borrow_mut().hear(now, lists);
+        for offer in offers {
+            let pool = offer.list.rsplit_once('/').map_or("", |(_, pool)| pool).to_string();
+            let age = now.saturating_sub(offer.heard);
+            match apply(&pool, &offer, age) {
+                Ok(()) => {
+                    let (index, age) = (offer.version.index, age / 1_000);
+                    tracing::info!(%pool, index, "{pool}: version {index} of its list, {age} ms old, by way of the agent");
+                    self.share.borrow_mut().taken(offer);
+                }
+                Err(problem) => tracing::warn!(%pool, "{pool}: a list by way of the agent: {problem}"),
+            }
+        }
+        at_once
+    }
+
+    /// What the admin view shows; nothing where no list is shared.
+    pub(super) fn view(&self) -> Value {
+        let (share, now) = (self.share.borrow(), boottime());
+        if share.is_empty() {
+            return Value::Null;
+        }
+        let list = |(name, index, heard): (&str, u64, Micros)| {
+            (name.to_string(), json!({"version": index, "age_us": now.saturating_sub(heard)}))
+        };
+        Value::Object(share.views().map(list).collect())
+    }
+}
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -52,6 +52,7 @@
             "files_read": common.files.get(),
             "control": self.agent_link.view(),
             "fleet_limits": common.fleet_limits.view(),
+            "shared_lists": common.shared_lists.view(),
             "limits": {
                 "client_connections": all(&bounds.clients),
                 "server_connections": all(&bounds.servers),
