Test that cold servers are not pushed over by a whole fleet's start, and the pages of shared lists

Need: the starts of many were only shown beside warm servers; what spares the comparison nodes was shown nowhere with real processes and faults between them.

Change: the rig's servers can start cold and fall as the protocol says (N + 3 sqrt N + 3 in a window). Sixty sidecars: a release that replaces half of the servers, a power return with all servers cold, and warm servers whose ways break for two seconds. Pages of lists shared over the agent.

--- /dev/null
+++ b/crates/cli/tests/starts/cold.rs
@@ -0,0 +1,108 @@
+//! Sixty that start beside servers that start too. What a cold server gets of all of them together is counted by itself, and
+//! it falls for good when that is more than the protocol says that it bears.
+
+use super::{Fleet, MANNER, alone, millis};
+use madderloom_rig::{Cold, Got, Link, Load, Server, listing, own_address, served};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A cold server begins with a twentieth of its 200 requests a second and is warm after 8 s. It bears three times what it can
+/// do in a second, and what chance adds: 49 requests at first, 150 after a second. An equal part of all would be more.
+const COLD: Cold = Cold { from: 0.05, warm_after: millis(8_000), window: millis(1_000), bears: 3.0 };
+const WORK: Duration = millis(5);
+
+fn cold(number: usize) -> Server {
+    Server::cold(&format!("w{number}"), WORK, COLD)
+}
+
+fn warm(number: usize) -> Server {
+    Server::that_takes(&format!("w{number}"), WORK)
+}
+
+fn half_cold() -> Vec<Server> {
+    (0..6).map(|number| if number < 3 { warm(number) } else { cold(number) }).collect()
+}
+
+/// The servers start with the fleet, and not while it waits for its turn.
+fn start(servers: impl FnOnce() -> Vec<Server>) -> Fleet {
+    let alone = alone();
+    let servers = servers();
+    let known = listing(1, &servers.iter().collect::<Vec<_>>());
+    Fleet::start_with(alone, (servers, COLD.warm_after), &known, MANNER, |_| ())
+}
+
+/// Three clients at each sidecar: some 1,000 requests a second together.
+fn load(fleet: &Fleet) -> Load {
+    Load::on(&fleet.fronts.values().flat_map(|front| [*front; 3]).collect::<Vec<_>>(), millis(150))
+}
+
+/// Of what was asked between these times, the part that was served.
+fn part(got: &[Got], from: Instant, to: Instant) -> f64 {
+    let within: Vec<&Got> = got.iter().filter(|got| (from..to).contains(&got.at)).collect();
+    let served = within.iter().filter(|got| got.status == Some(200)).count();
+    served as f64 / within.len().max(1) as f64
+}
+
+fn judge(fleet: &Fleet, got: &[Got], from: Instant) {
+    for server in &fleet.servers {
+        let fell = server.fell().map(|at| at.duration_since(from));
+        assert_eq!(fell, None, "{} was pushed over", server.name);
+    }
+    let second = |number| {
+        let at = from + millis(1_000) * number;
+        part(got, at, at + millis(1_000))
+    };
+    eprintln!("served, second by second: {:.2?} of {}", (0..12).map(second).collect::<Vec<_>>(), got.len());
+}
+
+#[test]
+fn a_release_replaces_half_of_the_servers_and_none_of_the_new_ones_is_pushed_over() {
+    let fleet = start(half_cold);
+    let (load, from) = (load(&fleet), Instant::now());
+    std::thread::sleep(millis(7_000));
+    let got = load.stop();
+    judge(&fleet, &got, from);
+    assert!(served(&got, &fleet.servers, false) as f64 > 0.97 * got.len() as f64, "the others have room");
+    for new in &fleet.servers[3..] {
+        assert!(!new.seen().is_empty(), "{} got nothing", new.name);
+    }
+}
+
+/// There is nothing to fall back on: what the servers bear grows, and so does what they are given.
+#[test]
+fn power_returns_and_servers_that_are_all_cold_are_not_pushed_over() {
+    let fleet = start(|| (0..6).map(cold).collect());
+    let (load, from) = (load(&fleet), Instant::now());
+    std::thread::sleep(millis(11_000));
+    let got = load.stop();
+    judge(&fleet, &got, from);
+    served(&got, &fleet.servers, false);
+    let late = part(&got, from + millis(8_500), from + millis(11_000));
+    assert!(late > 0.9, "{late} once they are warm");
+}
+
+/// For two seconds nobody is behind the ways to the warm servers, and what is open there is reset: all turn to the cold
+/// ones.
+#[test]
+fn the_warm_servers_are_cut_off_and_the_cold_ones_are_not_pushed_over() {
+    let mut links: Vec<(Link, SocketAddr)> = Vec::new();
+    let fleet = start(|| {
+        let mut servers = half_cold();
+        links.extend(servers[..3].iter().map(|server| (Link::new(server.address), server.address)));
+        for (server, (link, _)) in servers.iter_mut().zip(&links) {
+            server.address = link.address();
+        }
+        servers
+    });
+    let (load, from) = (load(&fleet), Instant::now());
+    std::thread::sleep(millis(1_000));
+    let nobody = own_address();
+    for (link, _) in &links {
+        link.lead(nobody);
+        link.reset();
+    }
+    std::thread::sleep(millis(2_000));
+    links.iter().for_each(|(link, back)| link.lead(*back));
+    std::thread::sleep(millis(4_000));
+    judge(&fleet, &load.stop(), from);
+}
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -1,6 +1,8 @@
 //! Sixty real sidecars that start in one moment, share nothing, and know an old list; between them and a discovery that
 //! dies of too many calls are links, and parts of it all fail. What discovery and the servers counted is judged.
 
+mod cold;
+
 use madderloom_rig::{
     Got, Link, Lists, Load, Manner, PATIENCE, Program, Says, Server, Slot, Stage, built, listing,
     own_address, served,
@@ -53,7 +55,13 @@
     _alone: MutexGuard<'static, ()>,
 }
 
-fn config(number: usize, front: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+fn config(
+    number: usize,
+    front: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+    warm_after: Duration,
+) -> String {
     let known: serde_json::Value = serde_json::from_str(known).expect("a list");
     let config = serde_json::json!({
         "name": format!("n{number}"), "listen": front.to_string(), "discovery": discovery.to_string(),
@@ -65,7 +73,8 @@
                 "on_time": 2000000, "give_up": 6000000, "worth": 10.0, "late_worth": 0.0}],
             "limits": {"cancel": true, "conn_idle": 60000000, "connect_timeout": 250000, "max_attempts": 6,
                 "retry_after": true, "max_retry_after": 1500000, "probes": false},
-            "safety": {"ask_within": 10000000, "cold": 1000000, "cold_from": 0.3, "fall": 1000000}}});
+            "safety": {"ask_within": 10000000, "cold": warm_after.as_micros() as u64, "cold_from": 0.05,
+                "fall": 1000000}}});
     config.to_string()
 }
 
@@ -74,12 +83,23 @@
     /// there is is not in it.
     fn start(manner: Manner, before: impl FnOnce(&Stage)) -> Self {
         let alone = alone();
-        let directory = TempDir::new().expect("a directory");
         let servers: Vec<Server> =
             (0..6).map(|number| Server::that_takes(&format!("w{number}"), millis(5))).collect();
         let gone: Vec<Server> = (0..3).map(|number| Server::new(&format!("gone{number}"))).collect();
         let known = listing(1, &gone.iter().chain(&servers[..3]).collect::<Vec<_>>());
         drop(gone);
+        Fleet::start_with(alone, (servers, millis(1_000)), &known, manner, before)
+    }
+
+    /// Sixty that start as fast as they can be and know this list, with these servers, which are cold for so long.
+    fn start_with(
+        alone: MutexGuard<'static, ()>,
+        (servers, warm_after): (Vec<Server>, Duration),
+        known: &str,
+        manner: Manner,
+        before: impl FnOnce(&Stage),
+    ) -> Self {
+        let directory = TempDir::new().expect("a directory");
         let lists = Lists::new(manner, &servers.iter().collect::<Vec<_>>());
         let mut stage = Stage::default();
         for zone in ZONES {
@@ -93,7 +113,7 @@
             let front = own_address();
             let file = directory.path().join(format!("{number}.json"));
             let discovery = stage.links[&format!("{zone}>lists")].address();
-            std::fs::write(&file, config(number, front, discovery, &known)).expect("written");
+            std::fs::write(&file, config(number, front, discovery, known, warm_after)).expect("written");
             let make = move |_| {
                 let mut command = built(env!("CARGO_BIN_EXE_madderloom"));
                 command.arg("serve").env("RELAY_CONFIG", &file);
--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -75,8 +75,8 @@
         let status = if draining.contains(&server.name.as_str()) { "terminating" } else { "in_service" };
         format!(
             "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"m1\",\"group\":0,\
-             \"status\":\"{status}\",\"weight\":1.0,\"since_ms\":0}}",
-            server.name, server.address
+             \"status\":\"{status}\",\"weight\":1.0,\"since_ms\":{}}}",
+            server.name, server.address, server.since_ms
         )
     };
     let entries: Vec<String> = servers.iter().map(entry).collect();
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -8,11 +8,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 
 /// By how many the worst window that begins and ends with one of these times, in their order, was over this rate; below
@@ -100,6 +101,58 @@
 struct Seen {
     open: Vec<(Instant, Instant)>,
     ids: BTreeMap<String, u32>,
+    /// When requests came while it was cold, for as far back as it falls by.
+    cold: VecDeque<Instant>,
+    fell: Option<Instant>,
+}
+
+/// How a server starts cold, and what pushes it over: the protocol's figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// The part of its capacity that it starts with; the rest comes evenly.
+    pub from: f64,
+    /// It is warm after this.
+    pub warm_after: Duration,
+    /// While it is cold it bears in such a window...
+    pub window: Duration,
+    /// ...so many times what it can do at that moment, and what chance adds: `N + 3 √N + 3`. One more, and it falls: its
+    /// connections are reset and it never comes back.
+    pub bears: f64,
+}
+
+impl Cold {
+    /// Its part of its capacity at this age.
+    fn warmth(&self, age: Duration) -> f64 {
+        (self.from + (1.0 - self.from) * age.as_secs_f64() / self.warm_after.as_secs_f64()).min(1.0)
+    }
+}
+
+/// How a server does its work.
+struct Works {
+    time: Duration,
+    cold: Option<(Cold, Instant)>,
+    fell: watch::Sender<bool>,
+}
+
+impl Works {
+    /// How warm it is; none where it never was cold, or is not any more.
+    fn warmth(&self, now: Instant) -> Option<(Cold, f64)> {
+        let (cold, started) = self.cold?;
+        let warmth = cold.warmth(now.duration_since(started));
+        (warmth < 1.0).then_some((cold, warmth))
+    }
+
+    /// Something has come. Gives whether that pushes it over.
+    fn is_pushed_over(&self, seen: &mut Seen, now: Instant) -> bool {
+        let Some((cold, warmth)) = self.warmth(now) else { return false };
+        seen.cold.push_back(now);
+        while seen.cold.front().is_some_and(|at| now.duration_since(*at) > cold.window) {
+            seen.cold.pop_front();
+        }
+        let can = warmth * cold.window.as_secs_f64() / self.time.as_secs_f64();
+        let bears = cold.bears * can;
+        seen.cold.len() as f64 > bears + 3.0 * bears.sqrt() + 3.0
+    }
 }
 
 /// A server that answers every request with 200.
@@ -108,6 +161,8 @@
     pub name: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// When it started, in milliseconds of Unix time; 0 for long ago.
+    pub since_ms: u64,
     seen: Arc<Mutex<Seen>>,
     task: AbortHandle,
 }
@@ -120,22 +175,49 @@
 
     /// One that takes so long for each request.
     pub fn that_takes(name: &str, time: Duration) -> Self {
+        Server::made(name, time, None)
+    }
+
+    /// One that starts now, is cold, and takes so long for each request once it is warm: as much longer as it is
+    /// colder. Nothing queues there, so that what comes is what its callers sent and not what it let them.
+    pub fn cold(name: &str, time: Duration, cold: Cold) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+        let mut server = Server::made(name, time, Some((cold, Instant::now())));
+        server.since_ms = since_ms;
+        server
+    }
+
+    fn made(name: &str, time: Duration, cold: Option<(Cold, Instant)>) -> Self {
         let (listener, address) = listen();
         let seen: Arc<Mutex<Seen>> = Arc::default();
+        let works = Arc::new(Works { time, cold, fell: watch::Sender::new(false) });
         let own = Arc::clone(&seen);
         let task = runtime().spawn(async move {
             let listener = taken(listener);
             let mut open = JoinSet::new();
+            let mut fell = works.fell.subscribe();
             loop {
                 while open.try_join_next().is_some() {}
-                let Ok((stream, _)) = listener.accept().await else { continue };
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    // All connections end with this.
+                    _ = fell.changed() => return,
+                };
+                let Ok((stream, _)) = accepted else { continue };
                 let _ = stream.set_nodelay(true);
-                let seen = Arc::clone(&own);
-                let answer = service_fn(move |request| answer(Arc::clone(&seen), time, request));
+                let (seen, works) = (Arc::clone(&own), Arc::clone(&works));
+                let answer =
+                    service_fn(move |request| answer(Arc::clone(&seen), Arc::clone(&works), request));
                 open.spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), answer));
             }
         });
-        Server { name: name.into(), address, seen, task: task.abort_handle() }
+        Server { name: name.into(), address, since_ms: 0, seen, task: task.abort_handle() }
+    }
+
+    /// When it was pushed over, if it was.
+    pub fn fell(&self) -> Option<Instant> {
+        lock(&self.seen).fell
     }
 
     /// How often each request was seen by all of these together.
@@ -161,14 +243,22 @@
 
 async fn answer(
     seen: Arc<Mutex<Seen>>,
-    time: Duration,
+    works: Arc<Works>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let came = Instant::now();
     let id = request.headers().get("x-trace-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
-    *lock(&seen).ids.entry(id.to_string()).or_default() += 1;
+    {
+        let mut seen = lock(&seen);
+        *seen.ids.entry(id.to_string()).or_default() += 1;
+        if works.is_pushed_over(&mut seen, came) {
+            seen.fell.get_or_insert(came);
+            works.fell.send_replace(true);
+        }
+    }
     // One that breaks off is answered like any other: it arrived.
     let _ = request.into_body().collect().await;
+    let time = works.warmth(came).map_or(works.time, |(_, warmth)| works.time.div_f64(warmth));
     if !time.is_zero() {
         tokio::time::sleep(time).await;
     }
