Have one instance at a time call discovery for the fleet, where nobody has told of its list

Cause: of 250 release sidecars that started at once 40 called before the list had gone round: their first calls were due before the agent had let them register (2.4 s for all).

Change: the agent calls upon one instance a second where it has no list, or its evidence is over 3 s old; an instance that has no word yet puts its first call off, by a fifth of ask_within at most and less the later it is due. The stand-in discovery of the test bears as many calls as the fleet is large.

--- a/crates/cli/tests/fleet/lists.rs
+++ b/crates/cli/tests/fleet/lists.rs
@@ -5,8 +5,16 @@
 use madderloom_rig::{Act, Got, Link, Lists, Load, Manner, Says, Server, served, until};
 use std::time::{Duration, Instant};
 
-/// What discovery bears: some 50 calls a second, of which 16 may wait.
-const MANNER: Manner = Manner { each: millis(20), most: 16, down: Duration::from_secs(1), says: Says::List };
+/// What discovery bears: some 50 calls a second for forty-five, of which a third may wait.
+fn manner() -> Manner {
+    Manner {
+        each: millis(900) / many() as u32,
+        most: many() / 3,
+        down: Duration::from_secs(1),
+        says: Says::List,
+    }
+}
+
 const ZONES: [&str; 3] = ["north", "south", "east"];
 /// So long after its evidence an instance has called discovery at the latest.
 const ASK_WITHIN: Duration = millis(5_000);
@@ -47,7 +55,7 @@
     /// `MADDERLOOM_UNSHARED` they share nothing, to see what that costs.
     fn start(cut: &[&str]) -> Self {
         let servers: Vec<Server> = (0..3).map(|n| Server::that_takes(&format!("w{n}"), millis(5))).collect();
-        let lists = Lists::new(MANNER, &servers.iter().collect::<Vec<_>>());
+        let lists = Lists::new(manner(), &servers.iter().collect::<Vec<_>>());
         let known = format!("servers = [{{ name = \"w0\", address = \"{}\" }}]", servers[0].address);
         let mut fleet = Fleet::found(AGENT, servers, &site());
         for zone in ZONES {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -22,7 +22,7 @@
 mod share;
 
 pub use relay::{Note, Relay};
-pub use share::{Offer, Share};
+pub use share::{Heard, Offer, Share};
 
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,15 @@
     (ask_within / 2, ask_within / 5 * 2)
 }
 
+/// How long an instance that has just started waits for the agent's word before its first call of discovery, which is due
+/// `up` after its start: less the later that is, so that the first calls of all stay spread and none comes later than nine
+/// tenths of `ask_within`. In microseconds.
+pub fn first_wait(up: Micros, ask_within: Micros) -> Micros {
+    let latest = ask_within / 10 * 9;
+    let most = ask_within / 5;
+    most.saturating_sub((most as f64 * up as f64 / latest.max(1) as f64) as Micros)
+}
+
 /// How long ago something was at most, where a clock that may run slow says this.
 fn aged(age: Micros) -> Micros {
     age.saturating_add(age.div_ceil(DRIFT))
@@ -138,6 +147,8 @@
     pub text: Option<String>,
     /// The instance holds a newer one: the agent wants it with a report at once.
     pub wanted: bool,
+    /// Nobody has told of this list of late: the instance is to call discovery now, for all.
+    pub call: bool,
 }
 
 /// The agent's word to one start of an instance.
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -6,6 +6,9 @@
 
 /// One instance at a time is asked for a list, for so long. In microseconds.
 const ASKED: Micros = 1_000_000;
+/// Where the evidence for a list is older than this, or there is no list, one instance at a time is called upon to ask
+/// discovery: sooner than any has to by itself. In microseconds.
+const STALE: Micros = 3_000_000;
 /// Evidence that comes after so long without any is passed on at once and not with the next reports: instances wait for it
 /// that would call discovery. In microseconds.
 const MISSED: Micros = 5_000_000;
@@ -68,13 +71,16 @@
     lists: BTreeMap<String, Kept>,
     /// Until when somebody is being asked for a list.
     asked: BTreeMap<String, Micros>,
+    /// Until when somebody is calling discovery for all.
+    calling: BTreeMap<String, Micros>,
     instances: BTreeMap<String, Seen>,
 }
 
 impl Relay {
     /// One that knows nothing yet. `id` is drawn at random at each start.
     pub fn new(term: u64, id: u64) -> Self {
-        Relay { term, id, lists: BTreeMap::new(), asked: BTreeMap::new(), instances: BTreeMap::new() }
+        let (lists, asked, calling, instances) = Default::default();
+        Relay { term, id, lists, asked, calling, instances }
     }
 
     /// A report has come from a start of an instance that goes by this name. Gives the answer, and what others are to be
@@ -106,8 +112,9 @@
         for tell in tells.of.iter().take(MOST_LISTS) {
             let line = self.line(now, &tell.list, tell.version);
             let wanted = wanted.contains(&tell.list.as_str());
-            if line.is_some() || wanted {
-                of.push(Line { list: tell.list.clone(), wanted, ..line.unwrap_or_default() });
+            let call = !wanted && self.calls_upon(now, tell, tells.stamp.is_some());
+            if line.is_some() || wanted || call {
+                of.push(Line { list: tell.list.clone(), wanted, call, ..line.unwrap_or_default() });
             }
         }
         let own = Lists { start, stamp: self.stamp(now), answers: tells.seq, of };
@@ -187,11 +194,26 @@
         }
     }
 
+    /// Whether this instance is to call discovery, since nobody has told of that list of late. One that holds a list and
+    /// can't say yet how old it is may be about to tell.
+    fn calls_upon(&mut self, now: Micros, tell: &Tell, is_dated: bool) -> bool {
+        let is_stale = self.lists.get(&tell.list).is_none_or(|kept| now.saturating_sub(kept.heard) > STALE);
+        if !is_stale || tell.version.is_some() && !is_dated || tell.list.is_empty() {
+            return false;
+        }
+        self.calling.retain(|_, until| *until > now);
+        if self.calling.contains_key(&tell.list) || self.calling.len() >= MOST_LISTS {
+            return false;
+        }
+        self.calling.insert(tell.list.clone(), now.saturating_add(ASKED));
+        true
+    }
+
     fn line(&self, from: Micros, list: &str, holds: Option<Version>) -> Option<Line> {
         let kept = self.lists.get(list)?;
         let text = (holds != Some(kept.version)).then(|| kept.text.clone());
         let ago = from.saturating_sub(kept.heard);
-        Some(Line { list: list.into(), version: kept.version, ago, text, wanted: false })
+        Some(Line { list: list.into(), version: kept.version, ago, text, wanted: false, call: false })
     }
 
     fn pass_on(&mut self, now: Micros, but: &str, told: &[String]) -> Vec<(String, Lists)> {
--- a/crates/roster/src/share.rs
+++ b/crates/roster/src/share.rs
@@ -27,6 +27,17 @@
     pub heard: Micros,
 }
 
+/// What the agent's word comes to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// Lists that go before what is held, to be [`taken`](Share::taken) where they make sense.
+    pub offers: Vec<Offer>,
+    /// The agent wants a report at once.
+    pub at_once: bool,
+    /// Lists for which discovery is to be called now, for all of the fleet.
+    pub call: Vec<String>,
+}
+
 /// An instance's part in the lists that its fleet shares. Times are those of a clock that also runs while the machine is
 /// suspended.
 ///
@@ -127,18 +138,20 @@
         Tells { seq: self.seq, stamp, since, of }
     }
 
-    /// The agent's word has come. Gives the lists that go before what is held, to be [`taken`](Share::taken) where they
-    /// make sense, and whether the agent wants a report at once.
-    pub fn hear(&mut self, now: Micros, lists: &Lists) -> (Vec<Offer>, bool) {
+    /// The agent's word has come.
+    pub fn hear(&mut self, now: Micros, lists: &Lists) -> Heard {
         // Of one agent's words the latest counts; of those of another that which comes.
         let same = |word: Stamp| (word.term, word.id) == (lists.stamp.term, lists.stamp.id);
         if self.word.is_none_or(|(word, _)| !same(word) || word.at < lists.stamp.at) {
             self.word = Some((lists.stamp, now));
         }
         let made = self.made.iter().find(|(seq, _)| *seq == lists.answers).map(|(_, made)| *made);
-        let (mut offers, mut at_once) = (Vec::new(), false);
+        let Heard { mut offers, mut at_once, mut call } = Heard::default();
         for line in lists.of.iter().take(MOST_LISTS) {
             let Some(held) = self.lists.get_mut(&line.list) else { continue };
+            if line.call {
+                call.push(line.list.clone());
+            }
             if line.wanted
                 && let Some(held) = held
             {
@@ -157,7 +170,7 @@
                 _ => {}
             }
         }
-        (offers, at_once)
+        Heard { offers, at_once, call }
     }
 
     /// An offer makes sense, and the instance goes by it.
--- a/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
+++ b/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
@@ -2,7 +2,7 @@
 //! agent and instances that die, freeze and come back: whoever holds a list holds no less than discovery had told by the
 //! time that it takes for the evidence, and once all is well again all hold the newest.
 
-use madderloom_roster::{Lists, Micros, Relay, Share, Tells, Version};
+use madderloom_roster::{Heard, Lists, Micros, Relay, Share, Tells, Version};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
@@ -127,7 +127,8 @@
                 if lists.start != one.start {
                     return;
                 }
-                let (offers, at_once) = one.share.hear(one.clock.at(self.now), &lists);
+                let Heard { offers, at_once, call } = one.share.hear(one.clock.at(self.now), &lists);
+                one.watches |= !call.is_empty();
                 offers.into_iter().for_each(|offer| one.share.taken(offer));
                 if at_once {
                     self.report(number);
@@ -220,11 +221,13 @@
     for seed in 0..200 {
         let mut world = World::new(seed);
         world.run(MINUTE);
-        // One watch is enough for all, once links and processes are well.
+        // Nobody watches any more: once links and processes are well, one is called upon, and is enough for all.
         world.faults = false;
-        world.instances[0].watches = true;
+        world.instances.iter_mut().for_each(|one| one.watches = false);
         world.run(MINUTE + 12_000_000);
         let newest = world.changes.len() as u64;
+        let watching = world.instances.iter().filter(|one| one.watches).count();
+        assert!((1..=2).contains(&watching), "seed {seed}: {watching} watch");
         let told = world.told;
         for one in &world.instances {
             let now = one.clock.at(world.now);
@@ -251,7 +254,7 @@
     };
     let offers = |share: &mut Share, now, index, said: &str| {
         let lists = Lists { answers: 1, of: vec![line(index, said)], ..Lists::default() };
-        share.hear(now, &lists).0.len()
+        share.hear(now, &lists).offers.len()
     };
     assert_eq!(offers(&mut share, 1_100_000, 6, &text(6)), 0, "lower");
     assert_eq!(offers(&mut share, 1_100_000, 8, "cut"), 0, "not what it says");
--- a/crates/sidecar/src/agent_link.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -22,7 +22,7 @@
 use madderloom_keys::{Files, Keyring, Role};
 use madderloom_operator::{Operator, Source};
 use madderloom_quota::{Asks, Lent};
-use madderloom_roster::{Lists, Tells};
+use madderloom_roster::{Lists, Offer, Tells};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -476,13 +476,16 @@
     fn lists(&mut self, lists: &Lists) -> bool {
         let Some(sidecar) = self.sidecar.upgrade() else { return false };
         let common = &sidecar.common;
-        common.shared_lists.hear(lists, |pool, offer, age| {
+        let service = |pool: &str| {
             let services = common.services.borrow();
-            let service = services.iter().find(|service| service.name == pool).cloned();
-            drop(services);
-            let service = service.ok_or("no such pool is there any more")?;
+            services.iter().find(|service| service.name == pool).cloned()
+        };
+        let apply = |pool: &str, offer: &Offer, age| {
+            let service = service(pool).ok_or("no such pool is there any more")?;
             pool::passed_on(&service, offer.version.index, &offer.text, age)
-        })
+        };
+        let call = |pool: &str| service(pool).iter().for_each(pool::call_for_all);
+        common.shared_lists.hear(lists, apply, call)
     }
 
     fn keep(&mut self, memory: &Memory) {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -184,6 +184,8 @@
     index: Cell<u64>,
     members: RefCell<HashMap<ServerId, Member, FixedState>>,
     watch: RefCell<Option<AbortHandle>>,
+    /// Discovery has been called, and the call or its watch lasts.
+    called: Cell<bool>,
     /// When discovery last said anything, or was to begin to.
     heard: Cell<Micros>,
 }
@@ -195,9 +197,9 @@
         kinds: Vec<String>,
         now: Micros,
     ) -> Self {
-        let (index, members, watch) = Default::default();
+        let (index, members, watch, called) = Default::default();
         let (discovery, heard) = (Cell::new(discovery), Cell::new(now));
-        Pool { discovery, names: RefCell::new((zones, kinds)), index, members, watch, heard }
+        Pool { discovery, names: RefCell::new((zones, kinds)), index, members, watch, called, heard }
     }
 
     /// Where a server is to be found.
@@ -456,25 +458,43 @@
     if former != Some(discovery) {
         service.pool.index.set(0);
         service.common.shared_lists.forget(&service.name);
-        subscribe(service);
+        open_watch(service, true);
     }
 }
 
-/// Opens the watch, in place of one that is open.
+/// Opens the watch, in place of one that is open, as the module says. One that the fleet called for meanwhile stays.
 pub(super) fn subscribe(service: &Rc<Service>) {
+    if !(service.pool.called.get() && service.common.shared_lists.shares(&service.name)) {
+        open_watch(service, true);
+    }
+}
+
+/// Calls discovery now, for all of the fleet, where this instance does not watch it already.
+pub(super) fn call_for_all(service: &Rc<Service>) {
+    if !service.pool.called.get() && !service.is_leaving() {
+        open_watch(service, false);
+    }
+}
+
+fn open_watch(service: &Rc<Service>, waits: bool) {
     // A fixed list has nothing to follow, and all that it holds is known.
     let Some(discovery) = service.pool.discovery.get() else { return };
     let own = Rc::clone(service);
     let watch = tokio::task::spawn_local(async move {
-        // Whoever is told by its fleet spares discovery the call.
-        let ask_within = own.tuned().site.settings.rules.ask_within;
-        own.common.shared_lists.wait_to_call(&own.name, ask_within).await;
+        if waits {
+            // Whoever is told by its fleet spares discovery the call.
+            let (ask_within, up) = (own.tuned().site.settings.rules.ask_within, own.common.clock.up());
+            own.common.shared_lists.wait_to_call(&own.name, ask_within, up).await;
+        }
+        own.pool.called.set(true);
         let Err(problem) = follow(&own, discovery).await;
+        own.pool.called.set(false);
         let of = &own.label;
         tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
         let now = own.common.clock.now();
         own.handle(now, Event::Members(Members::Failed));
     });
+    service.pool.called.set(false);
     if let Some(former) = service.pool.watch.replace(Some(watch.abort_handle())) {
         former.abort();
     }
--- a/crates/sidecar/src/shared_lists.rs
+++ b/crates/sidecar/src/shared_lists.rs
@@ -4,7 +4,7 @@
 //! Ages are taken by a clock that also runs while the machine is suspended.
 
 use super::clock::boottime;
-use madderloom_roster::{Lists, Micros, Offer, Share, Tells, own_calls};
+use madderloom_roster::{Heard, Lists, Micros, Offer, Share, Tells, first_wait, own_calls};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
@@ -42,6 +42,11 @@
         self.share.borrow().follows(&list).then_some(list)
     }
 
+    /// Whether this pool's list is shared.
+    pub(super) fn shares(&self, pool: &str) -> bool {
+        self.list(pool).is_some()
+    }
+
     /// Is notified where the agent is to hear of news at once.
     pub(super) fn news(&self) -> Rc<Notify> {
         Rc::clone(&self.news)
@@ -88,13 +93,15 @@
         Some(boottime().saturating_sub(heard))
     }
 
-    /// Waits until discovery has to be called for this pool: at once where nobody has told of its list.
-    pub(super) async fn wait_to_call(&self, pool: &str, ask_within: Micros) {
+    /// Waits until discovery has to be called for this pool, `up` microseconds after the start: a little where nobody has
+    /// told of its list yet, so that the fleet may.
+    pub(super) async fn wait_to_call(&self, pool: &str, ask_within: Micros, up: Micros) {
         let Some(list) = self.list(pool) else { return };
+        let first = boottime().saturating_add(first_wait(up, ask_within));
         let (after, spread) = own_calls(ask_within);
         let own = RandomState::new().hash_one(0) % spread.max(1);
-        let due = || self.share.borrow().due(&list, after.saturating_add(own));
-        while let Some(left) = due().and_then(|due| due.checked_sub(boottime())).filter(|left| *left > 0) {
+        let due = || self.share.borrow().due(&list, after.saturating_add(own)).unwrap_or(first);
+        while let Some(left) = due().checked_sub(boottime()).filter(|left| *left > 0) {
             tokio::time::sleep(LOOK.min(Duration::from_micros(left))).await;
         }
     }
@@ -106,16 +113,20 @@
     }
 
     /// The agent's word has come. What goes before what is held is given to `apply`, with the pool's name and its age,
-    /// which says whether it makes sense. Gives whether the agent wants a report at once.
+    /// which says whether it makes sense; `call` is told of pools for which discovery is to be called. Gives whether the
+    /// agent wants a report at once.
     pub(super) fn hear(
         &self,
         lists: &Lists,
         mut apply: impl FnMut(&str, &Offer, Micros) -> Result<(), String>,
+        mut call: impl FnMut(&str),
     ) -> bool {
         let now = boottime();
-        let (offers, at_once) = self.share.borrow_mut().hear(now, lists);
+        let Heard { offers, at_once, call: called_for } = self.share.borrow_mut().hear(now, lists);
+        let pool = |list: &str| list.rsplit_once('/').map_or(String::new(), |(_, pool)| pool.to_string());
+        called_for.iter().map(|list| pool(list)).for_each(|pool| call(&pool));
         for offer in offers {
-            let pool = offer.list.rsplit_once('/').map_or("", |(_, pool)| pool).to_string();
+            let pool = pool(&offer.list);
             let age = now.saturating_sub(offer.heard);
             match apply(&pool, &offer, age) {
                 Ok(()) => {
