End all but eight watches of a fleet that shares lists, while what these tell is fresh

Cause: after an outage of the agent each instance has called discovery for itself and watched on, so that one list change was written N times from then on until the instances were started again.

Change: an instance says whether it watches; the agent tells it that enough do where eight others, whose names come before, were heard within 5 s and the evidence is under 3 s old. It ends its watch and calls again when its evidence is too old.

--- a/crates/cli/tests/fleet/lists.rs
+++ b/crates/cli/tests/fleet/lists.rs
@@ -174,7 +174,7 @@
 /// once; who can't goes on with what it has.
 #[test]
 fn cut_off_from_the_fleet_each_calls_discovery_in_time() {
-    let shared = Shared::start(&[]);
+    let mut shared = Shared::start(&[]);
     let load = shared.load(&ZONES);
     shared.all_have_it(shared.began);
     let watching = shared.lists.told();
@@ -209,5 +209,13 @@
     );
     assert!(over <= 0.0, "{over} calls over the ceiling of some window");
     assert_eq!(shared.lists.deaths().len(), 0);
+
+    // The fleet is whole again: a few go on watching, and tell the others.
+    shared.fleet.stage.heal();
+    until("a few watch", || (shared.lists.told() <= 8).then_some(()));
+    let drained = shared.publish(4, &["w1", "w2"]);
+    std::thread::sleep(millis(1_500));
+    assert_eq!(shared.came(1, drained + millis(1_000)), 0, "it drains, and all were told");
+    assert!((1..=8).contains(&shared.lists.told()), "{} watch", shared.lists.told());
     shared.judge(&load.stop(), false);
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -38,6 +38,8 @@
 pub const MOST_LISTS: usize = 16;
 /// The longest name of a list, in bytes.
 pub const LONGEST_NAME: usize = 256;
+/// So many instances that watch discovery are enough for a fleet, whichever of them fail one by one.
+pub const WATCHERS: usize = 8;
 /// A list of a lower version is taken once nothing was heard of the higher one for so long: discovery counts anew. In
 /// microseconds.
 pub const FORGOTTEN: Micros = 30_000_000;
@@ -113,6 +115,8 @@
     pub version: Option<Version>,
     /// How old the evidence for it is, in microseconds.
     pub age: Micros,
+    /// It watches discovery itself.
+    pub watches: bool,
     /// All of it, where the agent wants it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub text: Option<String>,
@@ -149,6 +153,8 @@
     pub wanted: bool,
     /// Nobody has told of this list of late: the instance is to call discovery now, for all.
     pub call: bool,
+    /// Enough others watch: the instance may end its watch, until its evidence is too old again.
+    pub enough: bool,
 }
 
 /// The agent's word to one start of an instance.
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -1,8 +1,11 @@
 //! The agent's side: the newest list of each name, and who holds which.
 
-use crate::{LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, aged};
+use crate::{
+    LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, WATCHERS, aged,
+};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops::Bound;
 
 /// One instance at a time is asked for a list, for so long. In microseconds.
 const ASKED: Micros = 1_000_000;
@@ -61,6 +64,7 @@
     seq: u64,
     came: Micros,
     holds: BTreeMap<String, Option<Version>>,
+    watches: Vec<String>,
 }
 
 /// Passes the newest list of each name on. What it holds is bounded: [`MOST_LISTS`] lists of [`MOST_TEXT`] bytes, and a
@@ -106,7 +110,9 @@
         if newer && !full {
             let holds =
                 tells.of.iter().take(MOST_LISTS).map(|tell| (tell.list.clone(), tell.version)).collect();
-            self.instances.insert(name.into(), Seen { start, seq: tells.seq, came: now, holds });
+            let watched = tells.of.iter().take(MOST_LISTS).filter(|tell| tell.watches);
+            let watches = watched.map(|tell| tell.list.clone()).collect();
+            self.instances.insert(name.into(), Seen { start, seq: tells.seq, came: now, holds, watches });
         }
         let mut of: Vec<Line> = Vec::new();
         for tell in tells.of.iter().take(MOST_LISTS) {
@@ -114,7 +120,8 @@
             let wanted = wanted.contains(&tell.list.as_str());
             let call = !wanted && self.calls_upon(now, tell, tells.stamp.is_some());
             if line.is_some() || wanted || call {
-                of.push(Line { list: tell.list.clone(), wanted, call, ..line.unwrap_or_default() });
+                let enough = tell.watches && self.has_enough(now, name, tell);
+                of.push(Line { list: tell.list.clone(), wanted, call, enough, ..line.unwrap_or_default() });
             }
         }
         let own = Lists { start, stamp: self.stamp(now), answers: tells.seq, of };
@@ -209,11 +216,28 @@
         true
     }
 
+    /// Whether so many others watch that this instance need not. Those whose names come first go on, so that all are not
+    /// told at once that the others are enough.
+    fn has_enough(&self, now: Micros, name: &str, tell: &Tell) -> bool {
+        let is_fresh =
+            |kept: &Kept| Some(kept.version) == tell.version && now.saturating_sub(kept.heard) <= STALE;
+        let watches = |(_, seen): &(&String, &Seen)| {
+            now.saturating_sub(seen.came) <= MISSED && seen.watches.contains(&tell.list)
+        };
+        self.lists.get(&tell.list).is_some_and(is_fresh)
+            && self
+                .instances
+                .range::<str, _>((Bound::Unbounded, Bound::Excluded(name)))
+                .filter(watches)
+                .nth(WATCHERS - 1)
+                .is_some()
+    }
+
     fn line(&self, from: Micros, list: &str, holds: Option<Version>) -> Option<Line> {
         let kept = self.lists.get(list)?;
         let text = (holds != Some(kept.version)).then(|| kept.text.clone());
         let ago = from.saturating_sub(kept.heard);
-        Some(Line { list: list.into(), version: kept.version, ago, text, wanted: false, call: false })
+        Some(Line { list: list.into(), version: kept.version, ago, text, ..Line::default() })
     }
 
     fn pass_on(&mut self, now: Micros, but: &str, told: &[String]) -> Vec<(String, Lists)> {
--- a/crates/roster/src/share.rs
+++ b/crates/roster/src/share.rs
@@ -12,6 +12,7 @@
     text: Option<String>,
     heard: Micros,
     wanted: bool,
+    watches: bool,
 }
 
 /// A list that the agent has passed on and that goes before what is held.
@@ -36,6 +37,8 @@
     pub at_once: bool,
     /// Lists for which discovery is to be called now, for all of the fleet.
     pub call: Vec<String>,
+    /// Lists that need not be watched here: enough others do.
+    pub enough: Vec<String>,
 }
 
 /// An instance's part in the lists that its fleet shares. Times are those of a clock that also runs while the machine is
@@ -87,7 +90,7 @@
             .as_ref()
             .is_none_or(|held| held.version != version || now.saturating_sub(held.heard) > FORGOTTEN);
         let text = (text.len() <= MOST_TEXT).then_some(text);
-        *held = Some(Held { version, text, heard: now, wanted: false });
+        *held = Some(Held { version, text, heard: now, wanted: false, watches: true });
         missed
     }
 
@@ -98,6 +101,13 @@
         }
     }
 
+    /// The watch that told its list has ended, or is ended.
+    pub fn ended(&mut self, list: &str) {
+        if let Some(Some(held)) = self.lists.get_mut(list) {
+            held.watches = false;
+        }
+    }
+
     /// Whether a whole list of this version from discovery itself may be taken: not one older than what is held, while
     /// there was evidence for that within `within`. A discovery that lags behind itself undoes nothing so, and one that
     /// counts anew is believed once nobody hears the higher version any more.
@@ -128,7 +138,8 @@
                 (whole, held.wanted) = (false, false);
             }
             let text = held.text.clone().filter(|_| goes);
-            Tell { list, version: Some(held.version), age: now.saturating_sub(held.heard), text }
+            let (version, age) = (Some(held.version), now.saturating_sub(held.heard));
+            Tell { list, version, age, watches: held.watches, text }
         };
         let of = self.lists.iter_mut().map(tell).collect();
         let (stamp, since) = match self.word {
@@ -146,9 +157,12 @@
             self.word = Some((lists.stamp, now));
         }
         let made = self.made.iter().find(|(seq, _)| *seq == lists.answers).map(|(_, made)| *made);
-        let Heard { mut offers, mut at_once, mut call } = Heard::default();
+        let Heard { mut offers, mut at_once, mut call, mut enough } = Heard::default();
         for line in lists.of.iter().take(MOST_LISTS) {
             let Some(held) = self.lists.get_mut(&line.list) else { continue };
+            if line.enough && held.as_ref().is_some_and(|held| held.watches) {
+                enough.push(line.list.clone());
+            }
             if line.call {
                 call.push(line.list.clone());
             }
@@ -170,14 +184,15 @@
                 _ => {}
             }
         }
-        Heard { offers, at_once, call }
+        Heard { offers, at_once, call, enough }
     }
 
     /// An offer makes sense, and the instance goes by it.
     pub fn taken(&mut self, offer: Offer) {
         if let Some(held) = self.lists.get_mut(&offer.list) {
             let Offer { version, text, heard, .. } = offer;
-            *held = Some(Held { version, text: Some(text), heard, wanted: false });
+            let watches = held.as_ref().is_some_and(|held| held.watches);
+            *held = Some(Held { version, text: Some(text), heard, wanted: false, watches });
         }
     }
 
--- a/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
+++ b/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
@@ -2,12 +2,12 @@
 //! agent and instances that die, freeze and come back: whoever holds a list holds no less than discovery had told by the
 //! time that it takes for the evidence, and once all is well again all hold the newest.
 
-use madderloom_roster::{Heard, Lists, Micros, Relay, Share, Tells, Version};
+use madderloom_roster::{Heard, Lists, Micros, Relay, Share, Tells, Version, WATCHERS};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
 const LIST: &str = "fleet/shop";
-const INSTANCES: usize = 6;
+const INSTANCES: usize = 12;
 const EVERY: Micros = 300_000;
 const MINUTE: Micros = 60_000_000;
 
@@ -127,8 +127,11 @@
                 if lists.start != one.start {
                     return;
                 }
-                let Heard { offers, at_once, call } = one.share.hear(one.clock.at(self.now), &lists);
-                one.watches |= !call.is_empty();
+                let Heard { offers, at_once, call, enough } = one.share.hear(one.clock.at(self.now), &lists);
+                one.watches = one.watches && enough.is_empty() || !call.is_empty();
+                if !one.watches {
+                    one.share.ended(LIST);
+                }
                 offers.into_iter().for_each(|offer| one.share.taken(offer));
                 if at_once {
                     self.report(number);
@@ -199,6 +202,7 @@
                     16..=30 => {
                         let number = self.rng.rand_range(0..INSTANCES as u64) as usize;
                         self.instances[number].watches ^= true;
+                        self.instances[number].share.ended(LIST);
                     }
                     31..=32 => {
                         // It stands still for a while, and then reports at once.
@@ -221,13 +225,19 @@
     for seed in 0..200 {
         let mut world = World::new(seed);
         world.run(MINUTE);
-        // Nobody watches any more: once links and processes are well, one is called upon, and is enough for all.
+        // All watch, or nobody does: once links and processes are well, some of them go on, or one is called upon, and they
+        // are enough for all.
         world.faults = false;
-        world.instances.iter_mut().for_each(|one| one.watches = false);
+        let all = seed % 2 == 0;
+        for one in &mut world.instances {
+            one.watches = all;
+            one.share.ended(LIST);
+        }
         world.run(MINUTE + 12_000_000);
         let newest = world.changes.len() as u64;
         let watching = world.instances.iter().filter(|one| one.watches).count();
-        assert!((1..=2).contains(&watching), "seed {seed}: {watching} watch");
+        let few = if all { WATCHERS..=WATCHERS } else { 1..=2 };
+        assert!(few.contains(&watching), "seed {seed}: {watching} watch");
         let told = world.told;
         for one in &world.instances {
             let now = one.clock.at(world.now);
--- a/crates/sidecar/src/agent_link.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -485,7 +485,8 @@
             pool::passed_on(&service, offer.version.index, &offer.text, age)
         };
         let call = |pool: &str| service(pool).iter().for_each(pool::call_for_all);
-        common.shared_lists.hear(lists, apply, call)
+        let rest = |pool: &str| service(pool).iter().for_each(pool::rest);
+        common.shared_lists.hear(lists, apply, call, rest)
     }
 
     fn keep(&mut self, memory: &Memory) {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -476,6 +476,13 @@
     }
 }
 
+/// Ends the watch, since enough others of the fleet watch: discovery is called again when what they tell is too old.
+pub(super) fn rest(service: &Rc<Service>) {
+    if service.pool.called.get() && !service.is_leaving() {
+        open_watch(service, true);
+    }
+}
+
 fn open_watch(service: &Rc<Service>, waits: bool) {
     // A fixed list has nothing to follow, and all that it holds is known.
     let Some(discovery) = service.pool.discovery.get() else { return };
@@ -489,12 +496,14 @@
         own.pool.called.set(true);
         let Err(problem) = follow(&own, discovery).await;
         own.pool.called.set(false);
+        own.common.shared_lists.ended(&own.name);
         let of = &own.label;
         tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
         let now = own.common.clock.now();
         own.handle(now, Event::Members(Members::Failed));
     });
     service.pool.called.set(false);
+    service.common.shared_lists.ended(&service.name);
     if let Some(former) = service.pool.watch.replace(Some(watch.abort_handle())) {
         former.abort();
     }
--- a/crates/sidecar/src/shared_lists.rs
+++ b/crates/sidecar/src/shared_lists.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// The watch of this pool's list has ended, or is ended.
+    pub(super) fn ended(&self, pool: &str) {
+        if let Some(list) = self.list(pool) {
+            self.share.borrow_mut().ended(&list);
+        }
+    }
+
     /// What is known of this pool's list is of another discovery than the one that is followed now.
     pub(super) fn forget(&self, pool: &str) {
         if let Some(list) = self.list(pool) {
@@ -113,18 +120,20 @@
     }
 
     /// The agent's word has come. What goes before what is held is given to `apply`, with the pool's name and its age,
-    /// which says whether it makes sense; `call` is told of pools for which discovery is to be called. Gives whether the
-    /// agent wants a report at once.
+    /// which says whether it makes sense; `call` and `rest` are told of pools for which discovery is to be called, and of
+    /// those for which it need not be watched. Gives whether the agent wants a report at once.
     pub(super) fn hear(
         &self,
         lists: &Lists,
         mut apply: impl FnMut(&str, &Offer, Micros) -> Result<(), String>,
-        mut call: impl FnMut(&str),
+        call: impl Fn(&str),
+        rest: impl Fn(&str),
     ) -> bool {
         let now = boottime();
-        let Heard { offers, at_once, call: called_for } = self.share.borrow_mut().hear(now, lists);
+        let Heard { offers, at_once, call: called_for, enough } = self.share.borrow_mut().hear(now, lists);
         let pool = |list: &str| list.rsplit_once('/').map_or(String::new(), |(_, pool)| pool.to_string());
-        called_for.iter().map(|list| pool(list)).for_each(|pool| call(&pool));
+        called_for.iter().for_each(|list| call(&pool(list)));
+        enough.iter().for_each(|list| rest(&pool(list)));
         for offer in offers {
             let pool = pool(&offer.list);
             let age = now.saturating_sub(offer.heard);
