Share a list as it was told, whatever the settings name, and hold up no first call without a server

Cause, found in a second reading: a zone or kind that an instance's settings do not hold was shared without its name; two instances with settings of their own would have told two lists of one version, each in turn taken for newer. And an instance without any server put its first call off though a request may wait for it.

Change: what the settings have no place for is kept by name; the wait before the first call is for those that know a server.

--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -11,6 +11,7 @@
 use madderloom_balancer::{Event, Listed, Members, Micros, ServerId, ServerState};
 use madderloom_ledger::{ListedMemory, ServerMemory};
 use madderloom_operator::Server;
+use madderloom_roster::first_wait;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -122,6 +123,8 @@
     since_ms: u64,
     /// As it was listed.
     listed: Listed,
+    /// Its zone and kind by name, where the settings hold one of these not: whom the list is shared with may.
+    foreign: Option<Box<(String, String)>>,
 }
 
 /// A time of discovery as the module's clock reads it, which was set by Unix time; 0 is long ago.
@@ -266,7 +269,8 @@
                 ServerState::Draining => Status::Terminating,
                 ServerState::Gone => Status::Terminated,
             };
-            let (zone, kind) = (name(&names.0, listed.zone), name(&names.1, listed.kind));
+            let own = || (name(&names.0, listed.zone), name(&names.1, listed.kind));
+            let (zone, kind) = member.foreign.as_deref().map_or_else(own, Clone::clone);
             let weight = listed.capacity;
             Row(member.name.clone(), member.address, zone, kind, listed.cell, status, weight, member.since_ms)
         };
@@ -318,8 +322,11 @@
             if listed.state == ServerState::Gone {
                 members.remove(&listed.server);
             } else if members.len() < SERVERS || members.contains_key(&listed.server) {
-                let Endpoint { name, address, since_ms, .. } = endpoint;
-                let member = Member { name, address, since_ms, listed: *listed };
+                let Endpoint { name, address, since_ms, zone, kind, .. } = endpoint;
+                let (zones, kinds) = &*self.names.borrow();
+                let known = (listed.zone as usize) < zones.len() && (listed.kind as usize) < kinds.len();
+                let foreign = (!known).then(|| Box::new((zone, kind)));
+                let member = Member { name, address, since_ms, listed: *listed, foreign };
                 members.insert(listed.server, member);
             }
         }
@@ -490,8 +497,10 @@
     let watch = tokio::task::spawn_local(async move {
         if waits {
             // Whoever is told by its fleet spares discovery the call.
-            let (ask_within, up) = (own.tuned().site.settings.rules.ask_within, own.common.clock.up());
-            own.common.shared_lists.wait_to_call(&own.name, ask_within, up).await;
+            let ask_within = own.tuned().site.settings.rules.ask_within;
+            // Without any server a request may be waiting for the list.
+            let first = if own.pool.is_known() { first_wait(own.common.clock.up(), ask_within) } else { 0 };
+            own.common.shared_lists.wait_to_call(&own.name, ask_within, first).await;
         }
         own.pool.called.set(true);
         let Err(problem) = follow(&own, discovery).await;
@@ -612,6 +621,23 @@
         assert_eq!(started(0, None, 7_000_000, 0), None);
     }
 
+    /// Instances of one fleet may have settings of their own: what one of them has no place for goes on to the others.
+    #[test]
+    fn a_list_is_shared_as_it_was_told_whatever_the_settings_name() {
+        let endpoint = serde_json::json!({"name": "s", "address": "127.0.0.1:1", "status": "terminating",
+            "zone": "b", "type": "m2", "weight": 2.5, "since_ms": 7});
+        let listing = serde_json::json!({"index": 3, "snapshot": true, "endpoints": [endpoint]});
+        let shared = |zones: &[&str]| {
+            let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+            let pool = Pool::new(None, names(zones), names(&["m1", "m2"]), 0);
+            let listing = serde_json::from_value(listing.clone()).expect("a list");
+            pool.take_in(listing, &Steering::default(), (9_000_000, 0));
+            pool.shared()
+        };
+        assert_eq!(shared(&["a"]), shared(&["a", "b"]));
+        assert_eq!(shared(&["a"]), r#"[["s","127.0.0.1:1","b","m2",0,"terminating",2.5,7]]"#);
+    }
+
     #[test]
     fn a_weight_beyond_all_comparison_is_the_usual_one() {
         for (weight, capacity) in
--- a/crates/sidecar/src/shared_lists.rs
+++ b/crates/sidecar/src/shared_lists.rs
@@ -4,7 +4,7 @@
 //! Ages are taken by a clock that also runs while the machine is suspended.
 
 use super::clock::boottime;
-use madderloom_roster::{Heard, Lists, Micros, Offer, Share, Tells, first_wait, own_calls};
+use madderloom_roster::{Heard, Lists, Micros, Offer, Share, Tells, own_calls};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
@@ -100,11 +100,11 @@
         Some(boottime().saturating_sub(heard))
     }
 
-    /// Waits until discovery has to be called for this pool, `up` microseconds after the start: a little where nobody has
-    /// told of its list yet, so that the fleet may.
-    pub(super) async fn wait_to_call(&self, pool: &str, ask_within: Micros, up: Micros) {
+    /// Waits until discovery has to be called for this pool: for the first so many microseconds where nobody has told of its
+    /// list yet, so that the fleet may.
+    pub(super) async fn wait_to_call(&self, pool: &str, ask_within: Micros, first: Micros) {
         let Some(list) = self.list(pool) else { return };
-        let first = boottime().saturating_add(first_wait(up, ask_within));
+        let first = boottime().saturating_add(first);
         let (after, spread) = own_calls(ask_within);
         let own = RandomState::new().hash_one(0) % spread.max(1);
         let due = || self.share.borrow().due(&list, after.saturating_add(own)).unwrap_or(first);
