Test an agent that stands still and held words of it while shared lists change

Need: the hard cases of shared lists stood in virtual time alone: an agent stopped while lists change, and what it said before held in links and let go behind newer words.

--- a/crates/cli/tests/fleet/lists.rs
+++ b/crates/cli/tests/fleet/lists.rs
@@ -217,5 +217,22 @@
     std::thread::sleep(millis(1_500));
     assert_eq!(shared.came(1, drained + millis(1_000)), 0, "it drains, and all were told");
     assert!((1..=8).contains(&shared.lists.told()), "{} watch", shared.lists.told());
+
+    // The agent stands still while lists change, and what it said to a third before is held and comes behind newer words.
+    let held = |name: &str| name.starts_with("south") && name.ends_with(">agent");
+    let old = shared.fleet.stage.links.keys().filter(|name| held(name)).cloned().collect::<Vec<_>>();
+    old.iter().for_each(|link| shared.fleet.stage.act(link, Act::HoldOld));
+    shared.publish(5, &["w2"]);
+    std::thread::sleep(millis(500));
+    shared.fleet.stage.act("agent", Act::Stop);
+    shared.publish(6, &["w0", "w2"]);
+    std::thread::sleep(millis(1_500));
+    shared.fleet.stage.act("agent", Act::Continue);
+    std::thread::sleep(SLACK);
+    old.iter().for_each(|link| shared.fleet.stage.act(link, Act::LetGo));
+    let late = Instant::now() + millis(1_000);
+    std::thread::sleep(millis(2_500));
+    assert_eq!((shared.came(0, late), shared.came(2, late)), (0, 0), "an older list undoes nothing");
+    assert!(shared.came(1, late) > 0, "it serves again");
     shared.judge(&load.stop(), false);
 }
