--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -1,6 +1,7 @@
 //! Sixty real sidecars that start in one moment, share nothing, and know an old list; between them and a discovery that
 //! dies of too many calls are links, and parts of it all fail. What discovery and the servers counted is judged.
 
+mod alone;
 mod cold;
 
 use madderloom_rig::{
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -25,7 +25,7 @@
 pub use load::{Got, Load, served};
 pub use plan::{Act, Fault, Menu, Plan, shrink};
 pub use program::{MOST_PROGRAMS, Program, Signal, built};
-pub use server::{Arrivals, Cold, Server, worst};
+pub use server::{Answers, Arrivals, Cold, Server, worst};
 pub use stage::{Slot, Stage};
 
 use std::collections::HashSet;
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
@@ -127,9 +127,22 @@
     }
 }
 
+/// What a server answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Answers {
+    /// 200.
+    #[default]
+    Well,
+    /// 500: it may have run.
+    Errors,
+    /// Nothing: it takes what comes and is silent.
+    Never,
+}
+
 /// How a server does its work.
 struct Works {
     time: Duration,
+    answers: Mutex<Answers>,
     cold: Option<(Cold, Instant)>,
     fell: watch::Sender<bool>,
 }
@@ -164,6 +177,7 @@
     /// When it started, in milliseconds of Unix time; 0 for long ago.
     pub since_ms: u64,
     seen: Arc<Mutex<Seen>>,
+    works: Arc<Works>,
     task: AbortHandle,
 }
 
@@ -191,12 +205,13 @@
     fn made(name: &str, time: Duration, cold: Option<(Cold, Instant)>) -> Self {
         let (listener, address) = listen();
         let seen: Arc<Mutex<Seen>> = Arc::default();
-        let works = Arc::new(Works { time, cold, fell: watch::Sender::new(false) });
-        let own = Arc::clone(&seen);
+        let (answers, fell) = (Mutex::default(), watch::Sender::new(false));
+        let works = Arc::new(Works { time, answers, cold, fell });
+        let (own, doing) = (Arc::clone(&seen), Arc::clone(&works));
         let task = runtime().spawn(async move {
             let listener = taken(listener);
             let mut open = JoinSet::new();
-            let mut fell = works.fell.subscribe();
+            let mut fell = doing.fell.subscribe();
             loop {
                 while open.try_join_next().is_some() {}
                 let accepted = tokio::select! {
@@ -206,13 +221,18 @@
                 };
                 let Ok((stream, _)) = accepted else { continue };
                 let _ = stream.set_nodelay(true);
-                let (seen, works) = (Arc::clone(&own), Arc::clone(&works));
+                let (seen, works) = (Arc::clone(&own), Arc::clone(&doing));
                 let answer =
                     service_fn(move |request| answer(Arc::clone(&seen), Arc::clone(&works), request));
                 open.spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), answer));
             }
         });
-        Server { name: name.into(), address, since_ms: 0, seen, task: task.abort_handle() }
+        Server { name: name.into(), address, since_ms: 0, seen, works, task: task.abort_handle() }
+    }
+
+    /// It answers so from now on.
+    pub fn behave(&self, answers: Answers) {
+        *lock(&self.works.answers) = answers;
     }
 
     /// When it was pushed over, if it was.
@@ -263,5 +283,12 @@
         tokio::time::sleep(time).await;
     }
     lock(&seen).open.push((came, Instant::now()));
-    Ok(Response::new(Full::new(Bytes::from_static(b"ok"))))
+    let mut response = Response::new(Full::new(Bytes::from_static(b"ok")));
+    let answers = *lock(&works.answers);
+    match answers {
+        Answers::Well => {}
+        Answers::Errors => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+        Answers::Never => std::future::pending().await,
+    }
+    Ok(response)
 }
