Show the lists that a fleet shares in top and in the agent's status

Need: an operator saw what one instance holds and not whether the fleet has one list, who watches, and who is behind.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -31,7 +31,7 @@
 type Reply<T> = oneshot::Sender<Result<T, Unable>>;
 
 /// What someone wants to see of it, as JSON.
-type Look = Box<dyn FnOnce(&Fleet, Micros) -> Vec<u8> + Send>;
+type Look = Box<dyn FnOnce(&Fleet, &Relay, Micros) -> Vec<u8> + Send>;
 
 /// What is asked of the machine.
 pub(crate) enum Ask {
@@ -59,7 +59,17 @@
         &self,
         what: impl FnOnce(&Fleet, Micros) -> T + Send + 'static,
     ) -> Result<Vec<u8>, Unable> {
-        let written = |fleet: &Fleet, now| serde_json::to_vec(&what(fleet, now)).unwrap_or_default();
+        self.see_all(|fleet, _, now| what(fleet, now)).await
+    }
+
+    /// The same, of the lists that the fleet shares as well.
+    async fn see_all<T: serde::Serialize>(
+        &self,
+        what: impl FnOnce(&Fleet, &Relay, Micros) -> T + Send + 'static,
+    ) -> Result<Vec<u8>, Unable> {
+        let written = |fleet: &Fleet, relay: &Relay, now| {
+            serde_json::to_vec(&what(fleet, relay, now)).unwrap_or_default()
+        };
         self.ask(|reply| Ask::See(Box::new(written), reply)).await
     }
 
@@ -206,7 +216,7 @@
                             sends.append(&mut keep(out));
                             held.push(hold(reply, done));
                         }
-                        Ask::See(what, reply) => held.push(hold(reply, what(fleet, time.now))),
+                        Ask::See(what, reply) => held.push(hold(reply, what(fleet, &self.relay, time.now))),
                         Ask::Watch { name, start, to } => {
                             self.watches.retain(|_, (_, to)| !to.is_closed());
                             self.watches.insert(name, (start, to));
@@ -310,5 +320,5 @@
 }
 
 pub(crate) async fn status(core: &Core) -> Result<Vec<u8>, Unable> {
-    core.see(view::status).await
+    core.see_all(view::status).await
 }
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -6,6 +6,7 @@
 use madderloom_fleet::rollout::{End, Phase, Rollout, Step, Target};
 use madderloom_fleet::{By, Entry, Fleet, Micros};
 use madderloom_quota::{Amount, ONE, UNBOUNDED, View};
+use madderloom_roster::{Relay, SharedList};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -30,6 +31,9 @@
     /// Whether all of them may be lent: what a former agent lent is over. None where there are none.
     #[serde(default)]
     pub lends_all: Option<bool>,
+    /// The lists that the fleet shares, by name.
+    #[serde(default)]
+    pub shared_lists: BTreeMap<String, SharedList>,
 }
 
 /// Figures of a fleet-wide limit: all of it, or a part.
@@ -188,7 +192,7 @@
     }
 }
 
-pub(crate) fn status(fleet: &Fleet, now: Micros) -> Status {
+pub(crate) fn status(fleet: &Fleet, relay: &Relay, now: Micros) -> Status {
     let mut instances = BTreeMap::new();
     for (_, member) in fleet.membership().iter() {
         *instances.entry(format!("{:?}", member.presence).to_lowercase()).or_insert(0) += 1;
@@ -202,6 +206,7 @@
         in_effect: fleet.layers().0.iter().map(|layer| layer.id.clone()).collect(),
         fleet_limits: fleet.lender().map(|lender| shares(lender.views(now))).unwrap_or_default(),
         lends_all: fleet.lender().map(|lender| lender.has_learned(now)),
+        shared_lists: relay.views(now).collect(),
     }
 }
 
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -11,6 +11,7 @@
 use madderloom_fleet::settings::{Edits, Key, Value};
 use madderloom_fleet::{Accepted, By, Declined};
 use madderloom_keys::Files;
+use madderloom_roster::SharedList;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -177,6 +178,21 @@
     ]
 }
 
+/// The lists that the fleet shares, a row each.
+fn lists(lists: &BTreeMap<String, SharedList>) -> Table {
+    let mut table = Table::new(["SHARED LIST", "VERSION", "AGE", "WATCHED BY", "BEHIND"]);
+    for (name, list) in lists {
+        table.row([
+            name.clone(),
+            list.version.to_string(),
+            format!("{:.1} s", list.age_us as f64 / 1e6),
+            list.watched.to_string(),
+            list.behind.to_string(),
+        ]);
+    }
+    table
+}
+
 /// Fleet-wide limits, or parts of them, a row each.
 fn shares(limits: &BTreeMap<String, Share>) -> Table {
     let mut table = Table::new([
@@ -712,6 +728,9 @@
             }
             writeln!(f, "{}", shares(&self.status.fleet_limits))?;
         }
+        if !self.status.shared_lists.is_empty() {
+            writeln!(f, "{}", lists(&self.status.shared_lists))?;
+        }
         let shown = &self.instances[..self.instances.len().min(ROWS)];
         write!(f, "{}", table(shown))?;
         match self.instances.len() - shown.len() {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -21,7 +21,7 @@
 mod relay;
 mod share;
 
-pub use relay::{Note, Relay};
+pub use relay::{Note, Relay, SharedList};
 pub use share::{Heard, Offer, Share};
 
 use serde::{Deserialize, Serialize};
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::{
     LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, WATCHERS, aged,
 };
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::Bound;
@@ -52,6 +53,20 @@
     }
 }
 
+/// What an agent knows of one list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SharedList {
+    /// Discovery's number of it.
+    pub version: u64,
+    /// How old the evidence for it is, in microseconds.
+    pub age_us: Micros,
+    /// Instances that watch discovery, of those heard of late.
+    pub watched: usize,
+    /// Instances that go by another list, of those heard of late.
+    pub behind: usize,
+}
+
 struct Kept {
     version: Version,
     text: String,
@@ -129,11 +144,16 @@
         (own, others, notes)
     }
 
-    /// Which list of this name the fleet goes by, and how old the evidence for it is.
-    pub fn views(&self, now: Micros) -> impl Iterator<Item = (&str, u64, Micros)> {
-        self.lists
-            .iter()
-            .map(move |(name, kept)| (name.as_str(), kept.version.index, now.saturating_sub(kept.heard)))
+    /// The list of each name that the fleet goes by.
+    pub fn views(&self, now: Micros) -> impl Iterator<Item = (String, SharedList)> {
+        self.lists.iter().map(move |(name, kept)| {
+            let there = || self.instances.values().filter(|seen| now.saturating_sub(seen.came) <= MISSED);
+            let watched = there().filter(|seen| seen.watches.contains(name)).count();
+            let behind = |seen: &&Seen| seen.holds.get(name).is_some_and(|held| *held != Some(kept.version));
+            let (version, age_us) = (kept.version.index, now.saturating_sub(kept.heard));
+            let list = SharedList { version, age_us, watched, behind: there().filter(behind).count() };
+            (name.clone(), list)
+        })
     }
 
     fn stamp(&self, at: Micros) -> Stamp {
--- a/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
+++ b/crates/roster/tests/no_list_is_taken_for_younger_than_it_is.rs
@@ -156,7 +156,8 @@
             }
         }
         let now = self.agent.0.at(self.now);
-        for (_, index, age) in self.agent.1.views(now) {
+        for (_, list) in self.agent.1.views(now) {
+            let (index, age) = (list.version, list.age_us);
             let when = self.agent.0.when(now - age);
             let behind = self.changes.get(index as usize).is_some_and(|next| *next + 10 < when);
             assert!(!behind, "the agent holds {index} as of {when}");
