Ask the agent before calling discovery, so that the usual pace of reports is enough for all

Cause: an instance called at an age of ask_within / 2, 5 s of the usual 10. At the usual pace 2 s lie between discovery's words, 3 s between a watcher's reports and 3 s between one's own: 8 s at worst. The tests report each 0.5 s and did not see it; a world in virtual time at the usual pace found instances that had to call while all was well (1,337 us late, then 89,125).

Change: at ask_within / 2 the agent is asked at once, for each evidence once; own calls come at three fifths and within three tenths more; the agent calls upon somebody where its evidence is over 4 s old (3 s).

--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -45,11 +45,17 @@
 pub const FORGOTTEN: Micros = 30_000_000;
 
 /// When an instance calls discovery itself, where whoever has not called for `ask_within` is held to know the list: once
-/// the evidence for what it holds is as old as the first, and so much later as it draws below the second. Half of the time
-/// is for the fleet to tell; two fifths of it spread the calls of all, where nobody tells any more; a tenth is for clocks
-/// that run slow and for timers. In microseconds, as `ask_within`.
+/// the evidence for what it holds is as old as the first, and so much later as it draws below the second. Three fifths of the
+/// time are for the fleet to tell, three tenths spread the calls of all, where nobody tells any more, and a tenth is for
+/// clocks that run slow and for timers. In microseconds, as `ask_within`.
 pub fn own_calls(ask_within: Micros) -> (Micros, Micros) {
-    (ask_within / 2, ask_within / 5 * 2)
+    (ask_within / 5 * 3, ask_within / 10 * 3)
+}
+
+/// Evidence of this age has an instance report at once, before it calls: what it heard may be older than what the agent
+/// knows by as much as lies between two of its reports. In microseconds, as `ask_within`.
+pub fn asks_agent(ask_within: Micros) -> Micros {
+    ask_within / 2
 }
 
 /// How long an instance that has just started waits for the agent's word before its first call of discovery, which is due
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -11,8 +11,8 @@
 /// One instance at a time is asked for a list, for so long. In microseconds.
 const ASKED: Micros = 1_000_000;
 /// Where the evidence for a list is older than this, or there is no list, one instance at a time is called upon to ask
-/// discovery: sooner than any has to by itself. In microseconds.
-const STALE: Micros = 3_000_000;
+/// discovery: sooner than any has to by itself, and later than two that watch tell at the usual pace. In microseconds.
+const STALE: Micros = 4_000_000;
 /// Evidence that comes after so long without any is passed on at once and not with the next reports: instances wait for it
 /// that would call discovery. In microseconds.
 const MISSED: Micros = 5_000_000;
--- a/crates/roster/src/share.rs
+++ b/crates/roster/src/share.rs
@@ -13,6 +13,8 @@
     heard: Micros,
     wanted: bool,
     watches: bool,
+    /// The evidence beyond which the agent was asked for more.
+    asked: Option<Micros>,
 }
 
 /// A list that the agent has passed on and that goes before what is held.
@@ -90,7 +92,7 @@
             .as_ref()
             .is_none_or(|held| held.version != version || now.saturating_sub(held.heard) > FORGOTTEN);
         let text = (text.len() <= MOST_TEXT).then_some(text);
-        *held = Some(Held { version, text, heard: now, wanted: false, watches: true });
+        *held = Some(Held { version, text, heard: now, wanted: false, watches: true, asked: None });
         missed
     }
 
@@ -192,7 +194,7 @@
         if let Some(held) = self.lists.get_mut(&offer.list) {
             let Offer { version, text, heard, .. } = offer;
             let watches = held.as_ref().is_some_and(|held| held.watches);
-            *held = Some(Held { version, text: Some(text), heard, wanted: false, watches });
+            *held = Some(Held { version, text: Some(text), heard, wanted: false, watches, asked: None });
         }
     }
 
@@ -203,6 +205,16 @@
         Some(held.heard.saturating_add(within))
     }
 
+    /// Whether the agent is to be asked now for later evidence than this, which is `age` old: once for each that is held.
+    pub fn asks(&mut self, now: Micros, list: &str, age: Micros) -> bool {
+        let Some(Some(held)) = self.lists.get_mut(list) else { return false };
+        let due = now >= held.heard.saturating_add(age) && held.asked != Some(held.heard);
+        if due {
+            held.asked = Some(held.heard);
+        }
+        due
+    }
+
     /// What is held of each list: its name, its version, and when there was evidence for it.
     pub fn views(&self) -> impl Iterator<Item = (&str, u64, Micros)> {
         let held = |(name, held): &(&String, &Option<Held>)| held.is_some() && !name.is_empty();
--- a/crates/sidecar/src/shared_lists.rs
+++ b/crates/sidecar/src/shared_lists.rs
@@ -4,7 +4,7 @@
 //! Ages are taken by a clock that also runs while the machine is suspended.
 
 use super::clock::boottime;
-use madderloom_roster::{Heard, Lists, Micros, Offer, Share, Tells, own_calls};
+use madderloom_roster::{Heard, Lists, Micros, Offer, Share, Tells, asks_agent, own_calls};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
@@ -15,8 +15,9 @@
 /// The shortest gap between two reports that a list brings about, in microseconds. What changes within it goes with the
 /// next report.
 const GAP: Micros = 100_000;
-/// The longest sleep before the clock is looked at again: the timers stand still while the machine is suspended.
-const LOOK: Duration = Duration::from_secs(1);
+/// The longest sleep before the clock is looked at again: the timers stand still while the machine is suspended, and the
+/// agent is to be asked in time.
+const LOOK: Duration = Duration::from_millis(250);
 
 /// The lists that this instance shares; nothing where its file shares none.
 #[derive(Default)]
@@ -109,6 +110,9 @@
         let own = RandomState::new().hash_one(0) % spread.max(1);
         let due = || self.share.borrow().due(&list, after.saturating_add(own)).unwrap_or(first);
         while let Some(left) = due().checked_sub(boottime()).filter(|left| *left > 0) {
+            if self.share.borrow_mut().asks(boottime(), &list, asks_agent(ask_within)) {
+                self.news.notify_one();
+            }
             tokio::time::sleep(LOOK.min(Duration::from_micros(left))).await;
         }
     }
