Copy no list's text where a report leaves it out, and name zones and kinds in one place

Found in a second reading: each report of an instance that shares lists copied the whole text of each and dropped it again, also where the agent had not asked for it; the names behind a server's places were looked up by the same closure twice; a view filtered what it then looked at again.

--- a/crates/roster/src/share.rs
+++ b/crates/roster/src/share.rs
@@ -139,7 +139,7 @@
             if goes {
                 (whole, held.wanted) = (false, false);
             }
-            let text = held.text.clone().filter(|_| goes);
+            let text = goes.then(|| held.text.clone()).flatten();
             let (version, age) = (Some(held.version), now.saturating_sub(held.heard));
             Tell { list, version, age, watches: held.watches, text }
         };
@@ -217,9 +217,9 @@
 
     /// What is held of each list: its name, its version, and when there was evidence for it.
     pub fn views(&self) -> impl Iterator<Item = (&str, u64, Micros)> {
-        let held = |(name, held): &(&String, &Option<Held>)| held.is_some() && !name.is_empty();
-        self.lists.iter().filter(held).filter_map(|(name, held)| {
-            held.as_ref().map(|held| (name.as_str(), held.version.index, held.heard))
+        self.lists.iter().filter_map(|(name, held)| {
+            let held = held.as_ref()?;
+            Some((name.as_str(), held.version.index, held.heard))
         })
     }
 }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -132,6 +132,12 @@
     Some(since_ms.saturating_mul(1_000)).filter(|at| *at > 0)
 }
 
+/// Its zone and kind by name, empty where the settings hold none of that place.
+fn places(names: &(Vec<String>, Vec<String>), listed: &Listed) -> (String, String) {
+    let name = |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_default();
+    (name(&names.0, listed.zone), name(&names.1, listed.kind))
+}
+
 /// When a server started, by the module's clock. That clock and the wall clock, by which discovery tells it, part where
 /// the wall clock is set or the machine was suspended: taken as it is, a start would lie ahead, and the server be cold for
 /// as long as that, or so far back that one just started would be held to be warm. What was told once of a start stays as
@@ -245,12 +251,11 @@
 
     /// The servers that take new work, as the next process is to know them until its list has come.
     pub(super) fn listed_memories(&self) -> BTreeMap<ServerId, ServerMemory> {
-        let name = |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_default();
         let (members, names) = (self.members.borrow(), self.names.borrow());
         let ready = members.iter().filter(|(_, m)| m.listed.state == ServerState::Ready);
         let memory = |(id, m): (&ServerId, &Member)| {
             let (listed, address) = (&m.listed, m.address);
-            let (zone, kind) = (name(&names.0, listed.zone), name(&names.1, listed.kind));
+            let (zone, kind) = places(&names, listed);
             let as_listed = ListedMemory { address, zone, kind, group: listed.cell, weight: listed.capacity };
             let (name, started) = (m.name.to_string(), unix(m.since_ms));
             (*id, ServerMemory { name, listed: Some(as_listed), started, ..ServerMemory::default() })
@@ -260,7 +265,6 @@
 
     /// All of the list as it is shared with the fleet: the same text for the same list.
     fn shared(&self) -> String {
-        let name = |names: &[String], at: u32| names.get(at as usize).cloned().unwrap_or_default();
         let (members, names) = (self.members.borrow(), self.names.borrow());
         let row = |member: &Member| {
             let listed = &member.listed;
@@ -269,8 +273,7 @@
                 ServerState::Draining => Status::Terminating,
                 ServerState::Gone => Status::Terminated,
             };
-            let own = || (name(&names.0, listed.zone), name(&names.1, listed.kind));
-            let (zone, kind) = member.foreign.as_deref().map_or_else(own, Clone::clone);
+            let (zone, kind) = member.foreign.as_deref().cloned().unwrap_or_else(|| places(&names, listed));
             let weight = listed.capacity;
             Row(member.name.clone(), member.address, zone, kind, listed.cell, status, weight, member.since_ms)
         };
