Write no repeat behind its window, and nothing to a server told to drain meanwhile

Ruled out: the group (all servers of these requests are of one cell) and the count of the window (from the choice of the first attempt, which is early).

At fault: may_resend in decide.rs looks at the clock when an attempt is chosen, flow.rs wrote whenever the connection was there. Send now says until when the last byte may be written (Request::write_by), and flow::exchange writes nothing from then on: the outcome is Moot. The same crossing for drains: a server is looked up again when a connection has come up.

Two tests with held connections, each seen failing without its half of the repair (200 and one run, in the place of 502 and none; one request at the draining server); the exhaustive test of the module has the rule.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -338,11 +338,8 @@
 
     /// Whether a further attempt may go out: never where one may have run that must not run twice.
     fn may_resend(&self, now: Micros, request: &Request) -> bool {
-        let harmless = match (request.first_run(), self.settings.classes[request.class].effect) {
-            (None, _) | (_, Effect::Safe) => true,
-            (Some(_), Effect::Unsafe) => false,
-            (Some(first), Effect::Keyed { window, .. }) => now + self.settings.tick < first.sent + window,
-        };
+        let harmless =
+            now < request.write_by(self.settings.classes[request.class].effect, self.settings.tick);
         let more = request.attempts.len() < request.most_attempts;
         harmless && more && now < request.give_up
     }
@@ -370,13 +367,14 @@
             let long_by = (request.size / seen.cost.at.max(self.mean_size.at)).max(1.0);
             let due = now + (OVERDUE * seen.slow.at * long_by) as Micros;
             let attempt = request.attempts.len() as u32;
+            let write_by = request.write_by(self.settings.classes[request.class].effect, self.settings.tick);
             server.out.push(Out { request: id, attempt, size: request.size, sent: now, due });
             server.out_size += request.size;
             (server.cold_budget, server.cold_filled) = (server.cold_left(now) - request.size, now);
             request.looked.clear();
             request.attempts.push(Attempt { to: server.listed, sent: now, outcome: None });
-            let to = server.listed.server;
-            actions.push(Action::Send { request: id, server: to, timeout_at: request.give_up });
+            let (server, timeout_at) = (server.listed.server, request.give_up);
+            actions.push(Action::Send { request: id, server, timeout_at, write_by });
         }
         self.requests.insert(id, request);
         chosen.is_some()
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -351,6 +351,9 @@
         server: ServerId,
         /// When the attempt times out.
         timeout_at: Micros,
+        /// Its last byte may not be written from then on: where the connection comes up later, nothing may go out, and the
+        /// outcome is [`Outcome::Moot`]. The end of a repeat's idempotency window; without one, the end of time.
+        write_by: Micros,
     },
     /// Ask a server for its load.
     Probe(ServerId),
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -341,6 +341,17 @@
     pub fn first_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| a.may_have_run())
     }
+
+    /// Until when a further attempt does no harm. An idempotency window counts from the send of the first attempt that may
+    /// have run. That is taken to be its choice, which comes before any of its bytes, and a tick is left to spare, so that
+    /// what is written before this arrives within the window however late connections come up.
+    pub fn write_by(&self, effect: Effect, tick: Micros) -> Micros {
+        match (self.first_run(), effect) {
+            (None, _) | (_, Effect::Safe) => Micros::MAX,
+            (Some(_), Effect::Unsafe) => 0,
+            (Some(first), Effect::Keyed { window, .. }) => (first.sent + window).saturating_sub(tick),
+        }
+    }
 }
 
 /// One instance of the balancer. It decides in `decide.rs`.
--- /dev/null
+++ b/crates/cli/tests/acceptance/repeats.rs
@@ -0,0 +1,71 @@
+//! What must not run twice, where connections come up late.
+
+use crate::rig::{Node, Options, Sidecar, accept_any, listing, serve, serve_all, until};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// An idempotency window of 700 ms, and connections that may take three seconds to come up.
+fn short_window(config: &mut serde_json::Value) {
+    config["settings"]["services"][1]["window"] = 700_000.into();
+    config["settings"]["limits"]["connect_timeout"] = 3_000_000.into();
+}
+
+/// The first attempt is read whole and lost, so that it may have run. Its repeat goes to the other server, whose connection
+/// comes up only when the window is over: servers that have forgotten the first attempt would run it a second time.
+#[test]
+fn a_repeat_whose_connection_comes_up_behind_its_window_is_never_written() {
+    let mut nodes = vec![Node::new(), Node::new()];
+    let addresses = [nodes[0].address(), nodes[1].address()];
+    let sidecar = Sidecar::with(&addresses, Options { edit: short_window, ..Options::default() });
+    let mut client = sidecar.ask("recheck", 5_000);
+    let (first, mut conn) = accept_any(&[&nodes[0], &nodes[1]]);
+    assert!(conn.read().is_some());
+    let late = nodes.remove(1 - first);
+    let held = late.hold_connections();
+    conn.reset();
+    until("the repeat's connection is tried", || late.is_tried());
+    // It comes up when it is tried again, a second after the first time.
+    drop(held);
+    let ran = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&ran);
+    serve(late, move |_, conn| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        conn.answer("200 OK", "made");
+        true
+    });
+    // With its window its time is over; without one, the answer comes from the server that runs it once more.
+    assert_eq!(client.read().expect("an answer").status(), 502);
+    assert_eq!(ran.load(Ordering::SeqCst), 0, "the repeat was written behind its window");
+}
+
+fn late_connections(config: &mut serde_json::Value) {
+    config["settings"]["limits"]["connect_timeout"] = 9_000_000.into();
+}
+
+/// A server is chosen, and its connection does not come up. Meanwhile it is listed as draining; then the connection is
+/// there.
+#[test]
+fn a_connection_that_comes_up_behind_a_drain_carries_nothing_new() {
+    let (late, other) = (Node::new(), Node::new());
+    let options = Options { edit: late_connections, ..Options::default() };
+    let sidecar = Sidecar::with(&[late.address()], options);
+    let mut watch = sidecar.discovery.accept();
+    assert!(watch.read().is_some());
+    let held = late.hold_connections();
+    let mut client = sidecar.ask("submit-check", 5_900);
+    until("a connection is tried", || late.is_tried());
+    let entries = [("n0", late.address(), "terminating"), ("n1", other.address(), "in_service")];
+    watch.tell(&listing(42, true, &entries).to_string());
+    sidecar.serves(&[&other]);
+    drop(held);
+    serve_all(other);
+    let ran = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&ran);
+    serve(late, move |_, conn| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        conn.answer("200 OK", "made");
+        true
+    });
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(ran.load(Ordering::SeqCst), 0, "it was sent to a server that drains");
+}
--- a/crates/lab/examples/throughput.rs
+++ b/crates/lab/examples/throughput.rs
@@ -24,7 +24,12 @@
             Event::Request(new) => {
                 self.next = (self.next + 1) % self.servers.len();
                 let server = self.servers[self.next];
-                actions.push(Action::Send { request: new.id, server, timeout_at: Micros::MAX });
+                actions.push(Action::Send {
+                    request: new.id,
+                    server,
+                    timeout_at: Micros::MAX,
+                    write_by: Micros::MAX,
+                });
             }
             Event::Closed(closed) if !closed.ended => {
                 actions.push(Action::Refuse { request: closed.request, retry_after: None });
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -398,7 +398,7 @@
         let left = (open.give_up - now) as f64 * self.stakes.try_share;
         let timeout_at = now + (left as Micros).max(1);
         self.choice.sent(now, server, (id, attempt));
-        actions.push(Action::Send { request: id, server, timeout_at });
+        actions.push(Action::Send { request: id, server, timeout_at, write_by: Micros::MAX });
     }
 
     fn closed(&mut self, now: Micros, closed: Closed, actions: &mut Vec<Action>) {
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -692,7 +692,9 @@
 
     fn perform(&mut self, instance: Instance, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at } => self.send(instance, request, server, timeout_at),
+            Action::Send { request, server, timeout_at, .. } => {
+                self.send(instance, request, server, timeout_at)
+            }
             Action::Probe(server) => self.probe(instance, server),
             Action::Cancel { request, attempt } => self.cancel(instance, request, attempt),
             Action::Refuse { request, retry_after } => {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,6 +15,7 @@
 mod link;
 mod lists;
 mod load;
+pub mod peer;
 mod plan;
 mod program;
 mod server;
--- a/crates/sidecar/src/alarms.rs
+++ b/crates/sidecar/src/alarms.rs
@@ -193,6 +193,21 @@
         .await
     }
 
+    /// What the work comes to; none from this time on, also where it could end in the turn in which that is noticed: nothing
+    /// of it is begun too late. At the end of time no timer is set.
+    pub(super) async fn before<T>(&self, at: Micros, work: impl Future<Output = T>) -> Option<T> {
+        if at == Micros::MAX {
+            return Some(work.await);
+        }
+        let mut work = pin!(work);
+        let mut alarm = self.alarm(at);
+        poll_fn(|context| match Pin::new(&mut alarm).poll(context) {
+            Poll::Ready(()) => Poll::Ready(None),
+            Poll::Pending => work.as_mut().poll(context).map(Some),
+        })
+        .await
+    }
+
     /// As [`Common::until`], this long from now.
     pub(super) async fn within<T>(&self, span: Micros, work: impl Future<Output = T>) -> Option<T> {
         self.until(self.clock.now().saturating_add(span), work).await
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -90,6 +90,8 @@
     pub(super) cost: Option<Micros>,
     pub(super) sent: Cell<Micros>,
     pub(super) timeout_at: Micros,
+    /// Its last byte is not written from then on.
+    pub(super) write_by: Micros,
     /// The transaction has had its final answer.
     pub(super) over: Rc<Cell<bool>>,
     pub(super) closed: bool,
@@ -200,13 +202,24 @@
     let held = held && onward.body.passing().is_none();
     let message = message(onward, address, left);
     let (mut lease, mut answer, head) = loop {
-        let mut lease = match service.connections.take(attempt.server, address).await {
-            Ok(lease) => lease,
-            Err(NoConnection::Failed) => return (Outcome::ConnectFailed, None),
-            Err(NoConnection::Exhausted) => return (Outcome::Moot, None),
+        let open = service.connections.take(attempt.server, address);
+        let mut lease = match service.common.before(attempt.write_by, open).await {
+            Some(Ok(lease)) => lease,
+            Some(Err(NoConnection::Failed)) => return (Outcome::ConnectFailed, None),
+            // Or its idempotency window ends: servers that have forgotten the first attempt would run this one.
+            Some(Err(NoConnection::Exhausted)) | None => return (Outcome::Moot, None),
         };
+        if !service.pool.takes_new(attempt.server, address, &service.common.steering.borrow()) {
+            return (Outcome::Moot, None);
+        }
         let hold = held.then(|| service.common.alarm_in(HOLD));
-        let mut sent = exchange::send(&lease.stream, &message, hold, progress).await;
+        let send = exchange::send(&lease.stream, &message, hold, progress);
+        let Some(mut sent) = service.common.before(attempt.write_by, send).await else {
+            if !progress.begun.get() {
+                service.connections.keep(lease);
+            }
+            return (Outcome::Moot, None);
+        };
         if let (Some(passing), Ok(())) = (onward.body.passing(), &sent) {
             let at_hand = progress.whole.replace(false);
             if at_hand {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -216,6 +216,14 @@
         self.members.borrow().get(&server).map(|m| m.address)
     }
 
+    /// Whether new attempts may still begin at this server and this address of it. Asked once more when a connection has come
+    /// up: what was chosen before that may have begun to drain, left or moved meanwhile.
+    pub(super) fn takes_new(&self, server: ServerId, address: SocketAddr, steering: &Steering) -> bool {
+        let members = self.members.borrow();
+        let ready = |listed| steering.of(listed).state == ServerState::Ready;
+        members.get(&server).is_some_and(|m| m.address == address && ready(m.listed))
+    }
+
     pub(super) fn name(&self, server: ServerId) -> Box<str> {
         let members = self.members.borrow();
         members.get(&server).map_or_else(|| server.to_string().into(), |m| m.name.clone())
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -385,8 +385,8 @@
 
     fn dispatch(self: &Rc<Self>, now: Micros, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at } => {
-                let told = self.instruct(request, Step::Send { server, timeout_at });
+            Action::Send { request, server, timeout_at, write_by } => {
+                let told = self.instruct(request, Step::Send { server, timeout_at, write_by });
                 // However a transaction ends, its request is settled in the module before it is gone from here.
                 debug_assert!(told, "request {request} is sent on, and its transaction is over");
             }
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -18,7 +18,7 @@
 /// What the module tells a transaction to do next.
 pub(super) enum Step {
     /// Start a flow.
-    Send { server: ServerId, timeout_at: Micros },
+    Send { server: ServerId, timeout_at: Micros, write_by: Micros },
     /// End a flow.
     Cancel { attempt: u32 },
     /// Answer that the request is refused.
@@ -121,7 +121,9 @@
 
     loop {
         match transaction.next().await {
-            Next::Step(Step::Send { server, timeout_at }) => transaction.send(&onward, server, timeout_at),
+            Next::Step(Step::Send { server, timeout_at, write_by }) => {
+                transaction.send(&onward, server, (timeout_at, write_by));
+            }
             Next::Step(Step::Cancel { attempt }) => transaction.cancel(attempt),
             Next::Step(Step::Refuse { retry_after }) => {
                 return transaction.end(&onward, Answer::Refused { retry_after });
@@ -153,7 +155,7 @@
         }
     }
 
-    fn send(&mut self, onward: &Rc<Onward>, server: ServerId, timeout_at: Micros) {
+    fn send(&mut self, onward: &Rc<Onward>, server: ServerId, (timeout_at, write_by): (Micros, Micros)) {
         let (sent, number) = (self.service.common.clock.now(), self.flows.len() as u32);
         self.last = Some(server);
         self.service.attempt_begun(sent, server, (self.id, number), self.class as u32);
@@ -166,6 +168,7 @@
             cost: self.cost,
             sent: Cell::new(sent),
             timeout_at,
+            write_by,
             over: Rc::clone(&self.over),
             closed: false,
         };
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -277,7 +277,7 @@
 fn write_action(to: &mut Vec<u8>, sidecar: u32, action: &Action, names: &Names) -> std::io::Result<()> {
     let name = |server: &ServerId| names.get(server).map_or("-", |n| n);
     match action {
-        Action::Send { request, server, timeout_at } => {
+        Action::Send { request, server, timeout_at, .. } => {
             writeln!(to, "send {sidecar} {request} {} {timeout_at}", name(server))
         }
         Action::Probe(server) => writeln!(to, "ask_load {sidecar} {}", name(server)),
