Tell the lab's sidecars of the grace, and count the sequences that calls for the list now make

The lab's test of configurations failed since the grace became a setting that the module reads; it is written now. The number of sequences that the exhaustive test walks is pinned: with calls for the list due at other times it is 7,783,087 and not 7,781,925, more than before, none against a rule.

--- a/crates/balancer/tests/every_sequence.rs
+++ b/crates/balancer/tests/every_sequence.rs
@@ -494,7 +494,7 @@
 #[test]
 fn every_sequence_of_events_keeps_the_rules_on_answers_repeats_and_drains() {
     let counts = every::<Pair>(6).unwrap_or_else(|broken| panic!("{broken}"));
-    assert_eq!(counts, [12, 157, 2_198, 32_454, 497_072, 7_781_925]);
+    assert_eq!(counts, [12, 157, 2_198, 32_454, 497_093, 7_783_087]);
 }
 
 // ---- Two instances that share nothing, a warm server and a cold one ----
--- a/crates/lab/src/sockets/config.rs
+++ b/crates/lab/src/sockets/config.rs
@@ -34,7 +34,8 @@
             "retry_after": limits.retry_after, "max_retry_after": limits.max_retry_after,
             "probes": limits.probes},
         "load_report": {"how": "probe", "fields": ["rif", "fail_rate"]},
-        "safety": {"ask_within": ASK_WITHIN, "cold_from": rules.cold_from, "cold": rules.cold, "fall": rules.fall},
+        "safety": {"ask_within": ASK_WITHIN, "cold_from": rules.cold_from, "cold": rules.cold, "fall": rules.fall,
+            "drain_grace": rules.drain_grace},
         "tariffs": {"cross_zone": prices.cross_zone, "probe": prices.probe}})
 }
 
