Connect, peek and end a served connection in one place each; share a body of two cold tests

The loop that makes room for a connection without a descriptor stood in connections.rs and pool.rs (Common::connect now), the look at a socket's first byte three times (exchange::peek_now), and served() told how it ended by an optional boolean (End). Two tests of starts::cold had the same body (all_get_warm). Rules::ask_anew adds the grace of the settings so that it can't overflow; any grace that makes sense gives what it gave. Behaviour, bounds and assertions are as they were.

--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -144,7 +144,7 @@
     /// So long after a list was last known whole another call has to begin: what changed since counts as told 6 s after
     /// discovery had it, and once the grace is over nothing may go to a server that has left.
     pub fn ask_anew(&self) -> Micros {
-        Self::TOLD + self.drain_grace - Self::ANSWERED
+        (Self::TOLD - Self::ANSWERED).saturating_add(self.drain_grace)
     }
 }
 
--- a/crates/cli/tests/starts/cold.rs
+++ b/crates/cli/tests/starts/cold.rs
@@ -60,6 +60,17 @@
     eprintln!("served, second by second: {:.2?} of {}", (0..12).map(second).collect::<Vec<_>>(), got.len());
 }
 
+/// Under this load none falls, and once they are warm nearly all is served.
+fn all_get_warm(fleet: &Fleet, load: Load) {
+    let from = Instant::now();
+    std::thread::sleep(millis(11_000));
+    let got = load.stop();
+    judge(fleet, &got, from);
+    served(&got, &fleet.servers, false);
+    let late = part(&got, from + millis(8_500), from + millis(11_000));
+    assert!(late > 0.9, "{late} once they are warm");
+}
+
 #[test]
 fn a_release_replaces_half_of_the_servers_and_none_of_the_new_ones_is_pushed_over() {
     let fleet = start(half_cold);
@@ -77,13 +88,7 @@
 #[test]
 fn power_returns_and_servers_that_are_all_cold_are_not_pushed_over() {
     let fleet = start(|| (0..6).map(cold).collect());
-    let (load, from) = (load(&fleet), Instant::now());
-    std::thread::sleep(millis(11_000));
-    let got = load.stop();
-    judge(&fleet, &got, from);
-    served(&got, &fleet.servers, false);
-    let late = part(&got, from + millis(8_500), from + millis(11_000));
-    assert!(late > 0.9, "{late} once they are warm");
+    all_get_warm(&fleet, load(&fleet));
 }
 
 /// Sidecars share nothing. What each gives a cold server is its own part, by its own traffic and by a size of the fleet that
@@ -94,13 +99,7 @@
     let fleet = start_among(many() * 2 / 3, || (0..6).map(cold).collect());
     let clients = fleet.fronts.values().enumerate();
     let clients = clients.flat_map(|(at, front)| vec![*front; if at % 3 == 0 { 6 } else { 1 }]);
-    let (load, from) = (Load::on(&clients.collect::<Vec<_>>(), millis(150)), Instant::now());
-    std::thread::sleep(millis(11_000));
-    let got = load.stop();
-    judge(&fleet, &got, from);
-    served(&got, &fleet.servers, false);
-    let late = part(&got, from + millis(8_500), from + millis(11_000));
-    assert!(late > 0.9, "{late} once they are warm");
+    all_get_warm(&fleet, Load::on(&clients.collect::<Vec<_>>(), millis(150)));
 }
 
 /// For two seconds nobody is behind the ways to the warm servers, and what is open there is reset: all turn to the cold
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -9,6 +9,7 @@
 //! A client that has closed its side has gone. `hyper` hears of that by itself where it waits for the next bytes; where some
 //! lie unread before the end, nobody reads, and so the system is asked before each attempt begins ([`Client::has_gone`]).
 
+use super::exchange::peek_now;
 use super::heads::Heads;
 use super::listener::{LAME_DUCK, Listener};
 use super::turns::Charged;
@@ -20,6 +21,7 @@
 use hyper::server::conn::http1;
 use madderloom_balancer::Micros;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
 use rustix::net::{RecvFlags, Shutdown, shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -100,11 +102,10 @@
     /// Whether it has closed its side, by the system's word of this moment, also behind bytes that nobody has read. Once this
     /// was found true the connection ends as soon as its task gives way, and its open request with it.
     pub(super) fn has_gone(&self) -> bool {
-        let found = rustix::net::recv(&self.stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-        let gone = match found {
-            Ok((0, _)) => true,
+        let gone = match peek_now(&self.stream) {
+            Ok(0) => true,
             Ok(_) => self.has_ended_behind_what_is_unread(),
-            Err(error) => error != rustix::io::Errno::AGAIN && error != rustix::io::Errno::INTR,
+            Err(error) => !matches!(error, Errno::AGAIN | Errno::INTR),
         };
         self.gone.set(self.gone.get() || gone);
         gone
@@ -117,10 +118,8 @@
         poll(&mut asked, Some(&at_once)).is_ok_and(|_| asked[0].revents().intersects(ended))
     }
 
-    /// Whether a first byte waits to be read: asked of the system, and not of what the runtime has heard.
     fn holds_a_byte(&self) -> bool {
-        let found = rustix::net::recv(&self.stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-        found.is_ok_and(|(count, _)| count > 0)
+        peek_now(&self.stream).is_ok_and(|count| count > 0)
     }
 
     fn poll_read(&self, context: &mut Context<'_>, into: &mut [u8]) -> Poll<io::Result<usize>> {
@@ -316,6 +315,13 @@
     }
 }
 
+/// How the serving of a connection has ended.
+enum End {
+    Idle,
+    Over,
+    Lost,
+}
+
 /// What becomes of a connection that was served.
 enum Served {
     /// It has been idle for a moment.
@@ -425,10 +431,10 @@
     let end = poll_fn(|context| {
         // How a connection ends is the client's affair: a transaction that was on it is dropped with it.
         if Pin::new(&mut connection).poll(context).is_ready() {
-            return Poll::Ready(Some(!client.gone.get()));
+            return Poll::Ready(if client.gone.get() { End::Lost } else { End::Over });
         }
         if client.gone.get() {
-            return Poll::Ready(Some(false));
+            return Poll::Ready(End::Lost);
         }
         if client.is_told(context) && told.is_none() {
             let now = common.clock.now();
@@ -437,7 +443,7 @@
             // Closes at once where it lies idle, else with its answer.
             Pin::new(&mut connection).graceful_shutdown();
             if Pin::new(&mut connection).poll(context).is_ready() {
-                return Poll::Ready(Some(true));
+                return Poll::Ready(End::Over);
             }
         }
         while Pin::new(&mut alarm).poll(context).is_ready() {
@@ -445,7 +451,7 @@
             let (idle, passing) = (client.idle_since.get(), client.passing.get());
             // A reader that has stopped holds what others need.
             if idle.is_none() && passing && now.saturating_sub(client.wrote.get()) >= STOPPED {
-                return Poll::Ready(Some(false));
+                return Poll::Ready(End::Lost);
             }
             let next = match (idle, told) {
                 // What a server still gives goes on for as long as its client takes it.
@@ -455,21 +461,21 @@
                     let moment = idle.is_some() && client.flushed.get();
                     let ends = at + if moment { YOUNG } else { longest_answer(listener) };
                     if now >= ends {
-                        return Poll::Ready(Some(true));
+                        return Poll::Ready(End::Over);
                     }
                     ends.min(now + PARKED_AFTER)
                 }
                 (None, None) => now + PARKED_AFTER,
                 (Some(since), None) if client.may_be_parked() => {
                     if now.saturating_sub(since) >= PARKED_AFTER {
-                        return Poll::Ready(None);
+                        return Poll::Ready(End::Idle);
                     }
                     since + PARKED_AFTER
                 }
                 (Some(since), None) => {
                     let until = longest_idle(listener, client, since, woken);
                     if now >= until {
-                        return Poll::Ready(Some(false));
+                        return Poll::Ready(End::Lost);
                     }
                     until.min(now + PARKED_AFTER)
                 }
@@ -480,9 +486,9 @@
     })
     .await;
     match end {
-        Some(true) => Served::Over,
-        Some(false) => Served::Lost,
-        None => {
+        End::Over => Served::Over,
+        End::Lost => Served::Lost,
+        End::Idle => {
             let parts = connection.into_parts();
             let Some(since) = client.idle_since.get() else { return Served::Over };
             listener.clients.park(client, since);
--- a/crates/sidecar/src/common.rs
+++ b/crates/sidecar/src/common.rs
@@ -2,6 +2,7 @@
 
 use super::alarms::Alarms;
 use super::clock::{Clock, LocalDay};
+use super::connections::is_exhausted;
 use super::feed::Feed;
 use super::fleet_limits::FleetLimits;
 use super::ledger::Keeper;
@@ -15,7 +16,9 @@
 use madderloom_balancer::Micros;
 use madderloom_operations::duty::Duty;
 use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Descriptors that are neither a client's nor a server's; the rest is shared out equally.
@@ -262,6 +265,17 @@
         self.alarm_in(OPENED_AGAIN).await;
     }
 
+    /// A connection to this address; for as long as there is no descriptor for it, room is made and it is tried again. Whoever
+    /// asks says for how long.
+    pub(super) async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        loop {
+            match TcpStream::connect(address).await {
+                Err(problem) if is_exhausted(&problem) => self.no_descriptor().await,
+                came => return came,
+            }
+        }
+    }
+
     /// Whether there was no descriptor for something of late.
     pub(super) fn is_exhausted(&self) -> bool {
         self.exhausted.get().is_some_and(|at| self.clock.now().saturating_sub(at) < EXHAUSTED)
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -226,15 +226,7 @@
         // Not to fail: nobody closes it.
         let opening = of_server.opening.acquire().await.map_err(|_| NoConnection::Failed)?;
         let (seat, place) = self.seat(&of_server).ok_or(NoConnection::Exhausted)?;
-        let connect = async {
-            loop {
-                match TcpStream::connect(address).await {
-                    Err(problem) if is_exhausted(&problem) => self.common.no_descriptor().await,
-                    came => return came,
-                }
-            }
-        };
-        let came = self.common.within(self.connect_timeout.get(), connect).await;
+        let came = self.common.within(self.connect_timeout.get(), self.common.connect(address)).await;
         super::trail::opened(self.common.clock.now(), server, matches!(came, Some(Ok(_))));
         let stream = match came {
             Some(Ok(stream)) => stream,
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -201,11 +201,16 @@
     Ok(true)
 }
 
+/// How much of a first byte waits to be read, 0 at the end of the connection: asked of the system, and not of what the runtime
+/// has heard. Reads nothing, and does not wait.
+pub(super) fn peek_now(stream: &TcpStream) -> Result<usize, Errno> {
+    rustix::net::recv(stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(count, _)| count)
+}
+
 /// Whether nothing has come and the connection stands, by the system's word of this moment: what came while the process stood
 /// still is there before the runtime has heard of it. Reads nothing: what has come is still there.
 pub(super) fn is_quiet(stream: &TcpStream) -> bool {
-    let found = rustix::net::recv(stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-    matches!(found, Err(Errno::AGAIN | Errno::INTR))
+    matches!(peek_now(stream), Err(Errno::AGAIN | Errno::INTR))
 }
 
 /// How a body ends.
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,6 +1,5 @@
 //! The pool: discovery's list of servers and its watch on changes, as news for the module.
 
-use super::connections::is_exhausted;
 use super::kept::OwnedTask;
 use super::service::Service;
 use bytes::{Bytes, BytesMut};
@@ -21,7 +20,6 @@
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -548,15 +546,7 @@
 async fn follow(service: &Rc<Service>, discovery: SocketAddr, call: &mut Call) -> Result<Infallible, String> {
     let pool = &service.pool;
     let silent = |_| "no word for too long".to_string();
-    let connect = async {
-        loop {
-            match TcpStream::connect(discovery).await {
-                Err(problem) if is_exhausted(&problem) => service.common.no_descriptor().await,
-                came => return came,
-            }
-        }
-    };
-    let stream = timeout(CONNECTS, connect).await.map_err(silent)?;
+    let stream = timeout(CONNECTS, service.common.connect(discovery)).await.map_err(silent)?;
     let stream = stream.map_err(|e| e.to_string())?;
     call.asked = Some(service.common.clock.now());
     let made = http1::handshake(TokioIo::new(stream)).await;
