Force a stop in the middle of an upload, kept or passed on, by length and in chunks

An upload under SIGTERM was read, and not forced by a test. Now half of a body is with the process when it is told to stop, the client writes on piece by piece, and the last piece comes once the listener has closed: all of it arrives at the server, the answer at its client, and the process ends with 0 within what the platform gives it. A client that stops writing is answered 408 and holds nothing up. The scripted peers read bodies in chunks.

--- a/crates/cli/tests/acceptance/main.rs
+++ b/crates/cli/tests/acceptance/main.rs
@@ -8,6 +8,7 @@
 mod closes;
 mod gone_clients;
 mod repeats;
+mod uploads;
 
 use rig::{Conn, Node};
 use std::collections::BTreeMap;
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -222,6 +222,26 @@
         Some(message)
     }
 
+    /// The next message with all of its body, which may be in chunks; none where the connection ends before its end.
+    ///
+    /// # Panics
+    /// What comes is no message.
+    pub fn read_whole(&mut self) -> Option<Message> {
+        let mut message = self.read()?;
+        let in_chunks = message.header("transfer-encoding").is_some_and(|coding| coding == "chunked");
+        while in_chunks {
+            let size = usize::from_str_radix(&self.line()?, 16).expect("the size of a chunk");
+            let from = message.body.len();
+            message.body.resize(from + size, 0);
+            self.0.read_exact(&mut message.body[from..]).ok()?;
+            assert_eq!(self.line()?, "", "a chunk is longer than it says");
+            if size == 0 {
+                break;
+            }
+        }
+        Some(message)
+    }
+
     /// Whether there is something to read, or the end.
     ///
     /// # Panics
