Take a watch's lists whole also where they come indented over several lines

The objects of a watch are now found by their braces, in a module of its own that looks at each byte once; white space between and within them does not matter. A blank line within an object, a line that ends within a string, or what is no object ends the watch as before. Until an object that has begun is whole, what it tells since is not taken as known, so a watch that ends within it is followed by a call as early as its beginning asks.

Forced by tests: lists on a line, behind white space, indented, and byte by byte; a watch that falls silent within a list, also between indented lines: none of it is taken, the next watch asks from before it, in time; a list with pauses in it.

--- a/crates/cli/tests/acceptance/main.rs
+++ b/crates/cli/tests/acceptance/main.rs
@@ -9,6 +9,7 @@
 mod gone_clients;
 mod repeats;
 mod uploads;
+mod watches;
 
 use rig::{Conn, Node};
 use std::collections::BTreeMap;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 mod ledger;
 mod levels;
 mod limits;
+mod list_reader;
 mod listener;
 mod moves;
 mod page;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,8 +1,9 @@
 //! The pool: discovery's list of servers and its watch on changes, as news for the module.
 
 use super::kept::OwnedTask;
+use super::list_reader::ListReader;
 use super::service::Service;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use foldhash::quality::FixedState;
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
@@ -29,8 +30,7 @@
 /// A call is given up when its connection has not come up after this, and when its answer has not begun after that.
 const CONNECTS: Duration = Duration::from_secs(1);
 const ANSWERS: Duration = Duration::from_millis(4_500);
-/// The longest line that is read, and the most servers of one list.
-const LINE: usize = 1 << 20;
+/// The most servers of one list.
 const SERVERS: usize = 4_096;
 /// Weights that can be compared. One beyond them counts as one that makes no sense: as the usual.
 const WEIGHTS: RangeInclusive<f64> = 1e-6..=1e6;
@@ -576,42 +576,44 @@
     mut body: Incoming,
     call: &mut Call,
 ) -> Result<Infallible, String> {
-    let mut unread = BytesMut::new();
+    let mut reader = ListReader::default();
     loop {
         let frame = timeout(STALLED, body.frame()).await.map_err(|_| "no word for too long".to_string())?;
         let frame = frame.ok_or("the watch has ended")?.map_err(|e| e.to_string())?;
         let now = service.common.clock.now();
-        service.pool.heard.set(now);
-        call.since = now;
-        unread.extend_from_slice(frame.data_ref().map_or(&[], |d| d.as_ref()));
-        while let Some(end) = unread.iter().position(|b| *b == b'\n') {
-            let line = unread.split_to(end + 1);
-            // A blank line only says that discovery is there.
-            if !line.trim_ascii().is_empty() {
-                let listing: Listing =
-                    serde_json::from_slice(&line).map_err(|e| format!("makes no sense: {e}"))?;
-                if listing.endpoints.len() > SERVERS {
-                    return Err(format!("lists {} servers", listing.endpoints.len()));
-                }
-                let ask_within = service.tuned().site.settings.rules.ask_within;
-                let shared = &service.common.shared_lists;
-                if listing.snapshot && !shared.allows(&service.name, listing.index, ask_within) {
-                    return Err(format!("lists version {}, which is older than the fleet's", listing.index));
-                }
-                apply_update(service, now, listing);
-                shared.told(&service.name, service.pool.version(), || service.pool.shared());
-            }
+        let was_within = reader.is_within();
+        reader.push(frame.data_ref().map_or(&[], |d| d.as_ref()));
+        while let Some(object) = reader.next()? {
+            apply_line(service, now, &object)?;
         }
-        if unread.is_empty() {
-            // Where a line is on its way, something has changed.
-            service.common.shared_lists.beat(&service.name);
+        // Until a list is whole nothing is known of what was to be told since it began.
+        if !was_within || !reader.is_within() {
+            service.pool.heard.set(now);
+            call.since = now;
         }
-        if unread.len() > LINE {
-            return Err("a line is too long".to_string());
+        if !reader.is_within() {
+            // Where a list is on its way, something has changed.
+            service.common.shared_lists.beat(&service.name);
         }
     }
 }
 
+/// Takes in one object of a watch, and tells the fleet of it.
+fn apply_line(service: &Rc<Service>, now: Micros, object: &[u8]) -> Result<(), String> {
+    let listing: Listing = serde_json::from_slice(object).map_err(|e| format!("makes no sense: {e}"))?;
+    if listing.endpoints.len() > SERVERS {
+        return Err(format!("lists {} servers", listing.endpoints.len()));
+    }
+    let ask_within = service.tuned().site.settings.rules.ask_within;
+    let shared = &service.common.shared_lists;
+    if listing.snapshot && !shared.allows(&service.name, listing.index, ask_within) {
+        return Err(format!("lists version {}, which is older than the fleet's", listing.index));
+    }
+    apply_update(service, now, listing);
+    shared.told(&service.name, service.pool.version(), || service.pool.shared());
+    Ok(())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
