Force cold servers that join a fleet at work, also one with two processes of each name

Two processes of one name at cold servers were shown as an old size of the fleet alone, and by servers that had warmed while sixty processes started. Now the servers join when all processes are at work and hear of them in one moment, with their whole cold time ahead, and in one case each name has an old and a new process of one seed while the settings count names. Clients turn from one half of the processes to the other three seconds later.

Bodies in chunks are read without a loop that the linter objects to.

--- a/crates/cli/tests/starts/alone.rs
+++ b/crates/cli/tests/starts/alone.rs
@@ -1,7 +1,7 @@
 //! What it costs sixty sidecars that share nothing to find out by themselves that a server fails, and that it is well again:
 //! the figures beside which fleet-wide verdicts will be held.
 
-use super::{Fleet, MANNER, alone, many, millis};
+use super::{Fleet, MANNER, Size, alone, many, millis};
 use madderloom_rig::{Answers, Arrivals, Load, Server, listing};
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,13 @@
         let servers: Vec<Server> =
             (0..10).map(|number| Server::that_takes(&format!("w{number}"), millis(5))).collect();
         let known = listing(1, &servers.iter().collect::<Vec<_>>());
-        let fleet = Fleet::start_with(alone, (servers, millis(1_000)), &known, (MANNER, many()), |_| ());
+        let fleet = Fleet::start_with(
+            alone,
+            (servers, millis(1_000)),
+            &known,
+            (MANNER, Size::said_to_be(many())),
+            |_| (),
+        );
         // Four requests a second of each sidecar.
         let fronts: Vec<_> = fleet.fronts.values().copied().collect();
         let load = Load::on(&fronts, millis(250));
--- a/crates/cli/tests/starts/cold.rs
+++ b/crates/cli/tests/starts/cold.rs
@@ -1,9 +1,11 @@
 //! Sixty that start beside servers that start too. What a cold server gets of all of them together is counted by itself, and
 //! it falls for good when that is more than the protocol says that it bears.
 
-use super::{Fleet, MANNER, alone, many, millis};
-use madderloom_rig::{Cold, Got, Link, Load, Server, listing, own_address, served};
+use super::{Fleet, MANNER, Size, alone, many, millis};
+use madderloom_rig::{Arrivals, Cold, Got, Link, Load, Server, listing, own_address, served};
+use rstest::rstest;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 /// A cold server begins with a twentieth of its 200 requests a second and is warm after 8 s. It bears three times what it can
@@ -23,17 +25,21 @@
     (0..6).map(|number| if number < 3 { warm(number) } else { cold(number) }).collect()
 }
 
+fn all_cold() -> Vec<Server> {
+    (0..6).map(cold).collect()
+}
+
 /// The servers start with the fleet, and not while it waits for its turn.
 fn start(servers: impl FnOnce() -> Vec<Server>) -> Fleet {
-    start_among(many(), servers)
+    start_sized(Size::said_to_be(many()), servers)
 }
 
-/// The same, where the settings say that the fleet is of this size.
-fn start_among(group_size: usize, servers: impl FnOnce() -> Vec<Server>) -> Fleet {
+/// The same, where the settings say that the fleet is of another size, or several processes have one name.
+fn start_sized(size: Size, servers: impl FnOnce() -> Vec<Server>) -> Fleet {
     let alone = alone();
     let servers = servers();
     let known = listing(1, &servers.iter().collect::<Vec<_>>());
-    Fleet::start_with(alone, (servers, COLD.warm_after), &known, (MANNER, group_size), |_| ())
+    Fleet::start_with(alone, (servers, COLD.warm_after), &known, (MANNER, size), |_| ())
 }
 
 /// Three clients at each sidecar: some 1,000 requests a second together.
@@ -87,21 +93,71 @@
 /// There is nothing to fall back on: what the servers bear grows, and so does what they are given.
 #[test]
 fn power_returns_and_servers_that_are_all_cold_are_not_pushed_over() {
-    let fleet = start(|| (0..6).map(cold).collect());
+    let fleet = start(all_cold);
     all_get_warm(&fleet, load(&fleet));
 }
 
 /// Sidecars share nothing. What each gives a cold server is its own part, by its own traffic and by a size of the fleet that
-/// may be old, as where a release adds instances, or two processes have one name for a while. Here sixty take themselves for
+/// may be old, as where a release adds instances. Here sixty take themselves for
 /// forty, a third of them have six clients and the others one, and all servers start cold.
 #[test]
 fn sixty_that_take_themselves_for_forty_with_unequal_traffic_push_no_cold_server_over() {
-    let fleet = start_among(many() * 2 / 3, || (0..6).map(cold).collect());
+    let fleet = start_sized(Size::said_to_be(many() * 2 / 3), all_cold);
     let clients = fleet.fronts.values().enumerate();
     let clients = clients.flat_map(|(at, front)| vec![*front; if at % 3 == 0 { 6 } else { 1 }]);
     all_get_warm(&fleet, Load::on(&clients.collect::<Vec<_>>(), millis(150)));
 }
 
+/// The names of an upgrade of a whole fleet: an old and a new process have each, with one seed, and the settings count names.
+fn two_to_a_name() -> Size {
+    Size { group_size: many() / 2, names: many() / 2 }
+}
+
+/// The clients of the processes whose numbers are these, so many at each.
+fn clients(fleet: &Fleet, numbers: Range<usize>, each: usize) -> Vec<SocketAddr> {
+    let wanted = |name: &&String| numbers.contains(&number(name));
+    let fronts = fleet.fronts.iter().filter(|(name, _)| wanted(name)).map(|(_, front)| *front);
+    fronts.flat_map(|front| vec![front; each]).collect()
+}
+
+/// A process's number, which its name ends in.
+fn number(name: &str) -> usize {
+    name.rsplit('-').next().and_then(|number| number.parse().ok()).expect("a number")
+}
+
+/// Cold servers join a fleet that is at work, and all hear of them in one moment: they have their whole cold time ahead. Three
+/// seconds later all clients of one half of the processes turn to the other half, as in an upgrade.
+#[rstest]
+#[case::each_with_a_name_of_its_own(Size::said_to_be(many()))]
+#[case::two_to_a_name(two_to_a_name())]
+fn cold_servers_that_join_a_fleet_at_work_are_not_pushed_over(#[case] size: Size) {
+    const EACH: usize = 3;
+    let mut fleet = start_sized(size, || (0..3).map(warm).collect());
+    fleet.all_told();
+    let (old, new) = (0..many() / 2, many() / 2..many());
+    let pause = millis(150);
+    let leaving = Load::on(&clients(&fleet, old, EACH), pause);
+    let staying = Load::on(&clients(&fleet, new.clone(), EACH), pause);
+    std::thread::sleep(millis(3_000));
+    fleet.servers.extend((3..6).map(cold));
+    let from = Instant::now();
+    fleet.lists.publish(3, &fleet.servers.iter().collect::<Vec<_>>(), &[]);
+    std::thread::sleep(millis(3_000));
+    let mut got = leaving.stop();
+    let turned = Load::on(&clients(&fleet, new, EACH), pause);
+    std::thread::sleep(millis(3_000));
+    got.extend(staying.stop());
+    got.extend(turned.stop());
+    got.sort_unstable_by_key(|got| got.at);
+    judge(&fleet, &got, from);
+    assert!(served(&got, &fleet.servers, false) as f64 > 0.97 * got.len() as f64, "the others have room");
+    for cold in &fleet.servers[3..] {
+        let first = Arrivals::of([cold]).since(from).rate(from, from + millis(1_000));
+        eprintln!("{} got {first} requests in its first second, {} in all", cold.name, cold.seen().len());
+        assert!(!cold.seen().is_empty(), "{} got nothing", cold.name);
+    }
+}
+
 /// For two seconds nobody is behind the ways to the warm servers, and what is open there is reset: all turn to the cold
 /// ones.
 #[test]
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -46,6 +46,20 @@
     ALONE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How many there are by the settings, and how many names the processes have: several may have one.
+#[derive(Clone, Copy)]
+struct Size {
+    group_size: usize,
+    names: usize,
+}
+
+impl Size {
+    /// The settings say this, and each process has a name of its own.
+    fn said_to_be(group_size: usize) -> Self {
+        Size { group_size, names: many() }
+    }
+}
+
 struct Fleet {
     _directory: TempDir,
     lists: Lists,
@@ -96,7 +110,8 @@
         let gone: Vec<Server> = (0..3).map(|number| Server::new(&format!("gone{number}"))).collect();
         let known = listing(1, &gone.iter().chain(&servers[..3]).collect::<Vec<_>>());
         drop(gone);
-        Fleet::start_with(alone, (servers, millis(1_000)), &known, (manner, group_size), before)
+        let size = Size::said_to_be(group_size);
+        Fleet::start_with(alone, (servers, millis(1_000)), &known, (manner, size), before)
     }
 
     /// Sixty that start as fast as they can be and know this list, with these servers, which are cold for so long.
@@ -104,7 +119,7 @@
         alone: MutexGuard<'static, ()>,
         (servers, warm_after): (Vec<Server>, Duration),
         known: &str,
-        (manner, group_size): (Manner, usize),
+        (manner, Size { group_size, names }): (Manner, Size),
         before: impl FnOnce(&Stage),
     ) -> Self {
         let directory = TempDir::new().expect("a directory");
@@ -121,7 +136,7 @@
             let front = own_address();
             let file = directory.path().join(format!("{number}.json"));
             let discovery = stage.links[&format!("{zone}>lists")].address();
-            std::fs::write(&file, config(number, front, discovery, known, warm_after, group_size))
+            std::fs::write(&file, config(number % names, front, discovery, known, warm_after, group_size))
                 .expect("written");
             let make = move |_| {
                 let mut command = built(env!("CARGO_BIN_EXE_madderloom"));
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -228,20 +228,22 @@
     /// What comes is no message.
     pub fn read_whole(&mut self) -> Option<Message> {
         let mut message = self.read()?;
-        let in_chunks = message.header("transfer-encoding").is_some_and(|coding| coding == "chunked");
-        while in_chunks {
-            let size = usize::from_str_radix(&self.line()?, 16).expect("the size of a chunk");
-            let from = message.body.len();
-            message.body.resize(from + size, 0);
-            self.0.read_exact(&mut message.body[from..]).ok()?;
-            assert_eq!(self.line()?, "", "a chunk is longer than it says");
-            if size == 0 {
-                break;
-            }
+        if message.header("transfer-encoding") == Some("chunked") {
+            while self.chunk(&mut message.body)? {}
         }
         Some(message)
     }
 
+    /// Reads a chunk behind these bytes, and whether it was not the last; none where the connection ends first.
+    fn chunk(&mut self, to: &mut Vec<u8>) -> Option<bool> {
+        let size = usize::from_str_radix(&self.line()?, 16).expect("the size of a chunk");
+        let from = to.len();
+        to.resize(from + size, 0);
+        self.0.read_exact(&mut to[from..]).ok()?;
+        assert_eq!(self.line()?, "", "a chunk is longer than it says");
+        Some(size > 0)
+    }
+
     /// Whether there is something to read, or the end.
     ///
     /// # Panics
