Share lists of some 3,000 servers over the agent, where it says that it takes them

Lists of servers that a fleet shares were bounded by 40 KiB, some 500 servers; beyond that each instance called discovery by itself.

A list may have 256 KiB now: 1,024 servers with names of 150 bytes, 2,500 with short ones. A report may be 576 KiB, which is such a list with each byte escaped and the 64 KiB of before; the agent's answer with all 16 lists stays under its 8 MiB. An agent says with its word how long a text it takes (room). One that does not say, of an earlier build, would refuse such a report: it is sent no list over 40 KiB, and hears of it what it always did.

--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -9,13 +9,13 @@
 use crate::gate::Counts;
 use crate::settings::{Fingerprint, Overlay, check_name};
 use madderloom_quota::{Asks, Lent};
-use madderloom_roster::{Lists, Tells};
+use madderloom_roster::{Lists, MOST_TEXT, Tells};
 use serde::{Deserialize, Serialize};
 
 /// The version of the protocol; it stands in the path of every request.
 pub const VERSION: u32 = 1;
-/// The largest message of an instance, in bytes.
-pub const LARGEST_FROM_INSTANCE: usize = 64 << 10;
+/// The largest message of an instance, in bytes: 64 KiB, and one list of servers, each byte of which may be escaped.
+pub const LARGEST_FROM_INSTANCE: usize = (64 << 10) + 2 * MOST_TEXT;
 /// The largest message of the agent to an instance, and of the command line to the agent, in bytes.
 pub const LARGEST_ORDER: usize = 8 << 20;
 /// The longest text in which an instance says why it refused, in bytes.
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -31,9 +31,11 @@
 
 /// Ages are counted as one part in so many longer: it covers an instance 2% slow beside an agent 2% fast.
 pub const DRIFT: u64 = 20;
-/// The longest text of a list, in bytes: with its quotation marks it fits into an instance's message. Longer ones are not
-/// shared.
-pub const MOST_TEXT: usize = 40 << 10;
+/// The longest text of a list, in bytes: some 3,000 servers, and 1,024 whose every name is long. With its quotation marks it fits
+/// into an instance's message. Longer ones are not shared.
+pub const MOST_TEXT: usize = 256 << 10;
+/// The longest text, in bytes, that an agent takes which does not say how long a text may be.
+pub const ALWAYS_TAKEN: usize = 40 << 10;
 /// The most lists that an instance takes part in, and that an agent keeps.
 pub const MOST_LISTS: usize = 16;
 /// The longest name of a list, in bytes.
@@ -173,6 +175,8 @@
     pub stamp: Stamp,
     /// The report that ages are counted from.
     pub answers: u64,
+    /// The longest text of a list that the agent takes, in bytes; 0 from an agent that takes [`ALWAYS_TAKEN`] and does not say.
+    pub room: usize,
     /// A line each.
     pub of: Vec<Line>,
 }
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -139,7 +139,7 @@
                 of.push(Line { list: tell.list.clone(), wanted, call, enough, ..line.unwrap_or_default() });
             }
         }
-        let own = Lists { start, stamp: self.stamp(now), answers: tells.seq, of };
+        let own = Lists { start, stamp: self.stamp(now), answers: tells.seq, room: MOST_TEXT, of };
         let others = if told.is_empty() { Vec::new() } else { self.pass_on(now, name, &told) };
         (own, others, notes)
     }
@@ -265,7 +265,8 @@
         let to = |(name, seen): (&String, &Seen)| {
             let lines = told.iter().filter_map(|list| self.line(seen.came, list, *seen.holds.get(list)?));
             let of: Vec<Line> = lines.collect();
-            let lists = Lists { start: seen.start, stamp: self.stamp(now), answers: seen.seq, of };
+            let (stamp, answers) = (self.stamp(now), seen.seq);
+            let lists = Lists { start: seen.start, stamp, answers, room: MOST_TEXT, of };
             (!lists.of.is_empty()).then(|| (name.clone(), lists))
         };
         self.instances.iter().filter(|(name, _)| *name != but).filter_map(to).collect()
--- a/crates/roster/src/share.rs
+++ b/crates/roster/src/share.rs
@@ -1,6 +1,8 @@
 //! The instance's side: what it holds of each list, how old that is, and when it has to call discovery itself.
 
-use crate::{FORGOTTEN, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, aged};
+use crate::{
+    ALWAYS_TAKEN, FORGOTTEN, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, aged,
+};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Reports whose times are remembered; an answer to an earlier one tells no age.
@@ -17,6 +19,13 @@
     asked: Option<Micros>,
 }
 
+impl Held {
+    /// Whether all of it may go to an agent that takes texts of so many bytes.
+    fn fits(&self, room: usize) -> bool {
+        self.text.as_ref().is_some_and(|text| text.len() <= room)
+    }
+}
+
 /// A list that the agent has passed on and that goes before what is held.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -53,6 +62,8 @@
     seq: u64,
     made: VecDeque<(u64, Micros)>,
     word: Option<(Stamp, Micros)>,
+    /// The longest text that the agent takes, in bytes; none until it was heard.
+    room: Option<usize>,
     lists: BTreeMap<String, Option<Held>>,
 }
 
@@ -118,9 +129,10 @@
         held.is_none_or(|held| held.version.index <= index || now.saturating_sub(held.heard) > within)
     }
 
-    /// Whether what is held of this list is too long to be shared.
+    /// Whether what is held of this list is too long to be shared, or too long for the agent that was heard last.
     pub fn is_too_long(&self, list: &str) -> bool {
-        matches!(self.lists.get(list), Some(Some(Held { text: None, .. })))
+        let held = self.lists.get(list).and_then(Option::as_ref);
+        held.is_some_and(|held| !held.fits(self.room.unwrap_or(MOST_TEXT)))
     }
 
     /// What goes with a report that is made now.
@@ -130,9 +142,11 @@
         self.made.push_front((self.seq, now));
         // One whole list at a time: two may not fit into a message.
         let mut whole = true;
+        // Until the agent has said how much it takes, what each takes goes.
+        let room = self.room.unwrap_or(ALWAYS_TAKEN);
         let tell = |(name, held): (&String, &mut Option<Held>)| {
             let list = name.clone();
-            let Some(held) = held.as_mut().filter(|held| held.text.is_some()) else {
+            let Some(held) = held.as_mut().filter(|held| held.fits(room)) else {
                 return Tell { list, ..Tell::default() };
             };
             let goes = held.wanted && whole;
@@ -158,8 +172,12 @@
         if self.word.is_none_or(|(word, _)| !same(word) || word.at < lists.stamp.at) {
             self.word = Some((lists.stamp, now));
         }
+        let (room, former) = (lists.room.clamp(ALWAYS_TAKEN, MOST_TEXT), self.room.unwrap_or(ALWAYS_TAKEN));
+        self.room = Some(room);
         let made = self.made.iter().find(|(seq, _)| *seq == lists.answers).map(|(_, made)| *made);
         let Heard { mut offers, mut at_once, mut call, mut enough } = Heard::default();
+        // What was held back goes now.
+        at_once |= self.lists.values().flatten().any(|held| held.fits(room) && !held.fits(former));
         for line in lists.of.iter().take(MOST_LISTS) {
             let Some(held) = self.lists.get_mut(&line.list) else { continue };
             if line.enough && held.as_ref().is_some_and(|held| held.watches) {
@@ -169,7 +187,7 @@
                 call.push(line.list.clone());
             }
             if line.wanted
-                && let Some(held) = held
+                && let Some(held) = held.as_mut().filter(|held| held.fits(room))
             {
                 held.wanted = true;
                 at_once = true;
