Part the fleet's state machine by concern: registry, orders, rollouts, operator, limits, record

It is a directory now with one module for each concern; the public items keep their paths by re-export. Code was moved, not changed: only the visibility of methods that another module calls differs.

--- /dev/null
+++ b/crates/fleet/src/fleet/orders.rs
@@ -0,0 +1,126 @@
+//! The orders given to each instance, and what it answered.
+
+use super::note::Note;
+use super::{Fleet, Output};
+use crate::change::{Layers, What};
+use crate::gate::Counts;
+use crate::membership::Presence;
+use crate::protocol::{Answer, Holding, LONGEST_REASON, Order, Outcome, Stamp, ToInstance};
+use crate::rollout::{Cause, Side};
+use crate::settings::{Fingerprint, Overlay};
+use crate::{Planted, planted};
+
+/// What is known of an instance beside its membership.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Line {
+    pub(super) issued: Option<Issued>,
+    /// What it made of the last order; none while it has not answered.
+    pub answer: Option<Outcome>,
+    /// What it has in effect, by its last report.
+    pub holding: Holding,
+    /// Its requests within the last window.
+    pub counts: Counts,
+    /// The number of the last order of this term.
+    pub number: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Issued {
+    change: String,
+    revision: u64,
+    overlay: Fingerprint,
+    cause: Option<Cause>,
+}
+
+impl Fleet {
+    pub(super) fn take_answer(&mut self, name: &str, answer: &Answer, out: &mut Output) {
+        let Some(line) = self.lines.get_mut(name) else { return };
+        let Some(issued) = &line.issued else { return };
+        let stamp = Stamp { term: self.term, number: line.number };
+        let answers = answer.stamp == stamp || planted(Planted::OldAnswers);
+        if !answers || answer.overlay != issued.overlay || line.answer.is_some() {
+            return;
+        }
+        let mut outcome = answer.outcome.clone();
+        if let Outcome::Refused(problem) = &mut outcome {
+            shorten(&mut problem.field);
+            shorten(&mut problem.problem);
+        }
+        line.answer = Some(outcome.clone());
+        out.notes.push(Note::Answered(name.to_string(), issued.change.clone(), outcome.clone()));
+        let (cause, revision) = (issued.cause, issued.revision);
+        if let Some(rollout) = &mut self.rollout {
+            match (cause, &outcome) {
+                (Some(cause), outcome) => rollout.answered(name, cause, outcome),
+                (None, Outcome::Refused(problem)) if revision == rollout.revision => {
+                    rollout.refused_later(name, problem);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What an instance is to have, and the change and the revision that this brings.
+    pub(super) fn wanted(&self, name: &str) -> (Overlay, String, u64) {
+        let Some(member) = self.membership.get(name) else { return Default::default() };
+        let settled = |layers: &Layers| {
+            let (overlay, newest) = layers.overlay(name, &member.traits);
+            let (id, revision) =
+                newest.map_or((String::new(), 0), |layer| (layer.id.clone(), layer.revision));
+            (overlay, id, revision)
+        };
+        match &self.rollout {
+            Some(rollout) if rollout.side(name) == Side::New => {
+                let overlay = match &rollout.change.what {
+                    What::Set(edits) => {
+                        let mut overlay = settled(&self.layers).0;
+                        overlay.apply(edits);
+                        overlay
+                    }
+                    What::Undo(id) => settled(&self.layers.without(id)).0,
+                };
+                (overlay, rollout.change.id.clone(), rollout.revision)
+            }
+            _ => settled(&self.layers),
+        }
+    }
+
+    /// Orders of an instance what it is to have, unless it has that, has refused it, or is not there.
+    pub(super) fn bring(&mut self, name: &str, out: &mut Output) {
+        let alive = self.membership.get(name).filter(|member| member.presence == Presence::Alive);
+        let (Some(member), None) = (alive, self.stood_down) else { return };
+        let start = member.start;
+        let (overlay, change, revision) = self.wanted(name);
+        let fingerprint = overlay.fingerprint();
+        let cause = self.rollout.as_ref().and_then(|rollout| rollout.cause(name));
+        let line = self.lines.entry(name.to_string()).or_default();
+        let current = line.issued.as_ref().is_some_and(|issued| {
+            issued.overlay == fingerprint
+                && issued.revision == revision
+                && (cause.is_none() || issued.cause == cause)
+        });
+        let holds = line.holding.overlay == fingerprint;
+        let again = match (&line.answer, current) {
+            (None, true) => true,
+            (Some(Outcome::Refused(_)), true) => return,
+            (Some(Outcome::Applied), true) if holds => return,
+            (_, false) if holds && cause.is_none() => return,
+            _ => false,
+        };
+        if !again {
+            line.number = line.number.saturating_add(1);
+            line.answer = None;
+            line.issued = Some(Issued { change: change.clone(), revision, overlay: fingerprint, cause });
+        }
+        let stamp = Stamp { term: self.term, number: line.number };
+        let order = Order { start, stamp, change, revision, overlay };
+        out.sends.push((name.to_string(), ToInstance::Order(order)));
+    }
+}
+
+fn shorten(text: &mut String) {
+    if text.len() > LONGEST_REASON {
+        let end = (0..=LONGEST_REASON).rev().find(|end| text.is_char_boundary(*end)).unwrap_or(0);
+        text.truncate(end);
+    }
+}
