Part the explorer's model of rollouts by concern

It is the directory explore/rollout_model now: bounds, state, packets, steps, transitions, invariants, the shipped bounds. Code was moved, not changed, but for the visibility of what another of these modules uses.

--- a/crates/fleet/src/explore/mod.rs
+++ b/crates/fleet/src/explore/mod.rs
@@ -10,12 +10,12 @@
 //!   state at rest, and not go in a circle.
 
 mod lending;
+mod rollout_model;
 #[cfg(test)]
 mod tests;
-mod world;
 
 pub use lending::{Lendings, larger_lendings, lendings};
-pub use world::{Bounds, World, large, shipped};
+pub use rollout_model::{Bounds, World, large, shipped};
 
 use crate::Planted;
 use std::cell::Cell;
--- /dev/null
+++ b/crates/fleet/src/explore/rollout_model/hashed.rs
@@ -0,0 +1,33 @@
+//! Values that carry their hash, so that what did not change is not hashed again.
+
+use super::state::Process;
+use foldhash::quality::FixedState;
+use std::hash::{BuildHasher, Hash};
+use std::sync::Arc;
+
+/// A value with its hash, so that what did not change is not hashed again.
+#[derive(Debug)]
+pub(super) struct Hashed<T> {
+    pub(super) value: Arc<T>,
+    pub(super) hash: u64,
+}
+
+impl<T> Clone for Hashed<T> {
+    fn clone(&self) -> Self {
+        Hashed { value: Arc::clone(&self.value), hash: self.hash }
+    }
+}
+
+pub(super) fn hash_of(value: impl Hash) -> u64 {
+    FixedState::with_seed(1).hash_one(value)
+}
+
+impl Hashed<Process> {
+    /// Its hash leaves out its name, which its place tells.
+    pub(super) fn new(value: Process) -> Self {
+        let mut nameless = value.clone();
+        nameless.name = 0;
+        nameless.machine.forget_name();
+        Hashed { hash: hash_of(&nameless), value: Arc::new(value) }
+    }
+}
