Part the sidecar's link to its agent: connection, overlay applied, persisted state, window

It is a directory now with one module for each concern; code was moved, not changed, but for the visibility of what another of these modules uses.

--- /dev/null
+++ b/crates/sidecar/src/agent_link/apply.rs
@@ -0,0 +1,71 @@
+//! An overlay of the agent, in effect whole or not at all.
+
+use super::overlay::{same_in_file, steering};
+use crate::pool;
+use crate::process::Sidecar;
+use crate::reload::aside;
+use madderloom_fleet::Problem;
+use madderloom_fleet::protocol::Outcome;
+use madderloom_fleet::settings::{MOST_SETTINGS, Overlay};
+use std::rc::Rc;
+use std::sync::Arc;
+
+impl Sidecar {
+    /// Has all of an overlay in effect, or nothing of it.
+    pub(super) async fn meet(self: Rc<Self>, overlay: Overlay) -> Outcome {
+        let _turn = self.agent_link.turn.lock().await;
+        let refused = |field: &str, problem: &str| {
+            Outcome::Refused(Problem { field: field.to_string(), problem: problem.to_string() })
+        };
+        if overlay.0.len() > MOST_SETTINGS {
+            return refused("set", &format!("holds more than {MOST_SETTINGS} settings"));
+        }
+        let fault = overlay.0.iter().find_map(|(key, value)| Some((key, value.check(key).err()?)));
+        if let Some((key, problem)) = fault {
+            return refused(&format!("set.{key}"), &problem);
+        }
+        let former = self.agent_link.memory.borrow().overlay.clone();
+        let source = self.agent_link.file.borrow().as_ref().map(|file| Arc::clone(&file.source));
+        let Some(source) = source else { return refused("set", "the instance follows no agent any more") };
+        let edited = overlay.clone();
+        let operator = if same_in_file(&former, &overlay) {
+            None
+        } else {
+            // A long file takes a good part of a second, in which requests go on.
+            match aside(move || source.with(&edited)).await {
+                Ok(Ok(operator)) => Some(operator),
+                Ok(Err(problem)) => return Outcome::Refused(problem),
+                Err(problem) => return refused("set", &problem),
+            }
+        };
+        if self.common.is_stopping() {
+            return refused("set", "the instance is stopping");
+        }
+        // From here on nothing waits, so that nothing sees a half of it.
+        self.common.steering.replace(steering(&overlay));
+        if let Some(operator) = operator {
+            match self.apply(operator) {
+                Ok(told) => tracing::info!("control: {told}"),
+                Err(problem) => {
+                    self.common.steering.replace(steering(&former));
+                    return refused("set", &problem);
+                }
+            }
+        }
+        self.steer(&former, &overlay);
+        self.agent_link.set_log_level(&overlay);
+        for line in former.diff(&overlay) {
+            tracing::info!("control: {line}");
+        }
+        self.agent_link.memory.borrow_mut().overlay = overlay;
+        Outcome::Applied
+    }
+
+    pub(super) fn steer(&self, former: &Overlay, overlay: &Overlay) {
+        let (former, present) = (steering(former), steering(overlay));
+        for service in self.common.services.borrow().iter() {
+            pool::steer(service, &former, &present);
+        }
+        self.common.steering.replace(present);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/agent_link/connection.rs
@@ -0,0 +1,163 @@
+//! The connection to the agent: made once the keys can be read, and kept while the file names that agent.
+
+use super::window::Window;
+use crate::pool;
+use crate::process::Sidecar;
+use madderloom_agent::{Client, Link, Settings, Taking};
+use madderloom_fleet::change::Traits;
+use madderloom_fleet::gate::Counts;
+use madderloom_fleet::protocol::Who;
+use madderloom_fleet::settings::Overlay;
+use madderloom_fleet::{Instance, Memory};
+use madderloom_keys::{Files, Keyring, Role};
+use madderloom_quota::{Asks, Lent};
+use madderloom_roster::{Lists, Offer, Tells};
+use std::hash::{BuildHasher, RandomState};
+use std::rc::Weak;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How often the files of the keys are looked at.
+const LOOK: Duration = Duration::from_secs(5);
+
+/// The keys, and a client for reports and one for the watch.
+fn clients(agent: &str, files: &Files) -> Result<(Arc<Keyring>, Client, Client), String> {
+    let keyring = Keyring::load(files.clone())?;
+    let client = || Client::with(agent, &keyring);
+    let (reports, watch) = (client()?, client()?);
+    Ok((keyring, reports, watch))
+}
+
+/// Keeps the link to one agent.
+pub(super) async fn keep_link(
+    sidecar: Weak<Sidecar>,
+    control: madderloom_operator::Control,
+    traits: watch::Receiver<Traits>,
+) {
+    let files = Files {
+        authority: control.authority.clone(),
+        certificate: control.certificate.clone(),
+        key: control.key.clone(),
+        revoked: None,
+    };
+    let mut last = None;
+    let (keyring, reports, watch) = loop {
+        match clients(&control.agent, &files) {
+            Ok(made) => break made,
+            Err(problem) if last.as_ref() == Some(&problem) => {}
+            Err(problem) => {
+                tracing::warn!("control: no agent is asked until its keys can be read and used: {problem}");
+                last = Some(problem);
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    };
+    if keyring.own().is_none_or(|own| own.role != Role::Instance) {
+        tracing::warn!(
+            "control: {}: is not for an instance; the agent will turn it away",
+            files.certificate.display()
+        );
+    }
+    let Some(own) = sidecar.upgrade() else { return };
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let who = Who {
+        name: control.name.clone(),
+        start: RandomState::new().hash_one(&control.name),
+        incarnation: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX / 2),
+    };
+    let memory = own.agent_link.memory.borrow().clone();
+    let machine = Instance::new(0, who, traits.borrow().clone(), memory.clone());
+    // Kept before it is used, so that no two starts go by one incarnation.
+    own.agent_link.keep(&Memory { incarnation: machine.who().incarnation, ..memory });
+    tracing::info!("control: {} registers with the agent at {}", control.name, control.agent);
+    let seed = u128::from(RandomState::new().hash_one(0));
+    let news = own.common.shared_lists.news();
+    drop(own);
+    let settings = Own { sidecar, window: Window::default() };
+    let link = Link::new(machine, settings, reports, watch, seed).following(traits).told_by(news);
+    tokio::select! {
+        () = link.run() => {}
+        () = follow_files(&keyring, &files) => {}
+    }
+}
+
+/// Takes up renewed keys. They are read only where a file is another than it was.
+async fn follow_files(keyring: &Keyring, files: &Files) {
+    let stamp = || {
+        let all = [&files.authority, &files.certificate, &files.key];
+        all.map(|file| std::fs::metadata(file).and_then(|about| about.modified()).ok())
+    };
+    let mut former = stamp();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let present = stamp();
+        if present == former {
+            continue;
+        }
+        match keyring.reload() {
+            Ok(true) => tracing::info!("control: the keys were read again"),
+            Ok(false) => {}
+            Err(problem) => tracing::warn!("control: the keys stay as they were: {problem}"),
+        }
+        former = present;
+    }
+}
+
+/// What the link asks of its sidecar.
+struct Own {
+    sidecar: Weak<Sidecar>,
+    window: Window,
+}
+
+impl Settings for Own {
+    fn take(&mut self, overlay: &Overlay) -> Taking {
+        let (sidecar, overlay) = (self.sidecar.upgrade(), overlay.clone());
+        Box::pin(async move {
+            match sidecar {
+                Some(sidecar) => sidecar.meet(overlay).await,
+                None => std::future::pending().await,
+            }
+        })
+    }
+
+    fn counts(&mut self) -> Counts {
+        let Some(sidecar) = self.sidecar.upgrade() else { return Counts::default() };
+        self.window.look(Instant::now(), &sidecar.common)
+    }
+
+    fn asks(&mut self, term: u64) -> Option<Asks> {
+        self.sidecar.upgrade()?.common.fleet_limits.ask(term)
+    }
+
+    fn lent(&mut self, lent: &Lent) -> bool {
+        self.sidecar.upgrade().is_some_and(|sidecar| sidecar.common.fleet_limits.take(lent))
+    }
+
+    fn tells(&mut self) -> Option<Tells> {
+        self.sidecar.upgrade()?.common.shared_lists.tell()
+    }
+
+    fn lists(&mut self, lists: &Lists) -> bool {
+        let Some(sidecar) = self.sidecar.upgrade() else { return false };
+        let common = &sidecar.common;
+        let service = |pool: &str| {
+            let services = common.services.borrow();
+            services.iter().find(|service| service.name == pool).cloned()
+        };
+        let apply = |pool: &str, offer: &Offer, age| {
+            let service = service(pool).ok_or("no such pool is there any more")?;
+            pool::passed_on(&service, offer.version.index, &offer.text, age)
+        };
+        let call = |pool: &str| service(pool).iter().for_each(pool::call_for_all);
+        let rest = |pool: &str| service(pool).iter().for_each(pool::rest);
+        common.shared_lists.hear(lists, apply, call, rest)
+    }
+
+    fn keep(&mut self, memory: &Memory) {
+        if let Some(sidecar) = self.sidecar.upgrade() {
+            sidecar.agent_link.keep(memory);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/agent_link/persisted.rs
@@ -0,0 +1,28 @@
+//! What outlives the process: a file in the directory that the operator file names.
+
+use madderloom_fleet::Memory;
+use std::path::Path;
+
+/// The file of what outlives the process, in the directory that the operator file names.
+const KEPT: &str = "instance.json";
+
+pub(super) fn write(directory: &Path, memory: &Memory) -> std::io::Result<()> {
+    std::fs::create_dir_all(directory)?;
+    let next = directory.join("instance.next");
+    std::fs::write(&next, serde_json::to_vec(memory)?)?;
+    std::fs::rename(next, directory.join(KEPT))
+}
+
+/// What the last start kept; nothing where it kept nothing that can be read.
+pub(super) fn kept(directory: Option<&Path>) -> Memory {
+    let Some(file) = directory.map(|directory| directory.join(KEPT)) else { return Memory::default() };
+    let read = match std::fs::read(&file) {
+        Ok(text) => serde_json::from_slice(&text).map_err(|e| e.to_string()),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Memory::default(),
+        Err(e) => Err(e.to_string()),
+    };
+    read.unwrap_or_else(|problem| {
+        tracing::warn!("control: {}: passed over: {problem}", file.display());
+        Memory::default()
+    })
+}
