Part the command line's fleet commands by concern

It is a directory now: connection, instances, push, follow, rollout, top, and what they show in common. Code was moved, not changed, but for visibility.

--- /dev/null
+++ b/crates/cli/src/fleet/text.rs
@@ -0,0 +1,130 @@
+//! Times, states and tables as they are shown.
+
+use crate::output::{Table, tell};
+use madderloom_agent::view::{Figures, Instance, Rollouts, Share};
+use madderloom_fleet::membership::Presence;
+use madderloom_fleet::rollout::End;
+use madderloom_roster::SharedList;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use time::OffsetDateTime;
+use time::macros::format_description;
+
+pub(super) fn ended(end: End) -> &'static str {
+    match end {
+        End::Done => "done",
+        End::Stopped => "stopped",
+        End::TakenBack => "taken back",
+    }
+}
+
+pub(super) fn when(millis: u64) -> String {
+    let format = format_description!("[year]-[month]-[day] [hour]:[minute]:[second]Z");
+    let seconds = i64::try_from(millis / 1_000).unwrap_or(0);
+    let time = OffsetDateTime::from_unix_timestamp(seconds).ok();
+    time.and_then(|time| time.format(format).ok()).unwrap_or_else(|| "?".into())
+}
+
+pub(super) fn json(value: &impl Serialize) {
+    tell(format_args!("{}", serde_json::to_string(value).unwrap_or_default()));
+}
+
+pub(super) fn counts(rollout: &Rollouts) -> String {
+    let counts: Vec<String> =
+        rollout.counts.iter().map(|(state, count)| format!("{count} {state}")).collect();
+    if counts.is_empty() { "no instance is selected".into() } else { counts.join(", ") }
+}
+
+fn line(instance: &Instance) -> [String; 8] {
+    let in_line = match (&instance.refused, instance.in_line) {
+        (Some(_), _) => "refused",
+        (None, Some(true)) => "yes",
+        (None, Some(false)) => "no",
+        (None, None) => "?",
+    };
+    let share = instance.counts.bad as f64 * 100.0 / instance.counts.ended.max(1) as f64;
+    let mut note = instance.refused.clone().unwrap_or_default();
+    let without =
+        instance.fleet_limits.iter().filter(|(_, share)| share.instances > 0 && share.with_part == 0);
+    let without: Vec<&str> = without.map(|(name, _)| name.as_str()).collect();
+    if !without.is_empty() {
+        note = format!("no lease of {} {note}", without.join(", "));
+    }
+    if let Some(rival) = instance.rival {
+        note = format!("another process wants this name (incarnation {rival}) {note}");
+    }
+    [
+        instance.name.clone(),
+        presence(instance.presence).into(),
+        instance.zone.clone(),
+        instance.revision.to_string(),
+        in_line.into(),
+        instance.counts.ended.to_string(),
+        format!("{share:.1}%"),
+        note,
+    ]
+}
+
+/// The lists that the fleet shares, a row each.
+pub(super) fn lists(lists: &BTreeMap<String, SharedList>) -> Table {
+    let mut table = Table::new(["SHARED LIST", "VERSION", "AGE", "WATCHED BY", "BEHIND"]);
+    for (name, list) in lists {
+        table.row([
+            name.clone(),
+            list.version.to_string(),
+            format!("{:.1} s", list.age_us as f64 / 1e6),
+            list.watched.to_string(),
+            list.behind.to_string(),
+        ]);
+    }
+    table
+}
+
+/// Fleet-wide limits, or parts of them, a row each.
+pub(super) fn shares(limits: &BTreeMap<String, Share>) -> Table {
+    let mut table = Table::new([
+        "FLEET LIMIT",
+        "ALL",
+        "LENT",
+        "USED/S",
+        "WANTED/S",
+        "OPEN",
+        "OVER/S",
+        "INSTANCES",
+        "WITHOUT A LEASE",
+    ]);
+    for (name, share) in limits {
+        let figures = |figures: &Figures| {
+            let rate = figures.requests_per_second.map(|rate| format!("{rate:.1}/s"));
+            let open = figures.open.map(|open| format!("{open} open"));
+            rate.into_iter().chain(open).collect::<Vec<_>>().join(", ")
+        };
+        table.row([
+            name.clone(),
+            figures(&share.whole),
+            figures(&share.lent),
+            format!("{:.1}", share.used),
+            format!("{:.1}", share.wanted),
+            share.open.to_string(),
+            format!("{:.1}", share.over),
+            share.instances.to_string(),
+            share.instances.saturating_sub(share.with_part).to_string(),
+        ]);
+    }
+    table
+}
+
+fn presence(presence: Presence) -> &'static str {
+    match presence {
+        Presence::Joining => "joining",
+        Presence::Alive => "alive",
+        Presence::Suspect => "suspect",
+        Presence::Gone => "gone",
+    }
+}
+
+pub(super) fn table(instances: &[Instance]) -> Table {
+    let mut table = Table::new(["NAME", "STATE", "ZONE", "REVISION", "IN LINE", "REQUESTS", "BAD", "NOTE"]);
+    instances.iter().for_each(|instance| table.row(line(instance)));
+    table
+}
