--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -2,7 +2,7 @@
 
 use madderloom_config::{Document, Problem, Span};
 use madderloom_fleet::Rules;
-use madderloom_fleet::lending::Lending;
+use madderloom_fleet::fleet_limits::FleetLimitSettings;
 use madderloom_fleet::membership::Leases;
 use madderloom_fleet::settings::check_name;
 use madderloom_fleet::spread::Pace;
@@ -31,7 +31,7 @@
     /// Leases, paces, reports.
     pub rules: Rules,
     /// Fleet-wide limits.
-    pub lending: Lending,
+    pub lending: FleetLimitSettings,
 }
 
 #[derive(Default, Deserialize)]
@@ -198,9 +198,9 @@
         );
         document.require(rules.pace.rate > 0, "registrations.rate", "must be 1 or more a second");
         document.require(rules.pace.horizon >= 1_000_000, "registrations.horizon", "must be 1s or more");
-        let lasts = micros(file.leases.limits, rules.leases.lease);
+        let duration = micros(file.leases.limits, rules.leases.lease);
         document.require(
-            lasts / 3 >= every && (LEASES.0..=LEASES.1).contains(&lasts),
+            duration / 3 >= every && (LEASES.0..=LEASES.1).contains(&duration),
             "leases.limits",
             "must be three reports or more, and from 500ms to 10m",
         );
@@ -226,7 +226,7 @@
             term_above: file.term_above,
             connections,
             rules,
-            lending: Lending { limits, lasts },
+            lending: FleetLimitSettings { limits, duration },
         };
         document.finish(config)
     }
@@ -235,11 +235,11 @@
 impl Config {
     /// What each fleet-wide limit bounds, and how stale it may be, in figures.
     pub fn bounds(&self) -> Vec<Bound> {
-        let Lending { limits, lasts } = &self.lending;
+        let FleetLimitSettings { limits, duration } = &self.lending;
         let bound = |(name, limit): (&String, &Limit)| Bound {
             name: if limit.each_server { format!("{name} (each server by itself)") } else { name.clone() },
             whole: limit.whole,
-            lease: *lasts,
+            lease: *duration,
             every: self.rules.every,
             longest: limit.longest,
         };
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -5,7 +5,7 @@
 use crate::storage::{Saves, Storage};
 use crate::view;
 use madderloom_fleet::change::Change;
-use madderloom_fleet::lending::Lending;
+use madderloom_fleet::fleet_limits::FleetLimitSettings;
 use madderloom_fleet::protocol::{ToAgent, ToInstance};
 use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules};
 use madderloom_quota::Note as Quota;
@@ -87,7 +87,7 @@
 struct Driver {
     clock: Clock,
     rules: Rules,
-    lending: Lending,
+    lending: FleetLimitSettings,
     storage: Option<Box<dyn Storage>>,
     fleet: Result<Fleet, Unable>,
     /// The lists that the fleet shares. Each term learns them anew.
@@ -103,7 +103,7 @@
 pub(crate) async fn start(
     clock: Clock,
     rules: Rules,
-    lending: Lending,
+    lending: FleetLimitSettings,
     above: u64,
     storage: Box<dyn Storage>,
     seed: u128,
@@ -177,7 +177,9 @@
                 let mut keep = |out: Output| -> Vec<(String, ToInstance)> {
                     for note in &out.notes {
                         match note {
-                            Note::Lending(Quota::Overdrawn(_) | Quota::Twin(_)) => tracing::error!("{note}"),
+                            Note::Leases(Quota::Overcommitted(_) | Quota::Conflict(_)) => {
+                                tracing::error!("{note}")
+                            }
                             note => tracing::info!("{note}"),
                         }
                     }
@@ -283,8 +285,8 @@
         self.storage = Some(storage);
         let (mut fleet, mut out) = Fleet::restore(self.rules, self.clock.time(), self.above, records?)
             .map_err(|unsound| format!("the state makes no sense: {unsound}"))?;
-        let lends = fleet.lend(self.clock.time(), self.lending.clone(), self.rng.rand_u64());
-        out.saves.extend(lends.saves);
+        let leases = fleet.serve_fleet_limits(self.clock.time(), self.lending.clone(), self.rng.rand_u64());
+        out.saves.extend(leases.saves);
         self.commit(out.saves).await?;
         self.relay = Relay::new(fleet.term(), self.rng.rand_u64());
         tracing::info!("term {} begins at revision {}", fleet.term(), fleet.newest());
--- a/crates/fleet/examples/explore.rs
+++ b/crates/fleet/examples/explore.rs
@@ -1,10 +1,12 @@
-//! Explores the fleet's machines, and prints what was visited or how an invariant is broken.
+//! Explores the fleet's state machines, and prints the number of states or the trace to a violated invariant.
 //!
 //! `cargo run --release -p madderloom-fleet --features explore --example explore [large] [STATES]`
 //!
-//! `large` takes the worlds for a quiet hour; `STATES` bounds each of them (ten millions without it, some 2 GB).
+//! `large` explores the larger models; `STATES` bounds the states of each (ten million by default, some 2 GB).
 
-use madderloom_fleet::explore::{Explored, explore, large, larger_lendings, lendings, shipped};
+use madderloom_fleet::explore::{
+    Explored, explore, larger_lease_models, larger_rollout_models, lease_models, rollout_models,
+};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -12,10 +14,10 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let is_large = arguments.iter().any(|a| a == "large");
     let most = arguments.iter().find_map(|a| a.parse().ok()).unwrap_or(10_000_000);
-    let mut broken = 0;
-    let mut tell = |name: &str, begin: Instant, done: Result<Explored, String>| match done {
+    let mut violations = 0;
+    let mut report = |name: &str, begin: Instant, result: Result<Explored, String>| match result {
         Ok(explored) => {
-            let all = if explored.whole { "all" } else { "the first" };
+            let all = if explored.is_complete { "all" } else { "the first" };
             println!(
                 "{name}: sound in {all} {} states ({} steps, {} deep, {} at rest), {:.1} s",
                 explored.states,
@@ -26,17 +28,17 @@
             );
         }
         Err(found) => {
-            broken += 1;
+            violations += 1;
             println!("{name}: {found}");
         }
     };
-    for bounds in if is_large { large() } else { shipped() } {
+    for model in if is_large { larger_rollout_models() } else { rollout_models() } {
         let begin = Instant::now();
-        tell(bounds.name, begin, explore(&bounds, most).map_err(|broken| broken.to_string()));
+        report(model.name, begin, explore(&model, most).map_err(|violation| violation.to_string()));
     }
-    for bounds in if is_large { larger_lendings() } else { lendings() } {
+    for model in if is_large { larger_lease_models() } else { lease_models() } {
         let begin = Instant::now();
-        tell(bounds.name, begin, explore(&bounds, most).map_err(|broken| broken.to_string()));
+        report(model.name, begin, explore(&model, most).map_err(|violation| violation.to_string()));
     }
-    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -11,7 +11,7 @@
 /// The most patterns, labels or zones of a selector, and the most waves.
 pub const MOST_PATTERNS: usize = 256;
 
-/// What an instance says of itself and can be selected by.
+/// The traits of an instance, by which it can be selected.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Traits {
@@ -26,10 +26,10 @@
 }
 
 impl Traits {
-    /// Checks what an instance has sent.
+    /// Checks the traits that an instance has sent.
     ///
     /// # Errors
-    /// The field that makes no sense, and why.
+    /// The invalid field, and why.
     pub fn check(&self) -> Result<(), Problem> {
         let problem = |field: &str, problem: String| Problem { field: field.into(), problem };
         if !self.zone.is_empty() {
@@ -51,11 +51,11 @@
     }
 }
 
-/// Which instances a change is for: those that fit every part that is given. An empty one takes all.
+/// The instances that a change is for: those that match every part that is given. An empty selector matches all.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Selector {
-    /// Names; one that ends in `*` takes all that begin so.
+    /// Names; a name that ends in `*` matches every name with that prefix.
     pub names: Vec<String>,
     /// Labels with the value that they must have.
     pub labels: BTreeMap<String, String>,
@@ -64,17 +64,17 @@
 }
 
 impl Selector {
-    /// Exactly these instances.
+    /// Selects exactly these instances.
     pub fn named(names: impl IntoIterator<Item = String>) -> Self {
         Selector { names: names.into_iter().collect(), ..Selector::default() }
     }
 
-    /// Whether it takes every instance.
+    /// Whether it matches every instance.
     pub fn is_all(&self) -> bool {
         self.names.is_empty() && self.labels.is_empty() && self.zones.is_empty()
     }
 
-    /// Whether an instance is one of those.
+    /// Whether it matches an instance.
     pub fn matches(&self, name: &str, traits: &Traits) -> bool {
         let named = |pattern: &String| madderloom_quota::fits(pattern, name);
         (self.names.is_empty() || self.names.iter().any(named))
@@ -93,7 +93,7 @@
         for (at, pattern) in self.names.iter().enumerate() {
             let begin = pattern.strip_suffix('*').unwrap_or(pattern);
             if let Err(problem) = check_name(begin) {
-                // A lone star takes all, as no names do.
+                // A lone star matches all, as an empty list does.
                 if pattern != "*" {
                     add(format!("select.names[{at}]"), problem);
                 }
@@ -112,18 +112,18 @@
     }
 }
 
-/// How far a wave goes: so many instances of those selected, waves before it counted in.
+/// The number of selected instances that have the change after a wave, including those of earlier waves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Share {
-    /// So many.
+    /// A fixed number.
     Count(u32),
-    /// So many in a hundred, rounded up.
+    /// A percentage, rounded up.
     Percent(u32),
 }
 
 impl Share {
-    /// How many of so many.
+    /// The number of instances out of `all`.
     pub fn of(self, all: usize) -> usize {
         match self {
             Share::Count(count) => (count as usize).min(all),
@@ -132,13 +132,13 @@
     }
 }
 
-/// What happens when too many instances refuse or fail, or the change hurts.
+/// What happens when too many instances refuse or fail, or the change does harm.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Then {
-    /// Nothing more is sent. Those that have the change keep it.
+    /// The rollout stops. Instances that have the change keep it.
     Stop,
-    /// Those that may have the change get back what they had.
+    /// Instances that may have the change get their former settings back.
     #[default]
     TakeBack,
 }
@@ -147,24 +147,25 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
-    /// Waves, each counting those before it in; a last one that takes the rest is always there.
+    /// Waves, each including those before it. A last wave with all other instances is always added.
     pub waves: Vec<Share>,
-    /// How many instances at most have an order and have not answered it.
+    /// The most instances with an unanswered order.
     pub at_once: u32,
-    /// How long at least is waited between two waves, in microseconds.
+    /// The shortest time between two waves, in microseconds.
     pub pause: Micros,
-    /// How long an instance may take to answer before it is held to be unreachable, in microseconds.
+    /// The time after which an instance that has not answered counts as unreachable, in microseconds.
     pub silence: Micros,
-    /// How many may refuse or fail; one more ends the rollout.
+    /// The most instances that may refuse or fail before the rollout ends.
     pub failures: u32,
     /// What happens then.
     pub then: Then,
-    /// What is asked of the instances' own figures between waves; nothing without it.
+    /// The health gate between waves; none without it.
     pub gate: Option<GateRule>,
 }
 
 impl Default for Policy {
-    /// One instance, a tenth, all; twenty at once, half a minute between; the first failure takes it back.
+    /// One instance, a tenth, all; twenty at once, half a minute between waves; the first failure takes the change
+    /// back.
     fn default() -> Self {
         Policy {
             waves: vec![Share::Count(1), Share::Percent(10)],
@@ -212,9 +213,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum What {
-    /// It sets things on the instances selected.
+    /// Sets values on the selected instances.
     Set(Edits),
-    /// It takes back what another change, named by its id, has set; who is selected is that one's matter.
+    /// Undoes another change, named by its id, on the instances that have it.
     Undo(String),
 }
 
@@ -222,7 +223,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
-    /// Names it for good: a second push of the same id changes nothing.
+    /// Names the change permanently: a second push of the same id changes nothing.
     pub id: String,
     /// The fleet's revision that it was made on.
     pub base: u64,
@@ -240,7 +241,7 @@
 }
 
 impl Change {
-    /// All that is wrong with it, each with its field.
+    /// All problems of the change, each with its field.
     pub fn check(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
         if let Err(problem) = check_name(&self.id) {
@@ -274,36 +275,36 @@
         problems
     }
 
-    /// The same for the same document.
+    /// A hash that is the same for the same document.
     pub fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(self)
     }
 }
 
-/// A change that the fleet has settled on.
+/// A change in effect.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Layer {
     /// The revision that it made.
     pub revision: u64,
     /// The change's id.
     pub id: String,
-    /// Who has it: those selected or, where the rollout was stopped, those that had taken it by then.
+    /// The instances that have it: those selected or, where the rollout was stopped, those that had it by then.
     pub select: Selector,
     /// What it sets.
     pub edits: Edits,
 }
 
-/// So many of the newest layers can be undone.
+/// The number of newest layers that can be undone.
 pub const UNDOABLE: usize = 32;
-/// The most layers in effect together.
+/// The most layers in effect.
 pub const MOST_LAYERS: usize = 256;
 
-/// What the fleet has settled on: layers, each over those before it.
+/// The changes in effect: layers, each applied on top of those before it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Layers(pub Vec<Layer>);
 
 impl Layers {
-    /// What is in effect on an instance, and the newest layer that concerns it.
+    /// The settings of an instance, and the newest layer that applies to it.
     pub fn overlay(&self, name: &str, traits: &Traits) -> (Overlay, Option<&Layer>) {
         let mut overlay = Overlay::default();
         let mut newest = None;
@@ -314,7 +315,7 @@
         (overlay, newest)
     }
 
-    /// Adds a layer on top, and drops those that show nowhere and that no undoing can uncover.
+    /// Adds a layer on top, and drops those that have no effect and that no undo can uncover.
     pub fn add(&mut self, layer: Layer) {
         self.0.push(layer);
         let fixed = self.0.len().saturating_sub(UNDOABLE);
@@ -329,15 +330,15 @@
         self.0.retain(|_| keep.next().unwrap_or(true));
     }
 
-    /// Without the layer of a change.
+    /// The layers without that of a change.
     pub fn without(&self, id: &str) -> Layers {
         Layers(self.0.iter().filter(|layer| layer.id != id).cloned().collect())
     }
 
-    /// The layer of a change, if it can be undone.
+    /// The layer of a change that can be undone.
     ///
     /// # Errors
-    /// Why it can't be.
+    /// Why it cannot be undone.
     pub fn undoable(&self, id: &str) -> Result<&Layer, String> {
         let place = self.0.iter().position(|layer| layer.id == id);
         match place {
--- a/crates/fleet/src/explore/lending.rs
+++ b/crates/fleet/src/explore/lease_model.rs
@@ -1,16 +1,20 @@
-//! Small fleets that share a limit: a lender that may be killed, instances whose names may be taken by others, messages
-//! that come in any order, late or never, clocks that run apart. Instances let in all that they can, whenever.
+//! A model of fleet-wide limits: a lease server that may be killed, instances whose names may be taken by others,
+//! messages that arrive in any order, late or never, and clocks that drift. Instances admit as many requests as they
+//! can at any time.
 //!
-//! Time goes in steps of a second by nobody's clock. What holds in every state:
+//! Time advances in steps of a second by an ideal clock. The invariants of every state:
 //!
-//! - *rates*, *bursts*: the leases that instances hold come to no more than the limit;
-//! - *open*: no more is open than the limit, after the last lease by the lowered one;
-//! - *windows*: over every window so far no more was let in than `rate * length + burst`. It is kept as the level of one
-//!   bucket that leaks at the rate, which is the same.
+//! - *rates*, *bursts*: the leases of all instances add up to no more than the limit;
+//! - *open*: no more requests are open than the limit allows; after a lease has expired, than the lowered limit
+//!   allows;
+//! - *windows*: in every window so far no more requests were admitted than `rate * length + burst`. This is tracked
+//!   as the level of a leaky bucket, which is equivalent.
 
 use super::Model;
 use foldhash::quality::FixedState;
-use madderloom_quota::{Amount, Asks, Holder, Lender, Lent, Limit, Micros, ONE, Safe, Who};
+use madderloom_quota::{
+    Amount, Grant, LeaseHolder, LeaseRequests, LeaseServer, Limit, Micros, ONE, Safe, ServerId,
+};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::hash::{BuildHasher, Hash};
@@ -19,92 +23,92 @@
 /// A step of time.
 const SECOND: Micros = 1_000_000;
 
-/// One world.
+/// The bounds of a model.
 #[derive(Clone, Debug)]
-pub struct Lendings {
-    /// What it is called.
+pub struct LeaseModel {
+    /// Its name.
     pub name: &'static str,
-    /// Instances at the beginning.
+    /// The number of instances at the beginning.
     pub instances: usize,
-    /// All of the limit: whole requests a second, at once, open.
+    /// The limit: whole requests a second, burst, open requests.
     pub whole: (u64, u64, u64),
-    /// Steps of time.
+    /// The number of time steps.
     pub ticks: u8,
-    /// Reports of each instance.
+    /// The number of reports of each instance.
     pub reports: u8,
-    /// How long leases last, in steps; those of the second agent.
-    pub lasts: (u64, u64),
-    /// Whether the agent may be killed, and another started on its state.
+    /// The lease duration of the first and of the second agent, in steps.
+    pub durations: (u64, u64),
+    /// Whether the agent may be killed and another one started on its state.
     pub kill: bool,
-    /// Whether another process takes the name of the first instance, while that one goes on.
+    /// Whether another process takes the name of the first instance while that one continues.
     pub replace: bool,
-    /// How often the instances' wants may change.
-    pub swaps: u8,
+    /// How often the demands of the instances may change.
+    pub demand_changes: u8,
     /// Whether the limit may be lowered to half.
     pub lower: bool,
-    /// For how many steps a request may be open.
+    /// How long a request may be open, in steps.
     pub longest: u64,
-    /// Percent by which the clocks of the agent and of the first instance run off; the others run true.
+    /// The drift of the agent's clock and of the first instance's, in percent; the other clocks are exact.
     pub drift: (i64, i64),
-    /// Whether reports, and words, may be late or lost; else they arrive at once.
+    /// Whether reports and grants may be late or lost; otherwise they arrive at once.
     pub late: (bool, bool),
-    /// Whether older messages may come behind newer ones.
+    /// Whether older messages may arrive after newer ones.
     pub reorder: bool,
-    /// Whether instances let requests in; without it leases alone are looked at.
-    pub lets_in: bool,
+    /// Whether instances admit requests; otherwise only the leases are checked.
+    pub admits: bool,
 }
 
 #[derive(Clone, Hash)]
 struct Start {
     name: usize,
-    holder: Holder,
+    holder: LeaseHolder,
     reports: u8,
-    /// It was told that another has its name.
+    /// Whether it was told that another process holds its name.
     replaced: bool,
     /// Ages of its open requests, in steps.
     open: Vec<u64>,
-    wants: u64,
+    demand: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Packet {
-    Up(usize, Asks),
-    Down(usize, Lent),
+    Up(usize, LeaseRequests),
+    Down(usize, Grant),
 }
 
-/// A state of a world.
+/// A state of the model.
 #[derive(Clone)]
-pub struct Lending {
+pub struct LeaseModelState {
     ticks: u64,
-    agent: Option<Lender>,
+    agent: Option<LeaseServer>,
     term: u64,
     starts: Vec<Start>,
     packets: Vec<Packet>,
-    swaps: u8,
+    demand_changes: u8,
     lowered: Option<u64>,
     /// Millionths of a request.
     level: u64,
-    /// The longest that a lease may be out that was given so far, in steps.
-    known: u64,
+    /// The longest duration of the leases granted so far, in steps.
+    longest_duration: u64,
 }
 
-/// What can happen.
+/// A transition.
 #[derive(Clone, Debug)]
 pub enum Step {
     /// A second passes.
     Tick,
-    /// An instance makes a report.
+    /// An instance sends a report.
     Report(usize),
-    /// A message on its way arrives.
+    /// A message in transit arrives.
     Deliver(usize, String),
-    /// An instance lets in all that it can; they stay open for as long as they may.
-    LetIn(usize),
-    /// The lender is killed; another one starts.
+    /// An instance admits all requests that it can; they stay open for as long as they may.
+    Admit(usize),
+    /// The agent is killed, and another one starts.
     Kill,
     /// Another process takes the first instance's name.
     Replace,
-    /// Who wanted little wants much, and the other way round.
-    Swap,
+    /// Instances with little demand now have much, and the other way round.
+    ChangeDemand,
     /// The limit is lowered to half.
     Lower,
 }
@@ -115,16 +119,16 @@
             Step::Tick => f.write_str("a second passes"),
             Step::Report(at) => write!(f, "{at} reports"),
             Step::Deliver(_, what) => write!(f, "{what} arrives"),
-            Step::LetIn(at) => write!(f, "{at} lets in all that it can"),
+            Step::Admit(at) => write!(f, "{at} lets in all that it can"),
             Step::Kill => f.write_str("the lender is killed, another one starts"),
             Step::Replace => f.write_str("another process takes the name of 0"),
-            Step::Swap => f.write_str("wants change"),
+            Step::ChangeDemand => f.write_str("wants change"),
             Step::Lower => f.write_str("the limit is lowered"),
         }
     }
 }
 
-impl Lendings {
+impl LeaseModel {
     fn limit(&self, lowered: bool) -> Limit {
         let (rate, burst, open) = self.whole;
         let of = |all: u64| if lowered { all / 2 } else { all };
@@ -135,84 +139,84 @@
         }
     }
 
-    /// What a clock shows that runs off by so many percent.
+    /// The time of a clock with this drift in percent.
     fn clock(&self, ticks: u64, off: i64) -> Micros {
         let each = (SECOND as i64 + off * SECOND as i64 / 100) as u64;
         100 * SECOND + ticks * each
     }
 
-    fn by_agent(&self, state: &Lending) -> Micros {
+    fn by_agent(&self, state: &LeaseModelState) -> Micros {
         self.clock(state.ticks, self.drift.0)
     }
 
-    fn by_start(&self, state: &Lending, at: usize) -> Micros {
+    fn by_start(&self, state: &LeaseModelState, at: usize) -> Micros {
         self.clock(state.ticks, if at == 0 { self.drift.1 } else { 0 })
     }
 
-    fn lender(&self, state: &Lending, former: u64) -> Lender {
+    fn server(&self, state: &LeaseModelState, former: u64) -> LeaseServer {
         let second = state.term > 1;
-        let lasts = SECOND * if second { self.lasts.1 } else { self.lasts.0 };
-        let who = Who { term: state.term, id: state.term };
-        let mut lender = Lender::new(self.by_agent(state), who, lasts, former * SECOND, SECOND);
-        lender.set(
+        let duration = SECOND * if second { self.durations.1 } else { self.durations.0 };
+        let id = ServerId { term: state.term, id: state.term };
+        let mut server = LeaseServer::new(self.by_agent(state), id, duration, former * SECOND, SECOND);
+        server.set_limits(
             self.by_agent(state),
             BTreeMap::from([(LIMIT.to_string(), self.limit(state.lowered.is_some()))]),
         );
-        lender
+        server
     }
 
-    fn start(&self, state: &mut Lending, name: usize, wants: u64) {
-        let mut holder = Holder::default();
+    fn start(&self, state: &mut LeaseModelState, name: usize, demand: u64) {
+        let mut holder = LeaseHolder::default();
         holder.follow(self.by_start(state, state.starts.len()), [(LIMIT.to_string(), Safe::Nothing)]);
-        state.starts.push(Start { name, holder, reports: 0, replaced: false, open: Vec::new(), wants });
+        state.starts.push(Start { name, holder, reports: 0, replaced: false, open: Vec::new(), demand });
     }
 
-    /// Rate, burst and open requests of the leases that hold.
-    fn held(&self, state: &Lending) -> (u64, u64) {
+    /// The sums of rate and burst over all valid leases.
+    fn leased(&self, state: &LeaseModelState) -> (u64, u64) {
         let of = |at: usize| {
             let now = self.by_start(state, at);
             let holder = &state.starts[at].holder;
-            let lent = holder.standings(now).next().filter(|(_, standing)| standing.leased);
-            lent.map_or((0, 0), |(_, standing)| (standing.may.rate, standing.may.burst))
+            let grant = holder.standings(now).next().filter(|(_, standing)| standing.leased);
+            grant.map_or((0, 0), |(_, standing)| (standing.may.rate, standing.may.burst))
         };
         (0..state.starts.len()).map(of).fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1))
     }
 }
 
-impl Model for Lendings {
-    type State = Lending;
+impl Model for LeaseModel {
+    type State = LeaseModelState;
     type Step = Step;
 
-    fn initial(&self) -> Lending {
-        let mut state = Lending {
+    fn initial(&self) -> LeaseModelState {
+        let mut state = LeaseModelState {
             ticks: 0,
             agent: None,
             term: 1,
             starts: Vec::new(),
             packets: Vec::new(),
-            swaps: 0,
+            demand_changes: 0,
             lowered: None,
             level: 0,
-            known: self.lasts.0,
+            longest_duration: self.durations.0,
         };
-        // It has run for long enough to lend all.
-        let mut lender = self.lender(&state, 0);
-        lender.rebase(90 * SECOND);
-        state.agent = Some(lender);
+        // The server has run for long enough to grant the whole limit.
+        let mut server = self.server(&state, 0);
+        server.rebase(90 * SECOND);
+        state.agent = Some(server);
         for name in 0..self.instances {
             self.start(&mut state, name, if name == 0 { 100 } else { 0 });
         }
         state
     }
 
-    fn steps(&self, state: &Lending) -> Vec<Step> {
+    fn steps(&self, state: &LeaseModelState) -> Vec<Step> {
         let mut steps = Vec::new();
         for (at, packet) in state.packets.iter().enumerate() {
             let what = match packet {
-                Packet::Up(from, asks) => format!("report {} of {from}", asks.seq),
-                Packet::Down(to, lent) => {
-                    let amount = lent.of.first().map(|lease| lease.amount).unwrap_or_default();
-                    let (term, number) = (lent.by.term, lent.number);
+                Packet::Up(from, requests) => format!("report {} of {from}", requests.seq),
+                Packet::Down(to, grant) => {
+                    let amount = grant.of.first().map(|lease| lease.amount).unwrap_or_default();
+                    let (term, number) = (grant.by.term, grant.number);
                     format!(
                         "word {number} of term {term} to {to} ({} a second, {} open)",
                         amount.rate, amount.open
@@ -227,15 +231,15 @@
             if start.reports < self.reports && !start.replaced && (self.reorder || !on_its_way) {
                 steps.push(Step::Report(at));
             }
-            if self.lets_in && self.could_let_in(state, at) {
-                steps.push(Step::LetIn(at));
+            if self.admits && self.can_admit(state, at) {
+                steps.push(Step::Admit(at));
             }
         }
         if state.ticks < u64::from(self.ticks) {
             steps.push(Step::Tick);
         }
-        if state.swaps < self.swaps {
-            steps.push(Step::Swap);
+        if state.demand_changes < self.demand_changes {
+            steps.push(Step::ChangeDemand);
         }
         if self.kill && state.term == 1 {
             steps.push(Step::Kill);
@@ -249,7 +253,7 @@
         steps
     }
 
-    fn apply(&self, state: &Lending, step: &Step) -> Lending {
+    fn apply(&self, state: &LeaseModelState, step: &Step) -> LeaseModelState {
         let mut next = state.clone();
         match step {
             Step::Tick => {
@@ -270,12 +274,12 @@
             Step::Deliver(at, _) => {
                 let packet = next.packets.remove(*at);
                 if !self.reorder {
-                    // Those that it overtakes are lost.
+                    // The messages that it overtakes are lost.
                     next.packets.retain(|other| !packet.is_newer(other));
                 }
                 self.deliver(&mut next, packet);
             }
-            Step::LetIn(at) => {
+            Step::Admit(at) => {
                 let now = self.by_start(&next, *at);
                 let start = &mut next.starts[*at];
                 while start.holder.admit(now, LIMIT).is_ok() {
@@ -285,23 +289,23 @@
             }
             Step::Kill => {
                 next.term += 1;
-                next.agent = Some(self.lender(&next, next.known));
+                next.agent = Some(self.server(&next, next.longest_duration));
             }
             Step::Replace => {
                 next.starts[0].replaced = true;
-                let wants = next.starts[0].wants;
-                self.start(&mut next, 0, wants);
+                let demand = next.starts[0].demand;
+                self.start(&mut next, 0, demand);
             }
-            Step::Swap => {
-                next.swaps += 1;
-                next.starts.iter_mut().for_each(|start| start.wants = 100 - start.wants);
+            Step::ChangeDemand => {
+                next.demand_changes += 1;
+                next.starts.iter_mut().for_each(|start| start.demand = 100 - start.demand);
             }
             Step::Lower => {
                 next.lowered = Some(next.ticks);
                 let (now, limit) = (self.by_agent(&next), self.limit(true));
                 next.agent
                     .iter_mut()
-                    .for_each(|a| a.set(now, BTreeMap::from([(LIMIT.to_string(), limit.clone())])));
+                    .for_each(|a| a.set_limits(now, BTreeMap::from([(LIMIT.to_string(), limit.clone())])));
             }
         }
         next.packets.sort();
@@ -309,18 +313,19 @@
         next
     }
 
-    fn hash(&self, state: &Lending) -> u128 {
+    fn hash(&self, state: &LeaseModelState) -> u128 {
         let essences: Vec<u64> = (0..state.starts.len())
             .map(|at| {
                 let (now, start) = (self.by_start(state, at), &state.starts[at]);
-                let of = (start.holder.essence(now), start.reports, start.replaced, &start.open, start.wants);
+                let of =
+                    (start.holder.essence(now), start.reports, start.replaced, &start.open, start.demand);
                 FixedState::with_seed(1).hash_one(of)
             })
             .collect();
-        let Lending { ticks, agent, term, packets, swaps, lowered, level, .. } = state;
+        let LeaseModelState { ticks, agent, term, packets, demand_changes, lowered, level, .. } = state;
         let now = self.by_agent(state);
-        let lender = agent.as_ref().map(|agent| FixedState::with_seed(2).hash_one(agent.essence(now)));
-        let all = (essences, ticks, lender, term, packets, swaps, lowered, level);
+        let server = agent.as_ref().map(|agent| FixedState::with_seed(2).hash_one(agent.essence(now)));
+        let all = (essences, ticks, server, term, packets, demand_changes, lowered, level);
         let half = |seed| {
             let mut hasher = FixedState::with_seed(seed).build_hasher();
             all.hash(&mut hasher);
@@ -329,11 +334,12 @@
         u128::from(half(3)) << 64 | u128::from(half(4))
     }
 
-    fn check(&self, state: &Lending) -> Result<(), String> {
-        let (rate, burst) = self.held(state);
+    fn check(&self, state: &LeaseModelState) -> Result<(), String> {
+        let (rate, burst) = self.leased(state);
         let (whole, now) = (self.whole, state.ticks);
-        // What was lowered holds after a lease, with its drift, in whole steps; of what is open later by what it may be.
-        let by_lease = self.lasts.0.max(self.lasts.1) + 1;
+        // A lowered limit is in force after a lease with its drift, in whole steps; for open requests also after the
+        // longest of them.
+        let by_lease = self.durations.0.max(self.durations.1) + 1;
         let of = |all: u64, after: u64| {
             if state.lowered.is_some_and(|since| now > since + after) { all / 2 } else { all }
         };
@@ -353,26 +359,26 @@
         Ok(())
     }
 
-    fn fair(&self, _: &Lending) -> Option<Step> {
+    fn fair(&self, _: &LeaseModelState) -> Option<Step> {
         None
     }
 }
 
 impl Packet {
-    /// Whether it was sent behind the other one, the same way.
+    /// Whether it was sent after the other one in the same direction.
     fn is_newer(&self, other: &Packet) -> bool {
         match (self, other) {
-            (Packet::Up(from, asks), Packet::Up(its, other)) => from == its && other.seq < asks.seq,
-            (Packet::Down(to, lent), Packet::Down(its, other)) => {
-                to == its && (other.by, other.number) < (lent.by, lent.number)
+            (Packet::Up(from, requests), Packet::Up(its, other)) => from == its && other.seq < requests.seq,
+            (Packet::Down(to, grant), Packet::Down(its, other)) => {
+                to == its && (other.by, other.number) < (grant.by, grant.number)
             }
             _ => false,
         }
     }
 }
 
-impl Lendings {
-    fn send(&self, state: &mut Lending, packet: Packet) {
+impl LeaseModel {
+    fn send(&self, state: &mut LeaseModelState, packet: Packet) {
         let late = match packet {
             Packet::Up(..) => self.late.0,
             Packet::Down(..) => self.late.1,
@@ -380,97 +386,108 @@
         if late { state.packets.push(packet) } else { self.deliver(state, packet) }
     }
 
-    fn deliver(&self, next: &mut Lending, packet: Packet) {
+    fn deliver(&self, next: &mut LeaseModelState, packet: Packet) {
         match packet {
-            Packet::Up(from, asks) => {
+            Packet::Up(from, requests) => {
                 let name = next.starts[from].name.to_string();
                 let now = self.by_agent(next);
-                let lent = next.agent.as_mut().and_then(|a| a.report(now, &name, "", from as u64, &asks));
-                if let Some(lent) = lent {
-                    self.send(next, Packet::Down(from, lent));
+                let grant =
+                    next.agent.as_mut().and_then(|a| a.handle_report(now, &name, "", from as u64, &requests));
+                if let Some(grant) = grant {
+                    self.send(next, Packet::Down(from, grant));
                 }
             }
-            Packet::Down(to, lent) => {
+            Packet::Down(to, grant) => {
                 let now = self.by_start(next, to);
-                if next.starts[to].holder.take(now, &lent) && !next.starts[to].replaced {
+                if next.starts[to].holder.take(now, &grant) && !next.starts[to].replaced {
                     self.report(next, to, now);
                 }
             }
         }
     }
 
-    fn report(&self, state: &mut Lending, at: usize, now: Micros) {
+    fn report(&self, state: &mut LeaseModelState, at: usize, now: Micros) {
         let start = &mut state.starts[at];
         if start.reports >= self.reports {
             return;
         }
         start.reports += 1;
-        let mut asks = start.holder.ask(now);
-        // What is wanted is what the world says, not what was measured.
-        for ask in &mut asks.of {
-            (ask.wanted, ask.wanted_open, ask.used) = (start.wants * ONE, start.wants, 0);
+        let mut requests = start.holder.ask(now);
+        // The demand is that of the model, not the measured one.
+        for request in &mut requests.of {
+            (request.wanted, request.wanted_open, request.used) = (start.demand * ONE, start.demand, 0);
         }
-        self.send(state, Packet::Up(at, asks));
+        self.send(state, Packet::Up(at, requests));
     }
 
-    fn could_let_in(&self, state: &Lending, at: usize) -> bool {
+    fn can_admit(&self, state: &LeaseModelState, at: usize) -> bool {
         let mut holder = state.starts[at].holder.clone();
         holder.admit(self.by_start(state, at), LIMIT).is_ok()
     }
 }
 
-/// The worlds that a landing explores.
-pub fn lendings() -> Vec<Lendings> {
-    let base = Lendings {
+/// The models that are explored in each test run.
+pub fn lease_models() -> Vec<LeaseModel> {
+    let base = LeaseModel {
         name: "two instances, messages late or lost, wants that change",
         instances: 2,
         whole: (2, 2, 2),
         ticks: 4,
         reports: 3,
-        lasts: (2, 2),
+        durations: (2, 2),
         kill: false,
         replace: false,
-        swaps: 1,
+        demand_changes: 1,
         lower: false,
         longest: 1,
         drift: (0, 0),
         late: (false, true),
         reorder: false,
-        lets_in: false,
+        admits: false,
     };
     let late = (true, false);
-    let few = Lendings { reports: 2, swaps: 0, ..base.clone() };
-    let three = Lendings { ticks: 3, reports: 3, ..few.clone() };
+    let few = LeaseModel { reports: 2, demand_changes: 0, ..base.clone() };
+    let three = LeaseModel { ticks: 3, reports: 3, ..few.clone() };
     vec![
-        Lendings { swaps: 1, ..few.clone() },
-        Lendings { name: "three reports each", ..three.clone() },
-        Lendings {
+        LeaseModel { demand_changes: 1, ..few.clone() },
+        LeaseModel { name: "three reports each", ..three.clone() },
+        LeaseModel {
             name: "words that come behind newer ones",
             reorder: true,
             reports: 3,
             ticks: 2,
-            lasts: (3, 3),
+            durations: (3, 3),
             ..few.clone()
         },
-        Lendings { name: "reports that are late or lost", late, reports: 3, ..few.clone() },
-        Lendings {
+        LeaseModel { name: "reports that are late or lost", late, reports: 3, ..few.clone() },
+        LeaseModel {
             name: "reports that come behind newer ones",
             late,
             reorder: true,
-            lets_in: true,
+            admits: true,
             ..few.clone()
         },
-        Lendings { name: "both, of two reports each", late: (true, true), ticks: 2, ..few.clone() },
-        Lendings { name: "an agent 2% fast and an instance 2% slow", drift: (2, -2), ..few.clone() },
-        Lendings { name: "an agent 2% slow and an instance 2% fast", drift: (-2, 2), ..few.clone() },
-        Lendings { name: "an agent that is killed", kill: true, ..few.clone() },
-        Lendings { name: "the next agent with shorter leases", kill: true, lasts: (3, 1), ..few.clone() },
-        Lendings { name: "another process of the first one's name", replace: true, ticks: 3, ..few.clone() },
-        Lendings { name: "a limit that is lowered", lower: true, whole: (4, 4, 4), ..few.clone() },
-        Lendings { name: "requests that are let in", lets_in: true, whole: (1, 2, 9), ..few.clone() },
-        Lendings {
+        LeaseModel { name: "both, of two reports each", late: (true, true), ticks: 2, ..few.clone() },
+        LeaseModel { name: "an agent 2% fast and an instance 2% slow", drift: (2, -2), ..few.clone() },
+        LeaseModel { name: "an agent 2% slow and an instance 2% fast", drift: (-2, 2), ..few.clone() },
+        LeaseModel { name: "an agent that is killed", kill: true, ..few.clone() },
+        LeaseModel {
+            name: "the next agent with shorter leases",
+            kill: true,
+            durations: (3, 1),
+            ..few.clone()
+        },
+        LeaseModel {
+            name: "another process of the first one's name",
+            replace: true,
+            ticks: 3,
+            ..few.clone()
+        },
+        LeaseModel { name: "a limit that is lowered", lower: true, whole: (4, 4, 4), ..few.clone() },
+        LeaseModel { name: "requests that are let in", admits: true, whole: (1, 2, 9), ..few.clone() },
+        LeaseModel {
             name: "requests that stay open for long",
-            lets_in: true,
+            admits: true,
             longest: 4,
             ticks: 5,
             whole: (9, 9, 2),
@@ -479,9 +496,13 @@
     ]
 }
 
-/// Larger ones, for a quiet hour.
-pub fn larger_lendings() -> Vec<Lendings> {
-    let larger =
-        |world: Lendings| Lendings { reports: world.reports + 1, ticks: world.ticks + 1, swaps: 1, ..world };
-    lendings().into_iter().map(larger).collect()
+/// Larger models, for a longer run.
+pub fn larger_lease_models() -> Vec<LeaseModel> {
+    let larger = |model: LeaseModel| LeaseModel {
+        reports: model.reports + 1,
+        ticks: model.ticks + 1,
+        demand_changes: 1,
+        ..model
+    };
+    lease_models().into_iter().map(larger).collect()
 }
--- a/crates/fleet/src/explore/mod.rs
+++ b/crates/fleet/src/explore/mod.rs
@@ -1,95 +1,95 @@
-//! An explorer: walks every state that a model can reach, breadth first, and checks in each that its invariants hold
-//! and that a fair continuation comes to rest.
+//! A model checker: it explores every state that a model can reach, breadth first. In each state it checks that the
+//! invariants hold and that a fair continuation comes to rest.
 //!
-//! - A state is known by a 128-bit hash of it; two states that are taken for one by chance are not to be expected
-//!   below some 10^15 of them. A model may hash states alike that differ by a renaming alone (symmetry).
-//! - Breadth first, so that the trace to what is broken is a shortest one (of an invariant that only a fair
-//!   continuation breaks, the shortest that was met).
-//! - *Every rollout ends* is checked as: in every state there is one fair step ([`Model::fair`]: nothing more is lost
-//!   or crashes, messages come in some order, time passes); following these from any state reached must come to a
-//!   state at rest, and not go in a circle.
+//! - A state is identified by a 128-bit hash. A collision is not to be expected below some 10^15 states. A model may
+//!   give states that differ only by a renaming the same hash (symmetry reduction).
+//! - The search is breadth first, so that the trace to a violation is a shortest one. For a violation that only a
+//!   fair continuation shows, it is the shortest that was found.
+//! - *Every rollout ends* is checked as follows. Each state has one fair step ([`Model::fair`]): nothing more is lost
+//!   or crashes, messages arrive in some order, time passes. Following the fair steps from any reached state must
+//!   lead to a state at rest, and not into a cycle.
 
-mod lending;
+mod lease_model;
 mod rollout_model;
 #[cfg(test)]
 mod tests;
 
-pub use lending::{Lendings, larger_lendings, lendings};
-pub use rollout_model::{Bounds, World, large, shipped};
+pub use lease_model::{LeaseModel, larger_lease_models, lease_models};
+pub use rollout_model::{RolloutModel, larger_rollout_models, rollout_models};
 
-use crate::Planted;
+use crate::InjectedBug;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 
 thread_local! {
-    static PLANTED: Cell<Option<Planted>> = const { Cell::new(None) };
+    static INJECTED_BUG: Cell<Option<InjectedBug>> = const { Cell::new(None) };
 }
 
-pub(crate) fn is_planted(bug: Planted) -> bool {
-    PLANTED.get() == Some(bug)
+pub(crate) fn is_injected(bug: InjectedBug) -> bool {
+    INJECTED_BUG.get() == Some(bug)
 }
 
-/// Does something with a bug planted in the machines of this thread.
-pub fn with_planted<T>(bug: Option<Planted>, act: impl FnOnce() -> T) -> T {
-    let former = PLANTED.replace(bug);
-    let done = act();
-    PLANTED.set(former);
-    done
+/// Calls `run` with a bug injected into all state machines of this thread.
+pub fn with_injected_bug<T>(bug: Option<InjectedBug>, run: impl FnOnce() -> T) -> T {
+    let former = INJECTED_BUG.replace(bug);
+    let result = run();
+    INJECTED_BUG.set(former);
+    result
 }
 
-/// Something that goes from state to state by steps.
+/// A transition system.
 pub trait Model {
-    /// A state, with whatever the invariants need to remember.
+    /// A state, with the history that the invariants need.
     type State: Clone;
-    /// What can happen.
+    /// A transition.
     type Step: Clone + fmt::Display;
 
-    /// Where it begins.
+    /// The initial state.
     fn initial(&self) -> Self::State;
-    /// All that can happen in a state, always in the same order.
+    /// All transitions that are possible in a state, always in the same order.
     fn steps(&self, state: &Self::State) -> Vec<Self::Step>;
-    /// What comes of it.
+    /// The state after a transition.
     fn apply(&self, state: &Self::State, step: &Self::Step) -> Self::State;
-    /// The same for the same state.
+    /// A hash that is the same for the same state.
     fn hash(&self, state: &Self::State) -> u128;
-    /// Whether all invariants hold.
+    /// Checks all invariants.
     ///
     /// # Errors
-    /// The one that does not.
+    /// The invariant that is violated.
     fn check(&self, state: &Self::State) -> Result<(), String>;
-    /// The step that a fair continuation takes; `None` at rest.
+    /// The transition of a fair continuation; `None` at rest.
     fn fair(&self, state: &Self::State) -> Option<Self::Step>;
 }
 
-/// What was explored.
+/// The result of an exploration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Explored {
-    /// States visited.
+    /// The number of states.
     pub states: usize,
-    /// Steps taken between them.
+    /// The number of transitions.
     pub steps: usize,
-    /// The longest of the shortest ways to a state.
+    /// The greatest distance of a state from the initial one.
     pub depth: usize,
-    /// The states in which all is at rest.
+    /// The number of states at rest.
     pub at_rest: usize,
-    /// Whether these are all that there are; else the bound was met.
-    pub whole: bool,
+    /// Whether all reachable states were explored; false where the bound was reached.
+    pub is_complete: bool,
 }
 
-/// An invariant that does not hold, and the shortest way there.
+/// A violated invariant, and a shortest trace to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Broken {
+pub struct Violation {
     /// The invariant.
     pub invariant: String,
-    /// What happened, a line each.
+    /// The transitions, one line each.
     pub trace: Vec<String>,
-    /// States visited until then.
+    /// The number of states that were explored until then.
     pub states: usize,
 }
 
-impl fmt::Display for Broken {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "broken after {} states: {}", self.states, self.invariant)?;
         self.trace.iter().enumerate().try_for_each(|(at, line)| writeln!(f, "{:>3}. {line}", at + 1))
@@ -99,110 +99,112 @@
 #[derive(Clone, Copy)]
 struct Visited {
     parent: u32,
-    /// Which of the parent's steps led here.
+    /// Which of the parent's transitions leads here.
     step: u16,
     depth: u16,
-    /// Where the fair step leads; itself at rest.
+    /// The state after the fair step; the state itself at rest.
     fair: u32,
 }
 
 const UNKNOWN: u32 = u32::MAX;
 
-struct Walk<'m, M: Model> {
+struct Search<'m, M: Model> {
     model: &'m M,
-    places: HashMap<u128, u32, foldhash::fast::FixedState>,
+    indices: HashMap<u128, u32, foldhash::fast::FixedState>,
     visited: Vec<Visited>,
-    ahead: VecDeque<(u32, M::State)>,
+    frontier: VecDeque<(u32, M::State)>,
     steps: usize,
-    /// What a fair continuation was found to break, until something closer is found.
-    ahead_broken: Option<Box<Broken>>,
+    /// The shortest violation that a fair continuation has shown so far.
+    fair_violation: Option<Box<Violation>>,
 }
 
-/// Walks through a model, up to so many states.
+/// Explores a model, up to a number of states.
 ///
 /// # Errors
-/// The first invariant found that does not hold.
-pub fn explore<M: Model>(model: &M, most: usize) -> Result<Explored, Box<Broken>> {
-    let mut walk = Walk {
+/// The first violation of an invariant.
+pub fn explore<M: Model>(model: &M, most: usize) -> Result<Explored, Box<Violation>> {
+    let mut search = Search {
         model,
-        places: HashMap::default(),
+        indices: HashMap::default(),
         visited: Vec::new(),
-        ahead: VecDeque::new(),
+        frontier: VecDeque::new(),
         steps: 0,
-        ahead_broken: None,
+        fair_violation: None,
     };
-    walk.visit(model.initial(), UNKNOWN, 0, None)?;
-    let mut whole = true;
-    while let Some((at, state)) = walk.ahead.pop_front() {
-        let depth = walk.visited[at as usize].depth as usize;
-        if let Some(broken) = walk.ahead_broken.take_if(|broken| broken.trace.len() <= depth + 1) {
-            return Err(broken);
+    search.visit(model.initial(), UNKNOWN, 0, None)?;
+    let mut is_complete = true;
+    while let Some((at, state)) = search.frontier.pop_front() {
+        let depth = search.visited[at as usize].depth as usize;
+        if let Some(violation) = search.fair_violation.take_if(|violation| violation.trace.len() <= depth + 1)
+        {
+            return Err(violation);
         }
-        let room = walk.visited.len() < most;
-        whole &= room;
+        let room = search.visited.len() < most;
+        is_complete &= room;
         if room {
             for (number, step) in model.steps(&state).iter().enumerate() {
-                walk.visit(model.apply(&state, step), at, number as u16, Some(step))?;
-                walk.steps += 1;
+                search.visit(model.apply(&state, step), at, number as u16, Some(step))?;
+                search.steps += 1;
             }
         }
         let fair = match model.fair(&state) {
             None => at,
-            Some(step) => walk.follow(at, &state, &step),
+            Some(step) => search.follow(at, &state, &step),
         };
-        walk.visited[at as usize].fair = fair;
+        search.visited[at as usize].fair = fair;
     }
-    if let Some(broken) = walk.ahead_broken {
-        return Err(broken);
+    if let Some(violation) = search.fair_violation {
+        return Err(violation);
     }
-    let at_rest = walk.come_to_rest()?;
-    let depth = walk.visited.iter().map(|v| v.depth as usize).max().unwrap_or(0);
-    Ok(Explored { states: walk.visited.len(), steps: walk.steps, depth, at_rest, whole })
+    let at_rest = search.come_to_rest()?;
+    let depth = search.visited.iter().map(|v| v.depth as usize).max().unwrap_or(0);
+    Ok(Explored { states: search.visited.len(), steps: search.steps, depth, at_rest, is_complete })
 }
 
-impl<M: Model> Walk<'_, M> {
+impl<M: Model> Search<'_, M> {
     fn visit(
         &mut self,
         state: M::State,
         parent: u32,
         step: u16,
         taken: Option<&M::Step>,
-    ) -> Result<u32, Box<Broken>> {
+    ) -> Result<u32, Box<Violation>> {
         let hash = self.model.hash(&state);
-        if let Some(place) = self.places.get(&hash) {
-            return Ok(*place);
+        if let Some(index) = self.indices.get(&hash) {
+            return Ok(*index);
         }
         if let Err(invariant) = self.model.check(&state) {
-            return Err(self.broken(invariant, parent, taken));
+            return Err(self.violation(invariant, parent, taken));
         }
-        let place = self.visited.len() as u32;
+        let index = self.visited.len() as u32;
         let depth = self.visited.get(parent as usize).map_or(0, |parent| parent.depth + 1);
-        self.places.insert(hash, place);
+        self.indices.insert(hash, index);
         self.visited.push(Visited { parent, step, depth, fair: UNKNOWN });
-        self.ahead.push_back((place, state));
-        Ok(place)
+        self.frontier.push_back((index, state));
+        Ok(index)
     }
 
-    /// Where the fair step leads. Beyond the bound it is followed until it meets a state that was visited or rest.
+    /// The state after a fair step. Beyond the bound it follows further fair steps until it reaches a known state or
+    /// rest.
     fn follow(&mut self, at: u32, state: &M::State, step: &M::Step) -> u32 {
         let mut next = self.model.apply(state, step);
         let mut lines = vec![step.to_string()];
         let mut met = HashMap::new();
         loop {
             let hash = self.model.hash(&next);
-            if let Some(place) = self.places.get(&hash) {
-                return *place;
+            if let Some(index) = self.indices.get(&hash) {
+                return *index;
             }
             let circle = met.insert(hash, lines.len()).map(|begin| {
                 let length = lines.len() - begin;
                 format!("a fair continuation never comes to rest: its last {length} steps go in a circle")
             });
             if let Some(invariant) = self.model.check(&next).err().or(circle) {
-                let mut broken = self.broken(invariant, at, None);
-                broken.trace.append(&mut lines);
-                let former = self.ahead_broken.as_ref().map(|former| former.trace.len());
-                if former.is_none_or(|former| former > broken.trace.len()) {
-                    self.ahead_broken = Some(broken);
+                let mut violation = self.violation(invariant, at, None);
+                violation.trace.append(&mut lines);
+                let former = self.fair_violation.as_ref().map(|former| former.trace.len());
+                if former.is_none_or(|former| former > violation.trace.len()) {
+                    self.fair_violation = Some(violation);
                 }
                 return at;
             }
@@ -212,56 +214,56 @@
         }
     }
 
-    /// Whether every state leads to rest. Gives the number of states that are at rest.
-    fn come_to_rest(&self) -> Result<usize, Box<Broken>> {
+    /// Checks that every state leads to rest. Returns the number of states at rest.
+    fn come_to_rest(&self) -> Result<usize, Box<Violation>> {
         let count = self.visited.len();
         let mut sound = vec![false; count];
-        // The walk that last came by: a state met twice in one walk closes a circle.
+        // The start of the path that last reached a state: a state reached twice on one path closes a cycle.
         let mut met = vec![UNKNOWN; count];
         for start in 0..count {
             let mut at = start;
-            let mut way = Vec::new();
+            let mut path = Vec::new();
             while !sound[at] {
                 if met[at] == start as u32 {
                     let invariant =
                         "a fair continuation never comes to rest: it goes in a circle".to_string();
-                    return Err(self.broken_at(invariant, at as u32));
+                    return Err(self.violation_at(invariant, at as u32));
                 }
                 met[at] = start as u32;
-                way.push(at);
+                path.push(at);
                 let next = self.visited[at].fair as usize;
                 if next == at {
                     break;
                 }
                 at = next;
             }
-            way.into_iter().for_each(|at| sound[at] = true);
+            path.into_iter().for_each(|at| sound[at] = true);
         }
         Ok((0..count).filter(|at| self.visited[*at].fair as usize == *at).count())
     }
 
-    fn broken(&self, invariant: String, parent: u32, taken: Option<&M::Step>) -> Box<Broken> {
-        let mut broken = self.broken_at(invariant, parent);
-        broken.trace.extend(taken.map(M::Step::to_string));
-        broken
+    fn violation(&self, invariant: String, parent: u32, taken: Option<&M::Step>) -> Box<Violation> {
+        let mut violation = self.violation_at(invariant, parent);
+        violation.trace.extend(taken.map(M::Step::to_string));
+        violation
     }
 
-    /// With the way to a state that was visited, walked once more.
-    fn broken_at(&self, invariant: String, place: u32) -> Box<Broken> {
-        let mut way = Vec::new();
-        let mut at = place;
+    /// The violation with the trace to a visited state, which is replayed for it.
+    fn violation_at(&self, invariant: String, index: u32) -> Box<Violation> {
+        let mut path = Vec::new();
+        let mut at = index;
         while let Some(visited) = self.visited.get(at as usize).filter(|v| v.parent != UNKNOWN) {
-            way.push(visited.step);
+            path.push(visited.step);
             at = visited.parent;
         }
         let mut state = self.model.initial();
         let mut trace = Vec::new();
-        for number in way.into_iter().rev() {
+        for number in path.into_iter().rev() {
             let steps = self.model.steps(&state);
             let Some(step) = steps.get(number as usize) else { break };
             trace.push(step.to_string());
             state = self.model.apply(&state, step);
         }
-        Box::new(Broken { invariant, trace, states: self.visited.len() })
+        Box::new(Violation { invariant, trace, states: self.visited.len() })
     }
 }
--- a/crates/fleet/src/explore/rollout_model/bounds.rs
+++ b/crates/fleet/src/explore/rollout_model/bounds.rs
@@ -1,4 +1,4 @@
-//! The bounds of a model: how many processes there are, what they are asked for and how much may go wrong.
+//! The bounds of a model: the number of processes, the changes, and the number of faults.
 
 use super::state::Process;
 use crate::change::{Change, Policy, Selector, Share, Then, Traits, What};
@@ -9,55 +9,55 @@
 use crate::{Instance, Memory, Micros, Rules, Time};
 use std::sync::OnceLock;
 
-/// The unit of all spans in the world. What it is in real time does not matter.
+/// The unit of all durations in the model. Its real length does not matter.
 pub(super) const UNIT: Micros = 10_000_000;
 
-/// How much of what can go wrong does.
+/// The bounds of a model.
 #[derive(Clone, Debug)]
-pub struct Bounds {
-    /// What it is called.
+pub struct RolloutModel {
+    /// Its name.
     pub name: &'static str,
-    /// Processes; each number is a name. Two processes may have one name.
+    /// The processes by the number of their names. Two processes may have the same name.
     pub processes: Vec<usize>,
-    /// The instances by name that refuse every change but the empty one.
+    /// The names of the instances that refuse every change but the empty one.
     pub refuses: Vec<usize>,
-    /// Changes pushed, of two.
+    /// The number of changes that are pushed, at most two.
     pub changes: usize,
-    /// Waves of each, and how many at once.
+    /// The waves of each change.
     pub waves: Vec<Share>,
-    /// How many at once.
+    /// The most instances with an unanswered order.
     pub at_once: u32,
-    /// How many may fail.
+    /// The most instances that may fail.
     pub failures: u32,
-    /// What happens then.
+    /// What happens when more fail.
     pub then: Then,
-    /// Kills of the agent.
+    /// The number of times that the agent is killed.
     pub agent_kills: u8,
-    /// Whether a killed agent goes on all the same, with a disk of its own, beside the new one.
-    pub ghost: bool,
-    /// Kills of instances.
+    /// Whether a killed agent continues beside the new one, with a disk of its own.
+    pub stale_agent: bool,
+    /// The number of times that an instance is killed.
     pub kills: u8,
-    /// Messages that come late: after newer ones, or once more.
+    /// The number of messages that arrive late: after newer ones, or a second time.
     pub late: u8,
-    /// Repeats of pushes.
+    /// The number of repeated pushes.
     pub repeats: u8,
-    /// Stops and undoings.
+    /// The number of stops and undos.
     pub commands: u8,
-    /// Connections that are lost: an instance hears no answer to a report and goes away.
-    pub cuts: u8,
-    /// Times that the agent's clock goes on alone.
+    /// The number of lost connections: an instance receives no answer to a report and ends its session.
+    pub disconnects: u8,
+    /// The number of times that the agent's clock advances alone.
     pub agent_ticks: u8,
-    /// Whether the instances are known and alive at the beginning.
+    /// Whether the instances are registered and alive at the beginning.
     pub settled: bool,
-    /// Whether instances of different names are alike. Sound where one wave takes all at once.
-    pub alike: bool,
-    /// All that an instance may ever have in effect.
+    /// Whether instances of different names are symmetric. This is sound where one wave contains all at once.
+    pub symmetric: bool,
+    /// All overlays that an instance may ever have in effect.
     pub(super) possible: OnceLock<Vec<Overlay>>,
 }
 
-impl Default for Bounds {
+impl Default for RolloutModel {
     fn default() -> Self {
-        Bounds {
+        RolloutModel {
             name: "",
             processes: vec![0, 1],
             refuses: vec![],
@@ -67,15 +67,15 @@
             failures: 0,
             then: Then::TakeBack,
             agent_kills: 0,
-            ghost: false,
+            stale_agent: false,
             kills: 0,
             late: 0,
             repeats: 0,
             commands: 0,
-            cuts: 1,
+            disconnects: 1,
             agent_ticks: 1,
             settled: true,
-            alike: false,
+            symmetric: false,
             possible: OnceLock::new(),
         }
     }
@@ -94,13 +94,13 @@
 }
 
 fn edits(change: usize) -> Edits {
-    // Two settings, so that half of a change can be told from all of it; one of them is set by both changes.
+    // Two settings, so that a partly applied change can be detected. One of them is set by both changes.
     let weight = Value::Weight(100 * (change as u32 + 1));
     let other = Key::Drain(format!("d{change}"));
     [(Key::Weight("w".into()), Some(weight)), (other, Some(Value::Drained(true)))].into()
 }
 
-impl Bounds {
+impl RolloutModel {
     pub(super) fn change(&self, number: usize, base: u64) -> Change {
         Change {
             id: format!("c{number}"),
@@ -138,10 +138,10 @@
 
     pub(super) fn process(&self, name: usize, start: u64, incarnation: u64, memory: Memory) -> Process {
         let who = Who { name: format!("i{name}"), start, incarnation };
-        let real = memory.overlay.0.clone();
-        let machine = Instance::new(0, who, Traits::default(), memory.clone()).away_after(1);
-        let (taking, last, obeyed, obeyed_term) = Default::default();
-        Process { name, machine, real, taking, memory, last, obeyed, obeyed_term }
+        let effective = memory.overlay.0.clone();
+        let machine = Instance::new(0, who, Traits::default(), memory.clone()).max_unanswered(1);
+        let (in_progress, last, obeyed, obeyed_term) = Default::default();
+        Process { name, machine, effective, in_progress, memory, last, obeyed, obeyed_term }
     }
 
     pub(super) fn names(&self) -> usize {
--- a/crates/fleet/src/explore/rollout_model/hashed.rs
+++ b/crates/fleet/src/explore/rollout_model/hashed.rs
@@ -1,11 +1,11 @@
-//! Values that carry their hash, so that what did not change is not hashed again.
+//! Values with cached hashes, so that an unchanged part of a state is not hashed again.
 
 use super::state::Process;
 use foldhash::quality::FixedState;
 use std::hash::{BuildHasher, Hash};
 use std::sync::Arc;
 
-/// A value with its hash, so that what did not change is not hashed again.
+/// A value with its hash.
 #[derive(Debug)]
 pub(super) struct Hashed<T> {
     pub(super) value: Arc<T>,
@@ -23,7 +23,7 @@
 }
 
 impl Hashed<Process> {
-    /// Its hash leaves out its name, which its place tells.
+    /// Leaves the name out of the hash: the place of the process determines it.
     pub(super) fn new(value: Process) -> Self {
         let mut nameless = value.clone();
         nameless.name = 0;
--- a/crates/fleet/src/explore/rollout_model/invariants.rs
+++ b/crates/fleet/src/explore/rollout_model/invariants.rs
@@ -1,37 +1,37 @@
 //! The invariants of a state, and of a state at rest.
 
-use super::Bounds;
-use super::state::{Process, World};
+use super::RolloutModel;
+use super::state::{ModelState, Process};
 use crate::change::What;
 use crate::membership::Presence;
 use crate::protocol::{Outcome, Stamp};
 use crate::rollout::{End, Reason, Step as TargetStep};
 use crate::{Fleet, Session};
 
-impl Bounds {
-    pub(super) fn fleet<'w>(&self, world: &'w World) -> &'w Fleet {
-        let last = world.agents.len() - 1;
-        &world.agents[last].fleet
+impl RolloutModel {
+    pub(super) fn fleet<'w>(&self, state: &'w ModelState) -> &'w Fleet {
+        let last = state.agents.len() - 1;
+        &state.agents[last].fleet
     }
 
-    /// Invariants that hold in every state.
-    pub(super) fn check_world(&self, world: &World) -> Result<(), String> {
-        if let Some(broken) = &world.broken {
-            return Err(broken.clone());
+    /// Checks the invariants of every state.
+    pub(super) fn check_state(&self, state: &ModelState) -> Result<(), String> {
+        if let Some(violation) = &state.violation {
+            return Err(violation.clone());
         }
-        let fleet = self.fleet(world);
+        let fleet = self.fleet(state);
         let possible = self.possible.get_or_init(|| self.all_possible());
-        for process in world.processes.iter().map(|process| &process.value) {
+        for process in state.processes.iter().map(|process| &process.value) {
             let who = process.machine.who();
             let start = who.start;
-            if process.real != process.machine.overlay().0 {
+            if process.effective != process.machine.overlay().0 {
                 return Err(format!("whole: start {start} says that it has what is not in effect"));
             }
-            if !possible.iter().any(|overlay| overlay.0 == process.real) {
+            if !possible.iter().any(|overlay| overlay.0 == process.effective) {
                 return Err(format!("whole: start {start} has half of a change"));
             }
             let revision = process.machine.overlay().0.len() as u64;
-            if revision > 0 && process.memory.revision > fleet.newest() && !self.ghost {
+            if revision > 0 && process.memory.revision > fleet.newest() && !self.stale_agent {
                 let revision = process.memory.revision;
                 return Err(format!(
                     "lasting: start {start} has revision {revision}, which the agent does not know"
@@ -43,7 +43,7 @@
                     && other.machine.who().incarnation == who.incarnation
             };
             if in_session(process)
-                && world.processes.iter().filter(|other| in_session(&other.value)).count() > 1
+                && state.processes.iter().filter(|other| in_session(&other.value)).count() > 1
             {
                 return Err(format!(
                     "one name: two processes are {} under incarnation {}",
@@ -65,7 +65,7 @@
                 return Err("waves: a wave has begun before the one before it was through".into());
             }
         }
-        for (change, revision) in &world.accepted {
+        for (change, revision) in &state.accepted {
             let id = format!("c{change}");
             let under_way = fleet.rollout().map(|rollout| (&rollout.change.id, rollout.revision));
             let mut known = fleet.history().map(|entry| (&entry.change.id, entry.revision)).chain(under_way);
@@ -76,7 +76,7 @@
         Ok(())
     }
 
-    /// What the agent has recorded of an instance's answer is what the instance made of it.
+    /// Checks that the agent's record of an answer agrees with the instance.
     fn check_record(&self, fleet: &Fleet, process: &Process) -> Result<(), String> {
         let who = process.machine.who();
         let holder = fleet.membership().get(&who.name).filter(|member| member.start == who.start);
@@ -103,22 +103,22 @@
         Ok(())
     }
 
-    /// Whether all is at rest; then, whether all is as it should be.
-    pub(super) fn rest(&self, world: &World) -> Option<Result<(), String>> {
-        let fleet = self.fleet(world);
+    /// Whether the state is at rest; if it is, whether it is the desired one.
+    pub(super) fn rest(&self, state: &ModelState) -> Option<Result<(), String>> {
+        let fleet = self.fleet(state);
         if fleet.rollout().is_some() {
             return None;
         }
-        for process in world.processes.iter().map(|process| &process.value) {
+        for process in state.processes.iter().map(|process| &process.value) {
             let who = process.machine.who();
             let member = fleet.membership().get(&who.name).filter(|m| m.presence == Presence::Alive)?;
-            if process.taking.is_some() {
+            if process.in_progress.is_some() {
                 return None;
             }
             if member.start != who.start {
                 // Another process holds the name, and this one knows it.
                 let holder = |other: &Process| other.machine.who().start == member.start;
-                let held = world.processes.iter().any(|other| holder(&other.value));
+                let held = state.processes.iter().any(|other| holder(&other.value));
                 if held && process.machine.session() != Session::In {
                     continue;
                 }
@@ -132,10 +132,10 @@
                 return None;
             }
         }
-        Some(self.check_rest(world, fleet))
+        Some(self.check_rest(state, fleet))
     }
 
-    fn check_rest(&self, world: &World, fleet: &Fleet) -> Result<(), String> {
+    fn check_rest(&self, state: &ModelState, fleet: &Fleet) -> Result<(), String> {
         for entry in fleet.history() {
             let targets = fleet.results(entry.revision).cloned().unwrap_or_default();
             if let Some((name, target)) = targets.iter().find(|(_, target)| !target.step.is_final()) {
@@ -145,9 +145,9 @@
         let Some(last) = fleet.history().last() else { return Ok(()) };
         let What::Set(edits) = &last.change.what else { return Ok(()) };
         let targets = fleet.results(last.revision).cloned().unwrap_or_default();
-        for process in world.processes.iter().map(|process| &process.value) {
+        for process in state.processes.iter().map(|process| &process.value) {
             let who = process.machine.who();
-            let has = edits.iter().all(|(key, value)| process.real.get(key) == value.as_ref());
+            let has = edits.iter().all(|(key, value)| process.effective.get(key) == value.as_ref());
             let holder = fleet.membership().get(&who.name).is_some_and(|member| member.start == who.start);
             let Some(target) = targets.get(&who.name).filter(|_| holder) else { continue };
             let refused =
--- a/crates/fleet/src/explore/rollout_model/packet.rs
+++ b/crates/fleet/src/explore/rollout_model/packet.rs
@@ -1,4 +1,4 @@
-//! Messages on their way between the agent and the instances.
+//! Messages in transit between the agent and the instances.
 
 use super::hashed::hash_of;
 use crate::protocol::{Outcome, Stamp, ToAgent, ToInstance, Who};
@@ -19,9 +19,9 @@
 
     pub(super) fn hash_without_name(&self) -> u64 {
         match self.clone() {
-            Packet::Up { message: ToAgent::Register(mut wish), .. } => {
-                wish.who.name.clear();
-                hash_of(wish)
+            Packet::Up { message: ToAgent::Register(mut registration), .. } => {
+                registration.who.name.clear();
+                hash_of(registration)
             }
             Packet::Up { message: ToAgent::Report(mut report), .. } => {
                 report.who.name.clear();
@@ -32,7 +32,7 @@
     }
 }
 
-/// A message on its way.
+/// A message in transit, for display.
 #[derive(Clone, Debug)]
 pub struct PacketShown(pub(super) Packet);
 
@@ -43,8 +43,8 @@
             Outcome::Refused(problem) => format!("refused ({problem})"),
         };
         match &self.0 {
-            Packet::Up { message: ToAgent::Register(wish), .. } => {
-                let Who { name, start, incarnation } = &wish.who;
+            Packet::Up { message: ToAgent::Register(registration), .. } => {
+                let Who { name, start, incarnation } = &registration.who;
                 write!(f, "{name} (start {start}, incarnation {incarnation}) -> agent: I want to be known")
             }
             Packet::Up { message: ToAgent::Report(report), .. } => {
--- a/crates/fleet/src/explore/rollout_model/state.rs
+++ b/crates/fleet/src/explore/rollout_model/state.rs
@@ -1,4 +1,4 @@
-//! A state of the model: agents with their disks, processes, and messages on their way.
+//! A state of the model: agents with their disks, processes, and messages in transit.
 
 use super::hashed::{Hashed, hash_of};
 use super::packet::Packet;
@@ -15,9 +15,9 @@
 pub(super) struct Agent {
     pub(super) fleet: Arc<Fleet>,
     pub(super) disk: Arc<BTreeMap<String, Record>>,
-    /// Of the disk, as the two below.
+    /// Hashes of the disk: of the records that concern no instance, and of those of each name.
     pub(super) lasting: Arc<(u64, BTreeMap<String, u64>)>,
-    /// Of what names no instance, and of what each instance's name is found at.
+    /// Hashes of agent and disk: of the state that concerns no instance, and of that of each name.
     pub(super) common: u64,
     pub(super) by_name: Vec<u64>,
 }
@@ -41,7 +41,7 @@
     }
 }
 
-/// Hashes of what lasts: of what names no instance, and of what is found at each name.
+/// Hashes of the disk: of the records that concern no instance, and of those of each name.
 fn lasting(disk: &BTreeMap<String, Record>) -> (u64, BTreeMap<String, u64>) {
     let (mut common, mut by_name) = (Vec::new(), BTreeMap::<String, u64>::new());
     for (key, record) in disk {
@@ -51,7 +51,7 @@
                 let former = by_name.entry(name.to_string()).or_default();
                 *former = hash_of((*former, place, record));
             }
-            // What names instances in them is in the memory of the agent as well.
+            // The parts that contain names of instances are in the agent's memory too, and are hashed there.
             (Record::Settled(newest, layers), None) => common.push(hash_of((key, newest, layers.0.len()))),
             (Record::Rollout(rollout), None) => {
                 common.push(hash_of((key, rollout.revision, rollout.phase, rollout.back_revision)));
@@ -66,9 +66,9 @@
 pub(super) struct Process {
     pub(super) name: usize,
     pub(super) machine: Instance,
-    /// What is in effect, beside what the machine says.
-    pub(super) real: BTreeMap<Key, Value>,
-    pub(super) taking: Option<Order>,
+    /// The settings in effect, apart from what the state machine reports.
+    pub(super) effective: BTreeMap<Key, Value>,
+    pub(super) in_progress: Option<Order>,
     pub(super) memory: Memory,
     /// The last order that was carried out.
     pub(super) last: Option<(String, u64, Fingerprint)>,
@@ -76,28 +76,28 @@
     pub(super) obeyed_term: u64,
 }
 
-/// A state of the world.
+/// A state of the model.
 #[derive(Clone, Debug)]
-pub struct World {
-    /// The newest last.
+pub struct ModelState {
+    /// The newest agent is the last.
     pub(super) agents: Vec<Agent>,
     pub(super) processes: Vec<Hashed<Process>>,
-    /// The newest message on its way, by process and direction, and those that will come late.
+    /// The newest message in transit by process and direction, and the messages that will arrive late.
     pub(super) net: BTreeMap<(usize, bool), (Packet, u64)>,
     pub(super) late: BTreeMap<Packet, u64>,
-    pub(super) left: Left,
+    pub(super) remaining: Remaining,
     pub(super) pushed: Vec<Option<Change>>,
     pub(super) accepted: Vec<(usize, u64)>,
-    /// How often each name was started.
+    /// The number of starts of each name.
     pub(super) starts: Vec<u64>,
-    pub(super) broken: Option<String>,
+    pub(super) violation: Option<String>,
 }
 
-impl World {
-    /// Puts a message on its way. One to a start that is no more is lost.
+impl ModelState {
+    /// Puts a message in transit. A message to a start that has ended is lost.
     pub(super) fn insert(&mut self, packet: Packet) {
         let start = match &packet {
-            Packet::Up { message: ToAgent::Register(wish), .. } => wish.who.start,
+            Packet::Up { message: ToAgent::Register(registration), .. } => registration.who.start,
             Packet::Up { message: ToAgent::Report(report), .. } => report.who.start,
             Packet::Down { message, .. } => message.start(),
         };
@@ -112,12 +112,12 @@
 }
 
 #[derive(Clone, Copy, Debug, Hash)]
-pub(super) struct Left {
+pub(super) struct Remaining {
     pub(super) agent_kills: u8,
     pub(super) kills: u8,
     pub(super) late: u8,
     pub(super) repeats: u8,
     pub(super) commands: u8,
-    pub(super) cuts: u8,
+    pub(super) disconnects: u8,
     pub(super) agent_ticks: u8,
 }
--- a/crates/fleet/src/explore/rollout_model/step.rs
+++ b/crates/fleet/src/explore/rollout_model/step.rs
@@ -1,9 +1,9 @@
-//! The steps from one state to the next, as a trace shows them.
+//! The transitions of the model, as a trace shows them.
 
 use super::packet::{Packet, PacketShown};
 use std::fmt;
 
-/// What can happen.
+/// A transition.
 #[derive(Clone, Debug)]
 pub enum Step {
     #[allow(missing_docs)]
--- a/crates/fleet/src/fleet/declined.rs
+++ b/crates/fleet/src/fleet/declined.rs
@@ -1,4 +1,4 @@
-//! The answers to an operator: a change was accepted, or why it was declined.
+//! The answers to an operator: a change was accepted, or the reason why it was declined.
 
 use super::record::By;
 use crate::Problem;
@@ -7,14 +7,14 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// A change was accepted, or had been before.
+/// A change was accepted, now or earlier.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
-    /// Its id.
+    /// The id of the change.
     pub id: String,
-    /// The revision that it makes, or taking it back does.
+    /// The revision that it makes, or that undoing it makes.
     pub revision: u64,
-    /// Whether this only repeats what was asked for before.
+    /// Whether the request repeats an earlier one.
     pub repeat: bool,
 }
 
@@ -25,42 +25,42 @@
     pub term: u64,
 }
 
-/// Why a change was not accepted. Nothing has changed.
+/// Why a change was not accepted. Nothing has changed then.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Declined {
-    /// It makes no sense.
+    /// The change is invalid.
     Invalid(Vec<Problem>),
-    /// It was made on a revision that is no longer the newest.
+    /// The change was made on a revision that is no longer the newest.
     Conflict {
         /// The revision that it was made on.
         base: u64,
-        /// The newest one.
+        /// The newest revision.
         newest: u64,
-        /// What has come since, oldest first: revision, id, who and when, and what it set.
+        /// The changes since then, oldest first.
         since: Vec<Since>,
-        /// Whether there was more that is no longer remembered.
+        /// Whether there were more changes, which are no longer remembered.
         more: bool,
     },
     /// Another rollout is under way.
     Busy {
-        /// Its change.
+        /// The id of its change.
         id: String,
         /// Who pushed it.
         by: By,
     },
     /// The id was used for another change.
     IdUsed {
-        /// The revision that one made.
+        /// The revision that the other change made.
         revision: u64,
     },
-    /// There is nothing of that name, or nothing can be done to it any more.
+    /// There is no change of that name, or it can no longer be stopped or undone.
     Impossible(String),
     /// A later agent has taken over.
     StoodDown(StandDown),
 }
 
-/// A change that came between.
+/// A change that was made in between.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Since {
     /// The revision that it made.
@@ -69,9 +69,9 @@
     pub id: String,
     /// Who pushed it, and when.
     pub by: By,
-    /// How it ended; none while it is under way.
+    /// How it ended; none while it is rolled out.
     pub end: Option<End>,
-    /// What it set, a line each.
+    /// What it set, one line each.
     pub difference: Vec<String>,
 }
 
@@ -79,8 +79,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Declined::Invalid(problems) => {
-                let told: Vec<String> = problems.iter().map(Problem::to_string).collect();
-                f.write_str(&told.join("; "))
+                let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+                f.write_str(&lines.join("; "))
             }
             Declined::Conflict { base, newest, since, .. } => {
                 write!(f, "made on revision {base}, but the fleet is at {newest}")?;
@@ -105,7 +105,7 @@
     }
 }
 
-/// What a change sets, a line each.
+/// What a change sets, one line each.
 pub fn difference(change: &Change) -> Vec<String> {
     match &change.what {
         What::Set(edits) => edits
--- a/crates/fleet/src/fleet/explored.rs
+++ b/crates/fleet/src/fleet/explored.rs
@@ -1,4 +1,4 @@
-//! What the explorer needs of an agent: hashes of its state, and its clock set back.
+//! What the explorer needs of the agent: hashes of its state, and a way to set its clock back.
 
 use super::Fleet;
 use crate::Micros;
@@ -7,14 +7,14 @@
 use std::collections::BTreeMap;
 
 impl Fleet {
-    /// Hashes for the explorer: of what names no instance, and of what is found at each name.
+    /// Hashes for the explorer: one of the state that concerns no instance, and one for each name.
     pub(crate) fn parts(&self) -> (u64, BTreeMap<String, u64>) {
         use foldhash::quality::FixedState;
         use std::hash::{BuildHasher, Hash};
         fn hash(value: impl Hash) -> u64 {
             FixedState::with_seed(5).hash_one(value)
         }
-        let Fleet { term, stood_down, newest, history, told, numbers, spread, .. } = self;
+        let Fleet { term, stood_down, newest, history, noted_phase, highest_number, spread, .. } = self;
         let layers = self.layers.0.iter().map(|layer| {
             let mut layer = layer.clone();
             layer.select.names.clear();
@@ -25,14 +25,15 @@
             (change, revision, back_revision, by, phase, why, watch, targets.len())
         });
         let layers: Vec<Layer> = layers.collect();
-        let common = hash((term, stood_down, newest, history, told, numbers, spread, layers, head));
-        let names = self.membership.iter().map(|(name, _)| name).chain(self.lines.keys());
+        let common =
+            hash((term, stood_down, newest, history, noted_phase, highest_number, spread, layers, head));
+        let names = self.membership.iter().map(|(name, _)| name).chain(self.instances.keys());
         let mut parts = BTreeMap::new();
         for name in names {
             let rollout = self.rollout.as_ref();
             let own = (
                 self.membership.get(name),
-                self.lines.get(name),
+                self.instances.get(name),
                 rollout.and_then(|rollout| rollout.targets.get(name)),
                 rollout.and_then(|rollout| rollout.others.get(name)),
             );
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -1,4 +1,5 @@
-//! The agent, whole: who is there, what the fleet has settled on, the rollout under way, and what is ordered of each.
+//! The agent's state machine: the membership, the changes in effect, the rollout under way, and the orders to each
+//! instance.
 
 mod declined;
 #[cfg(any(test, feature = "explore"))]
@@ -13,40 +14,40 @@
 
 pub use declined::{Accepted, Declined, Since, StandDown, difference};
 pub use note::Note;
-pub use orders::Line;
-pub use record::{By, Entry, Record, Unsound};
+pub use orders::InstanceState;
+pub use record::{By, Entry, InvalidRecord, Record};
 
 use crate::Micros;
 use crate::change::Layers;
-use crate::lending::Desk;
+use crate::fleet_limits::FleetLimits;
 use crate::membership::{Leases, Membership};
 use crate::protocol::{ToAgent, ToInstance};
 use crate::rollout::{Phase, Rollout, Target};
 use crate::spread::{Pace, Spread};
 use std::collections::{BTreeMap, VecDeque};
 
-/// So many ended changes are remembered.
+/// The number of ended changes that are remembered.
 pub const HISTORY: usize = 64;
-/// Of so many of them, what came of each instance.
+/// The number of ended changes whose results by instance are remembered.
 pub const RESULTS: usize = 16;
 
-/// Now, on both clocks. Nothing is decided by the wall's.
+/// The present time by two clocks. No decision depends on the wall clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Time {
-    /// Monotonic, in microseconds.
+    /// Monotonic time, in microseconds.
     pub now: Micros,
-    /// Milliseconds since 1970, for people.
+    /// Wall-clock time for people, in milliseconds since 1970.
     pub wall: u64,
 }
 
-/// Figures of an agent.
+/// The settings of an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Rules {
-    /// Leases of instances.
+    /// The leases of names.
     pub leases: Leases,
-    /// How fast they may register.
+    /// The rate of registrations.
     pub pace: Pace,
-    /// How often they report, in microseconds; at most a third of the lease.
+    /// The report interval, in microseconds; at most a third of the lease.
     pub every: Micros,
 }
 
@@ -56,19 +57,19 @@
     }
 }
 
-/// What a call asks for. The saves must be durable, all or none, before anything is sent or answered; where they
-/// can't be, the machine must be thrown away and restored from what lasts.
+/// The result of a call. The records must be durable, all or none, before any message or answer is sent. Where they
+/// cannot be made durable, the state machine must be dropped and restored from the durable records.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
-    /// Records to be kept, or deleted, by key.
+    /// Records to store, or to delete, by key.
     pub saves: BTreeMap<String, Option<Record>>,
-    /// Messages to instances. Those that can't be sent are dropped.
+    /// Messages to instances, by name. A message that cannot be sent is dropped.
     pub sends: Vec<(String, ToInstance)>,
-    /// For the log.
+    /// Events for the log.
     pub notes: Vec<Note>,
 }
 
-/// The agent without its I/O.
+/// The agent's state machine.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Fleet {
     rules: Rules,
@@ -81,29 +82,29 @@
     results: BTreeMap<u64, BTreeMap<String, Target>>,
     membership: Membership,
     spread: Spread,
-    lines: BTreeMap<String, Line>,
-    /// The greatest order number of the lines that were dropped in this term; new ones begin above.
-    numbers: u64,
-    /// The phase of the rollout that was last told to the log.
-    told: Option<Phase>,
-    /// Lends fleet-wide limits, where the agent's file has any.
-    desk: Option<Box<Desk>>,
-    /// How long leases may last that are out.
-    lent_for: Micros,
+    instances: BTreeMap<String, InstanceState>,
+    /// The greatest order number of the instances that were forgotten in this term; new ones start above it.
+    highest_number: u64,
+    /// The phase of the rollout that was last noted for the log.
+    noted_phase: Option<Phase>,
+    /// The fleet-wide limits; none where the agent's file has none.
+    fleet_limits: Option<Box<FleetLimits>>,
+    /// The longest duration of leases that may be outstanding.
+    outstanding_duration: Micros,
 }
 
 impl Fleet {
-    /// The agent as its records say, in a new term. The output holds the term: it must last before the agent says
-    /// anything to anyone. `above` is a term that the new one must be greater than.
+    /// Restores the agent from its records, in a new term that is greater than `above`. The output contains the
+    /// record of the term: it must be durable before the agent sends anything.
     ///
     /// # Errors
-    /// A record whose key and contents do not fit each other.
+    /// A record whose key does not match its contents.
     pub fn restore(
         rules: Rules,
         time: Time,
         above: u64,
         records: impl IntoIterator<Item = (String, Record)>,
-    ) -> Result<(Self, Output), Unsound> {
+    ) -> Result<(Self, Output), InvalidRecord> {
         let membership = Membership::new(rules.leases);
         let spread = Spread::new(rules.pace);
         let mut fleet = Fleet {
@@ -117,29 +118,29 @@
             results: BTreeMap::new(),
             membership,
             spread,
-            lines: BTreeMap::new(),
-            numbers: 0,
-            told: None,
-            desk: None,
-            lent_for: 0,
+            instances: BTreeMap::new(),
+            highest_number: 0,
+            noted_phase: None,
+            fleet_limits: None,
+            outstanding_duration: 0,
         };
         let mut entries = BTreeMap::new();
         for (key, record) in records {
-            let unsound = |problem: &str| Unsound { key: key.clone(), problem: problem.to_string() };
+            let invalid = |problem: &str| InvalidRecord { key: key.clone(), problem: problem.to_string() };
             match record {
                 Record::Term(term) => fleet.term = term,
-                Record::Lending(lasts) => fleet.lent_for = lasts,
+                Record::LeaseDuration(duration) => fleet.outstanding_duration = duration,
                 Record::Settled(newest, layers) => (fleet.newest, fleet.layers) = (newest, layers),
                 Record::Rollout(rollout) => fleet.rollout = Some(*rollout),
                 Record::Target(target) => {
                     let place = key.strip_prefix("target/").and_then(|rest| rest.split_once('/'));
-                    let (revision, name) = place.ok_or_else(|| unsound("is no key of a target"))?;
-                    let revision = revision.parse().map_err(|_| unsound("holds no revision"))?;
+                    let (revision, name) = place.ok_or_else(|| invalid("is no key of a target"))?;
+                    let revision = revision.parse().map_err(|_| invalid("holds no revision"))?;
                     fleet.results.entry(revision).or_default().insert(name.to_string(), target);
                 }
-                Record::Member(kept) => {
-                    let name = key.strip_prefix("member/").ok_or_else(|| unsound("is no key of a member"))?;
-                    fleet.membership.restore(time.now, name.to_string(), kept);
+                Record::Member(member) => {
+                    let name = key.strip_prefix("member/").ok_or_else(|| invalid("is no key of a member"))?;
+                    fleet.membership.restore(time.now, name.to_string(), member);
                 }
                 Record::Entry(entry) => {
                     entries.insert(entry.revision, *entry);
@@ -157,42 +158,42 @@
         Ok((fleet, out))
     }
 
-    /// A message has come from an instance. `jitter` is a random number.
+    /// Handles a message of an instance. `jitter` must be random.
     pub fn receive(&mut self, time: Time, message: &ToAgent, jitter: u64) -> Output {
         let mut out = Output::default();
         match message {
-            ToAgent::Register(wish) => self.register(time, wish, jitter, &mut out),
+            ToAgent::Register(registration) => self.register(time, registration, jitter, &mut out),
             ToAgent::Report(report) => self.report(time, report, &mut out),
         }
         out
     }
 
-    /// Time has passed.
+    /// Does what is due by now.
     pub fn tick(&mut self, time: Time) -> Output {
         let mut out = Output::default();
         for (name, presence) in self.membership.tick(time.now) {
             if self.membership.get(&name).is_none() {
-                let number = self.lines.remove(&name).map_or(0, |line| line.number);
-                self.numbers = self.numbers.max(number);
+                let number = self.instances.remove(&name).map_or(0, |instance| instance.number);
+                self.highest_number = self.highest_number.max(number);
                 out.saves.insert(format!("member/{name}"), None);
             } else {
                 out.notes.push(Note::Presence(name, presence));
             }
         }
         self.advance(time, &mut out);
-        if let Some(desk) = &mut self.desk {
-            let words = desk.lender.tick(time.now);
-            out.sends.extend(words.into_iter().map(|(name, lent)| (name, ToInstance::Lent(lent))));
+        if let Some(fleet_limits) = &mut self.fleet_limits {
+            let grants = fleet_limits.server.tick(time.now);
+            out.sends.extend(grants.into_iter().map(|(name, grant)| (name, ToInstance::Lent(grant))));
         }
-        self.note_lending(&mut out);
+        self.collect_lease_notes(&mut out);
         out
     }
 
-    /// When [`Fleet::tick`] is to be called next, if nothing else happens before.
+    /// When [`Fleet::tick`] is due next, if nothing else happens before.
     pub fn next(&self, now: Micros) -> Option<Micros> {
         let rollout = self.rollout.as_ref().and_then(|rollout| rollout.next(now));
-        let lending = self.desk.as_ref().and_then(|desk| desk.lender.next(now));
-        self.membership.next().into_iter().chain(rollout).chain(lending).min()
+        let leases = self.fleet_limits.as_ref().and_then(|fleet_limits| fleet_limits.server.next(now));
+        self.membership.next().into_iter().chain(rollout).chain(leases).min()
     }
 
     /// The term of this agent.
@@ -200,7 +201,7 @@
         self.term
     }
 
-    /// The later term that has been heard of, if one has.
+    /// The term of a later agent, if one is known.
     pub fn stood_down(&self) -> Option<u64> {
         self.stood_down
     }
@@ -210,7 +211,7 @@
         self.newest
     }
 
-    /// What the fleet has settled on.
+    /// The changes in effect.
     pub fn layers(&self) -> &Layers {
         &self.layers
     }
@@ -225,24 +226,24 @@
         self.history.iter()
     }
 
-    /// What came of each instance for an ended change, while that is remembered.
+    /// The results of an ended change by instance, while they are remembered.
     pub fn results(&self, revision: u64) -> Option<&BTreeMap<String, Target>> {
         self.results.get(&revision)
     }
 
-    /// Who is there.
+    /// The membership.
     pub fn membership(&self) -> &Membership {
         &self.membership
     }
 
-    /// What is known of an instance beside its membership.
-    pub fn line(&self, name: &str) -> Option<&Line> {
-        self.lines.get(name)
+    /// The state of an instance beside its membership.
+    pub fn line(&self, name: &str) -> Option<&InstanceState> {
+        self.instances.get(name)
     }
 
-    /// Whether an instance has what it is to have. None if it is not known.
+    /// Whether the desired settings are in effect on an instance; `None` where the instance is not known.
     pub fn in_line(&self, name: &str) -> Option<bool> {
-        let line = self.lines.get(name)?;
-        Some(line.holding.overlay == self.wanted(name).0.fingerprint())
+        let instance = self.instances.get(name)?;
+        Some(instance.holding.overlay == self.desired_settings(name).0.fingerprint())
     }
 }
--- a/crates/fleet/src/fleet/note.rs
+++ b/crates/fleet/src/fleet/note.rs
@@ -1,25 +1,25 @@
-//! What the agent's machine reports for the log.
+//! Events of the agent's state machine for the log.
 
 use crate::membership::Presence;
 use crate::protocol::Outcome;
 use crate::rollout::Phase;
 use std::fmt;
 
-/// Something for the log.
+/// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Note {
-    /// An instance's presence has changed.
+    /// The state of a member has changed.
     Presence(String, Presence),
-    /// A start that holds no name wants one that another holds: name, its incarnation, the holder's.
+    /// A start wants to use a name that another start holds: the name, its incarnation, the holder's incarnation.
     Rival(String, u64, u64),
-    /// An instance answered: name, change, what came of it.
+    /// An instance has answered an order: its name, the change, the outcome.
     Answered(String, String, Outcome),
-    /// A rollout has come to another phase: its id, the phase, why.
+    /// A rollout has entered a phase: the id of the change, the phase, the reason.
     Rollout(String, Phase, Option<String>),
-    /// An instance has heard of an agent of this later term: this one gives no orders any more.
+    /// An instance knows of an agent of this later term; this agent gives no more orders.
     StoodDown(u64),
-    /// Of fleet-wide limits.
-    Lending(madderloom_quota::Note),
+    /// An event of the lease server.
+    Leases(madderloom_quota::Note),
 }
 
 impl fmt::Display for Note {
@@ -43,7 +43,7 @@
             Note::StoodDown(term) => {
                 write!(f, "an agent of term {term} is known to the instances: no more orders are given here")
             }
-            Note::Lending(note) => note.fmt(f),
+            Note::Leases(note) => note.fmt(f),
         }
     }
 }
--- a/crates/fleet/src/fleet/operator.rs
+++ b/crates/fleet/src/fleet/operator.rs
@@ -1,4 +1,4 @@
-//! What operators ask for: a change pushed, stopped or undone.
+//! The commands of operators: push, stop and undo a change.
 
 use super::declined::{Accepted, Declined, Since, StandDown, difference};
 use super::record::{By, Record};
@@ -11,10 +11,10 @@
 use std::collections::BTreeMap;
 
 impl Fleet {
-    /// An operator pushes a change. Its id names it for good; it must have been made on the newest revision.
+    /// Pushes a change. Its id names it permanently, and it must have been made on the newest revision.
     ///
     /// # Errors
-    /// Why it was not accepted; nothing has changed then.
+    /// Why the change was not accepted; nothing has changed then.
     pub fn push(&mut self, time: Time, change: Change, by: By) -> (Result<Accepted, Declined>, Output) {
         let mut out = Output::default();
         let done = self.try_push(time, change, by, &mut out);
@@ -28,8 +28,8 @@
         by: By,
         out: &mut Output,
     ) -> Result<Accepted, Declined> {
-        if let Some((former, revision)) = self.find(&change.id) {
-            // The same on another base is still what was asked for before, and accepted.
+        if let Some((former, revision)) = self.find_change(&change.id) {
+            // The same change on another base repeats a request that was accepted.
             if *former != (Change { base: former.base, ..change.clone() }) {
                 return Err(Declined::IdUsed { revision });
             }
@@ -53,7 +53,9 @@
 
     fn begin(&mut self, time: Time, change: Change, by: By, out: &mut Output) -> Result<Accepted, Declined> {
         if let What::Set(edits) = &change.what {
-            let known = |limit: &str| self.desk.as_ref().is_some_and(|desk| desk.knows(limit));
+            let known = |limit: &str| {
+                self.fleet_limits.as_ref().is_some_and(|fleet_limits| fleet_limits.has_limit(limit))
+            };
             let unknown: Vec<&str> = edits
                 .keys()
                 .filter_map(|key| match key {
@@ -83,7 +85,7 @@
         };
         let (mut chosen, mut others) = (BTreeMap::new(), BTreeMap::new());
         for (name, member) in self.membership.iter().filter(|(_, member)| member.presence != Presence::Gone) {
-            let counts = self.lines.get(name).map(|line| line.counts).unwrap_or_default();
+            let counts = self.instances.get(name).map(|instance| instance.counts).unwrap_or_default();
             if let What::Set(edits) = &change.what
                 && select.matches(name, &member.traits)
             {
@@ -108,7 +110,7 @@
         Ok(accepted)
     }
 
-    /// An operator stops a rollout: those that have the change keep it.
+    /// Stops a rollout: instances that have the change keep it.
     pub fn stop(&mut self, time: Time, id: &str, by: &By) -> (Result<Accepted, Declined>, Output) {
         let mut out = Output::default();
         (self.try_stop(time, id, by, &mut out), out)
@@ -119,7 +121,7 @@
             return Err(Declined::StoodDown(StandDown { term }));
         }
         let Some(rollout) = self.rollout.as_mut().filter(|rollout| rollout.change.id == id) else {
-            return Err(match self.find(id) {
+            return Err(match self.find_change(id) {
                 Some(_) => Declined::Impossible(format!("{id} has ended; undo it if it is to go")),
                 None => Declined::Impossible(format!("no change {id} is known")),
             });
@@ -136,7 +138,7 @@
         Ok(accepted)
     }
 
-    /// An operator takes a change back, be it under way or settled on.
+    /// Undoes a change that is being rolled out or is in effect.
     pub fn undo(&mut self, time: Time, id: &str, by: By) -> (Result<Accepted, Declined>, Output) {
         let mut out = Output::default();
         (self.try_undo(time, id, by, &mut out), out)
@@ -199,7 +201,7 @@
         self.begin(time, change, by, out)
     }
 
-    fn find(&self, id: &str) -> Option<(&Change, u64)> {
+    fn find_change(&self, id: &str) -> Option<(&Change, u64)> {
         let rollout = self.rollout.iter().map(|rollout| (&rollout.change, rollout.revision));
         let history = self.history.iter().map(|entry| (&entry.change, entry.revision));
         rollout.chain(history).find(|(change, _)| change.id == id)
--- a/crates/fleet/src/fleet/orders.rs
+++ b/crates/fleet/src/fleet/orders.rs
@@ -1,4 +1,4 @@
-//! The orders given to each instance, and what it answered.
+//! The orders to each instance, and its answers.
 
 use super::note::Note;
 use super::{Fleet, Output};
@@ -8,24 +8,24 @@
 use crate::protocol::{Answer, Holding, LONGEST_REASON, Order, Outcome, Stamp, ToInstance};
 use crate::rollout::{Cause, Side};
 use crate::settings::{Fingerprint, Overlay};
-use crate::{Planted, planted};
+use crate::{InjectedBug, is_injected};
 
-/// What is known of an instance beside its membership.
+/// The state of an instance beside its membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Line {
-    pub(super) issued: Option<Issued>,
-    /// What it made of the last order; none while it has not answered.
+pub struct InstanceState {
+    pub(super) issued: Option<IssuedOrder>,
+    /// The outcome of the last order; none until the instance has answered.
     pub answer: Option<Outcome>,
-    /// What it has in effect, by its last report.
+    /// The settings in effect, by its last report.
     pub holding: Holding,
-    /// Its requests within the last window.
+    /// Its requests of the last window.
     pub counts: Counts,
     /// The number of the last order of this term.
     pub number: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Issued {
+pub(super) struct IssuedOrder {
     change: String,
     revision: u64,
     overlay: Fingerprint,
@@ -33,12 +33,12 @@
 }
 
 impl Fleet {
-    pub(super) fn take_answer(&mut self, name: &str, answer: &Answer, out: &mut Output) {
-        let Some(line) = self.lines.get_mut(name) else { return };
-        let Some(issued) = &line.issued else { return };
-        let stamp = Stamp { term: self.term, number: line.number };
-        let answers = answer.stamp == stamp || planted(Planted::OldAnswers);
-        if !answers || answer.overlay != issued.overlay || line.answer.is_some() {
+    pub(super) fn record_answer(&mut self, name: &str, answer: &Answer, out: &mut Output) {
+        let Some(instance) = self.instances.get_mut(name) else { return };
+        let Some(issued) = &instance.issued else { return };
+        let stamp = Stamp { term: self.term, number: instance.number };
+        let answers = answer.stamp == stamp || is_injected(InjectedBug::AcceptOldAnswers);
+        if !answers || answer.overlay != issued.overlay || instance.answer.is_some() {
             return;
         }
         let mut outcome = answer.outcome.clone();
@@ -46,7 +46,7 @@
             shorten(&mut problem.field);
             shorten(&mut problem.problem);
         }
-        line.answer = Some(outcome.clone());
+        instance.answer = Some(outcome.clone());
         out.notes.push(Note::Answered(name.to_string(), issued.change.clone(), outcome.clone()));
         let (cause, revision) = (issued.cause, issued.revision);
         if let Some(rollout) = &mut self.rollout {
@@ -60,8 +60,8 @@
         }
     }
 
-    /// What an instance is to have, and the change and the revision that this brings.
-    pub(super) fn wanted(&self, name: &str) -> (Overlay, String, u64) {
+    /// The desired settings of an instance, with the id and the revision of the newest change in them.
+    pub(super) fn desired_settings(&self, name: &str) -> (Overlay, String, u64) {
         let Some(member) = self.membership.get(name) else { return Default::default() };
         let settled = |layers: &Layers| {
             let (overlay, newest) = layers.overlay(name, &member.traits);
@@ -85,22 +85,22 @@
         }
     }
 
-    /// Orders of an instance what it is to have, unless it has that, has refused it, or is not there.
-    pub(super) fn bring(&mut self, name: &str, out: &mut Output) {
+    /// Orders the desired settings of an instance, unless it has them, has refused them or is not alive.
+    pub(super) fn send_order(&mut self, name: &str, out: &mut Output) {
         let alive = self.membership.get(name).filter(|member| member.presence == Presence::Alive);
         let (Some(member), None) = (alive, self.stood_down) else { return };
         let start = member.start;
-        let (overlay, change, revision) = self.wanted(name);
+        let (overlay, change, revision) = self.desired_settings(name);
         let fingerprint = overlay.fingerprint();
         let cause = self.rollout.as_ref().and_then(|rollout| rollout.cause(name));
-        let line = self.lines.entry(name.to_string()).or_default();
-        let current = line.issued.as_ref().is_some_and(|issued| {
+        let instance = self.instances.entry(name.to_string()).or_default();
+        let current = instance.issued.as_ref().is_some_and(|issued| {
             issued.overlay == fingerprint
                 && issued.revision == revision
                 && (cause.is_none() || issued.cause == cause)
         });
-        let holds = line.holding.overlay == fingerprint;
-        let again = match (&line.answer, current) {
+        let holds = instance.holding.overlay == fingerprint;
+        let again = match (&instance.answer, current) {
             (None, true) => true,
             (Some(Outcome::Refused(_)), true) => return,
             (Some(Outcome::Applied), true) if holds => return,
@@ -108,11 +108,12 @@
             _ => false,
         };
         if !again {
-            line.number = line.number.saturating_add(1);
-            line.answer = None;
-            line.issued = Some(Issued { change: change.clone(), revision, overlay: fingerprint, cause });
+            instance.number = instance.number.saturating_add(1);
+            instance.answer = None;
+            instance.issued =
+                Some(IssuedOrder { change: change.clone(), revision, overlay: fingerprint, cause });
         }
-        let stamp = Stamp { term: self.term, number: line.number };
+        let stamp = Stamp { term: self.term, number: instance.number };
         let order = Order { start, stamp, change, revision, overlay };
         out.sends.push((name.to_string(), ToInstance::Order(order)));
     }
--- a/crates/fleet/src/fleet/record.rs
+++ b/crates/fleet/src/fleet/record.rs
@@ -1,13 +1,13 @@
-//! What an agent keeps durably, one record a key, and the record of a change that has ended.
+//! The durable records of an agent.
 
 use crate::Micros;
 use crate::change::{Change, Layers};
-use crate::membership::Kept;
+use crate::membership::PersistedMember;
 use crate::rollout::{End, Rollout, Target};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Who did something, and when by the wall's clock.
+/// Who did something, and when by the wall clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct By {
     /// The name in the certificate.
@@ -16,55 +16,56 @@
     pub at: u64,
 }
 
-/// A change that is over.
+/// A change that has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
     /// The change.
     pub change: Change,
     /// The revision that it made.
     pub revision: u64,
-    /// The revision that taking it back made.
+    /// The revision that undoing it made.
     pub back_revision: Option<u64>,
     /// Who pushed it, and when.
     pub by: By,
     /// How it ended.
     pub end: End,
-    /// Why, where it did not simply end.
+    /// The reason, where it did not run to completion.
     pub why: Option<String>,
     /// When it ended: milliseconds since 1970.
     pub ended: u64,
 }
 
-/// What lasts, by its key.
+/// A durable record.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Record {
-    /// Key `term`: the term of the agent that ran last.
+    /// Key `term`: the term of the last agent.
     Term(u64),
-    /// Key `settled`: the newest revision, and the layers.
+    /// Key `settled`: the newest revision, and the layers in effect.
     Settled(u64, Layers),
     /// Key `rollout`: the rollout under way, without its targets.
     Rollout(Box<Rollout>),
     /// Key `target/REVISION/NAME`.
     Target(Target),
     /// Key `member/NAME`.
-    Member(Kept),
+    Member(PersistedMember),
     /// Key `entry/REVISION`.
     Entry(Box<Entry>),
-    /// Key `lending`: how long leases of fleet-wide limits may last that are out, in microseconds.
-    Lending(Micros),
+    /// Key `lending`: the longest duration of leases of fleet-wide limits that may be outstanding, in microseconds.
+    #[serde(rename = "lending")]
+    LeaseDuration(Micros),
 }
 
-/// A record that can't have been written by this program.
+/// A record that this program cannot have written.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound {
+pub struct InvalidRecord {
     /// Its key.
     pub key: String,
     /// What is wrong with it.
     pub problem: String,
 }
 
-impl fmt::Display for Unsound {
+impl fmt::Display for InvalidRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.key, self.problem)
     }
--- a/crates/fleet/src/fleet/registry.rs
+++ b/crates/fleet/src/fleet/registry.rs
@@ -1,44 +1,44 @@
 //! Registration and reports of instances.
 
 use super::note::Note;
-use super::orders::Line;
+use super::orders::InstanceState;
 use super::record::Record;
 use super::{Fleet, Output, Time};
 use crate::membership::{Presence, Registered, Renewed};
 use crate::protocol::{Register, Report, ToInstance, Welcome, Who};
 
 impl Fleet {
-    pub(super) fn register(&mut self, time: Time, wish: &Register, jitter: u64, out: &mut Output) {
-        let Who { name, start, .. } = &wish.who;
-        if wish.who.check().and_then(|()| wish.traits.check()).is_err() {
+    pub(super) fn register(&mut self, time: Time, registration: &Register, jitter: u64, out: &mut Output) {
+        let Who { name, start, .. } = &registration.who;
+        if registration.who.check().and_then(|()| registration.traits.check()).is_err() {
             return;
         }
-        self.hear(wish.term, out);
+        self.observe_term(registration.term, out);
         let (start, term, every) = (*start, self.term, self.rules.every);
         if let Err(again) = self.spread.admit(time.now, name, jitter) {
             return out.sends.push((name.clone(), ToInstance::Later { start, again }));
         }
         let known = self.membership.len();
-        let answer = match self.membership.register(time.now, wish) {
+        let answer = match self.membership.register(time.now, registration) {
             Registered::Welcome { incarnation, new } => {
                 if new {
-                    // Stamps are never used twice within a term: a start may lose its name and win it back.
-                    let former = self.lines.get(name).map_or(0, |line| line.number);
-                    let number = former.max(self.numbers);
-                    self.lines.insert(name.clone(), Line { number, ..Line::default() });
+                    // A stamp is never used twice within a term: a start may lose its name and win it back.
+                    let former = self.instances.get(name).map_or(0, |instance| instance.number);
+                    let number = former.max(self.highest_number);
+                    self.instances.insert(name.clone(), InstanceState { number, ..InstanceState::default() });
                 }
                 if self.membership.len() <= known && new {
-                    self.drop_lines_without_member(out);
+                    self.forget_instances_without_member(out);
                 }
                 if let Some(member) = self.membership.get(name) {
-                    out.saves.insert(format!("member/{name}"), Some(Record::Member(member.kept())));
+                    out.saves.insert(format!("member/{name}"), Some(Record::Member(member.persisted())));
                 }
                 out.notes.push(Note::Presence(name.clone(), Presence::Joining));
                 let spread = self.spread.span(self.membership.len());
                 ToInstance::Welcome(Welcome { start, incarnation, term, every, spread })
             }
             Registered::Superseded { by, again } => {
-                out.notes.push(Note::Rival(name.clone(), wish.who.incarnation, by));
+                out.notes.push(Note::Rival(name.clone(), registration.who.incarnation, by));
                 ToInstance::Superseded { start, by, again }
             }
             Registered::Full => ToInstance::Later { start, again: self.rules.pace.horizon },
@@ -46,24 +46,24 @@
         out.sends.push((name.clone(), answer));
     }
 
-    /// A name that was forgotten to make room leaves its line and its record.
-    fn drop_lines_without_member(&mut self, out: &mut Output) {
-        let (membership, numbers) = (&self.membership, &mut self.numbers);
-        self.lines.retain(|name, line| {
+    /// Drops the state and the record of each name that was forgotten to make room.
+    fn forget_instances_without_member(&mut self, out: &mut Output) {
+        let (membership, highest_number) = (&self.membership, &mut self.highest_number);
+        self.instances.retain(|name, instance| {
             let known = membership.get(name).is_some();
             if !known {
-                *numbers = line.number.max(*numbers);
+                *highest_number = instance.number.max(*highest_number);
                 out.saves.insert(format!("member/{name}"), None);
             }
             known
         });
     }
 
-    /// An instance has heard of an agent of this term.
-    fn hear(&mut self, term: u64, out: &mut Output) {
+    /// Records a term that an instance knows. The agent stands down where it is a later one.
+    fn observe_term(&mut self, term: u64, out: &mut Output) {
         if term > self.term && self.stood_down.is_none_or(|known| known < term) {
             self.stood_down = Some(term);
-            self.desk = None;
+            self.fleet_limits = None;
             out.notes.push(Note::StoodDown(term));
         }
     }
@@ -74,7 +74,7 @@
         if report.who.check().is_err() {
             return;
         }
-        self.hear(report.term, out);
+        self.observe_term(report.term, out);
         let was = match self.membership.renew(time.now, &report.who) {
             Renewed::Renewed(was) => was,
             Renewed::Unknown => return out.sends.push((name.clone(), ToInstance::Unknown { start })),
@@ -87,22 +87,22 @@
             out.notes.push(Note::Presence(name.clone(), Presence::Alive));
         }
         out.sends.push((name.clone(), ToInstance::Renewed { start, term: self.term }));
-        if let Some(desk) = &mut self.desk {
+        if let Some(fleet_limits) = &mut self.fleet_limits {
             let zone = self.membership.get(name).map_or("", |member| &member.traits.zone);
-            let lent = desk.report(time.now, zone, report);
-            out.sends.extend(lent.map(|lent| (name.clone(), ToInstance::Lent(lent))));
-            self.note_lending(out);
+            let grant = fleet_limits.handle_report(time.now, zone, report);
+            out.sends.extend(grant.map(|grant| (name.clone(), ToInstance::Lent(grant))));
+            self.collect_lease_notes(out);
         }
-        let line = self.lines.entry(name.clone()).or_default();
-        line.holding = report.holding.clone();
-        line.counts = report.counts;
+        let instance = self.instances.entry(name.clone()).or_default();
+        instance.holding = report.holding.clone();
+        instance.counts = report.counts;
         if let Some(answer) = &report.answer {
-            self.take_answer(name, answer, out);
+            self.record_answer(name, answer, out);
         }
         self.advance(time, out);
-        // What a rollout has just made due was sent already.
+        // The rollout may have sent an order just now.
         if !out.sends.iter().any(|(to, message)| to == name && matches!(message, ToInstance::Order(_))) {
-            self.bring(name, out);
+            self.send_order(name, out);
         }
     }
 }
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -1,4 +1,4 @@
-//! The rollout under way: driven on, saved, and settled once it has ended.
+//! The rollout under way: it is advanced, persisted, and finished once it has ended.
 
 use super::note::Note;
 use super::record::{Entry, Record};
@@ -8,57 +8,57 @@
 use crate::rollout::{End, Phase, Rollout, Step, Target};
 
 impl Fleet {
-    /// Drives the rollout on, and sends what has become due by it.
+    /// Advances the rollout, and sends the orders that have become due.
     pub(super) fn advance(&mut self, time: Time, out: &mut Output) {
         if self.stood_down.is_some() {
             return;
         }
         let Some(rollout) = &mut self.rollout else { return };
-        let (membership, lines) = (&self.membership, &self.lines);
+        let (membership, instances) = (&self.membership, &self.instances);
         let counts = |name: &str| {
             let alive = membership.get(name).is_some_and(|member| member.presence == Presence::Alive);
-            lines.get(name).filter(|_| alive).map(|line| line.counts)
+            instances.get(name).filter(|_| alive).map(|instance| instance.counts)
         };
         if rollout.advance(time.now, self.newest.saturating_add(1), &counts) {
             self.newest = self.newest.saturating_add(1);
             out.saves.insert("settled".into(), Some(Record::Settled(self.newest, self.layers.clone())));
         }
-        self.save_rollout(time, out);
+        self.persist_rollout(time, out);
     }
 
-    /// Writes down what has changed of the rollout, settles it where it has ended, and sends what is due.
-    fn save_rollout(&mut self, time: Time, out: &mut Output) {
+    /// Persists what has changed of the rollout, finishes it where it has ended, and sends the orders that are due.
+    fn persist_rollout(&mut self, time: Time, out: &mut Output) {
         let Some(rollout) = &mut self.rollout else { return };
-        let touched = std::mem::take(&mut rollout.touched);
-        for name in &touched.targets {
+        let unsaved = std::mem::take(&mut rollout.unsaved);
+        for name in &unsaved.targets {
             if let Some(target) = rollout.targets.get(name) {
                 let key = format!("target/{:020}/{name}", rollout.revision);
                 out.saves.insert(key, Some(Record::Target(Target { until: None, ..target.clone() })));
             }
         }
-        if touched.head {
+        if unsaved.head {
             out.saves.insert("rollout".into(), Some(Record::Rollout(Box::new(rollout.head()))));
         }
-        if self.told != Some(rollout.phase) {
-            self.told = Some(rollout.phase);
+        if self.noted_phase != Some(rollout.phase) {
+            self.noted_phase = Some(rollout.phase);
             out.notes.push(Note::Rollout(rollout.change.id.clone(), rollout.phase, rollout.why.clone()));
         }
-        let names: Vec<String> = if touched.head && matches!(rollout.phase, Phase::Back | Phase::Ended(_)) {
+        let names: Vec<String> = if unsaved.head && matches!(rollout.phase, Phase::Back | Phase::Ended(_)) {
             rollout.targets.keys().cloned().collect()
         } else {
-            touched.targets.into_iter().collect()
+            unsaved.targets.into_iter().collect()
         };
         if let Phase::Ended(end) = rollout.phase {
-            self.settle(time, end, out);
+            self.finish_rollout(time, end, out);
         }
         for name in names {
-            self.bring(&name, out);
+            self.send_order(&name, out);
         }
     }
 
-    fn settle(&mut self, time: Time, end: End, out: &mut Output) {
+    fn finish_rollout(&mut self, time: Time, end: End, out: &mut Output) {
         let Some(rollout) = self.rollout.take() else { return };
-        self.told = None;
+        self.noted_phase = None;
         let Rollout { change, revision, back_revision, by, why, targets, .. } = rollout;
         match (&change.what, end) {
             (What::Set(edits), End::Done | End::Stopped) => {
@@ -69,17 +69,17 @@
                         targets.iter().filter(|(_, t)| applied(t)).map(|(name, _)| name.clone()),
                     ),
                 };
-                // Nobody took it: a selector without names would take all.
+                // No instance has it: a selector without names would match all.
                 if end == End::Done || !select.names.is_empty() {
                     self.layers.add(Layer { revision, id: change.id.clone(), select, edits: edits.clone() });
                 }
             }
             (What::Undo(id), End::Done) => self.layers = self.layers.without(id),
-            // An undo is neither stopped nor taken back.
+            // An undo is neither stopped nor undone.
             (What::Undo(_), _) | (What::Set(_), End::TakenBack) => {}
         }
-        if let Some(desk) = &mut self.desk {
-            desk.follow(time.now, &self.layers);
+        if let Some(fleet_limits) = &mut self.fleet_limits {
+            fleet_limits.apply_layers(time.now, &self.layers);
         }
         let entry = Entry { change, revision, back_revision, by, end, why, ended: time.wall };
         out.saves.insert("rollout".into(), None);
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -1,86 +1,86 @@
 //! The instance's side of the protocol.
 //!
-//! It connects outwards, registers, reports at a steady pace, and has in effect what the newest order says, whole or
-//! not at all. It never waits for the agent: without one it goes on with what it has. What it costs: one message out
-//! per report and per order obeyed, and the memory of two orders at most.
+//! An instance connects to the agent, registers, reports at regular intervals, and applies the newest order, either
+//! in full or not at all. It never waits for the agent: while there is none it goes on with the settings that it has.
+//! The cost is one message for each report and each order, and the memory of two orders at most.
 
 use crate::change::Traits;
 use crate::gate::Counts;
 use crate::protocol::{Answer, Holding, Order, Outcome, Register, Report, Stamp, ToAgent, ToInstance, Who};
 use crate::settings::Overlay;
-use crate::{Micros, Planted, planted};
-use madderloom_quota::Lent;
+use crate::{InjectedBug, Micros, is_injected};
+use madderloom_quota::Grant;
 use madderloom_roster::Lists;
 use serde::{Deserialize, Serialize};
 
-/// How long an answer to a registration is waited for, in microseconds.
-const PATIENCE: Micros = 5_000_000;
-/// So many reports in a row without an answer, and the agent is held to be away, if nothing else was said.
-const UNANSWERED: u32 = 3;
-/// How long at least an instance waits before it comes back to an agent that was away, in microseconds.
+/// How long an instance waits for an answer to its registration, in microseconds.
+const REGISTRATION_TIMEOUT: Micros = 5_000_000;
+/// The number of unanswered reports in a row after which the agent counts as unreachable, unless set otherwise.
+const MAX_UNANSWERED: u32 = 3;
+/// The shortest time before an instance returns to an agent that was unreachable, in microseconds.
 const SHORTEST_WAIT: Micros = 200_000;
-/// The longest wait that an agent may ask for, in microseconds.
+/// The longest delay that an agent may ask for, in microseconds.
 const LONGEST_WAIT: Micros = 120_000_000;
-/// The shortest and the longest gap between reports that an agent may ask for, in microseconds.
-const GAPS: (Micros, Micros) = (100_000, 60_000_000);
+/// The shortest and the longest report interval that an agent may ask for, in microseconds.
+const REPORT_INTERVALS: (Micros, Micros) = (100_000, 60_000_000);
 
-/// Where an instance stands with the agent.
+/// The state of an instance's session with the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Session {
-    /// It is not known there; it will ask when the time comes.
+    /// The instance is not registered; it will register when its timer is due.
     Out,
-    /// It has asked to be known.
+    /// It has sent a registration and waits for the answer.
     Asked,
-    /// It is known by its name.
+    /// It is registered.
     In,
 }
 
-/// What of an instance outlives it, if it may keep anything at all.
+/// The state of an instance that its next start should find again, where it can persist any.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Memory {
-    /// The incarnation it went by; the next start takes a greater one.
+    /// The incarnation; the next start takes a greater one.
     pub incarnation: u64,
-    /// The greatest term of an agent that it has heard of.
+    /// The greatest known term of an agent.
     pub term: u64,
-    /// The revision it had in effect.
+    /// The revision in effect.
     pub revision: u64,
-    /// All that it had in effect beside its own file.
+    /// All settings in effect beside those of the instance's own file.
     pub overlay: Overlay,
 }
 
-/// What has happened.
+/// An input of the state machine.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
-    /// The time asked for has come.
+    /// The time of [`Instance::next`] has come.
     Timer,
-    /// The agent has said something.
+    /// A message of the agent has arrived.
     Message(&'a ToInstance),
-    /// The order given to the embedder was checked whole and has taken effect whole, or was refused and has not.
+    /// The embedder has applied the order of [`Action::Take`] in full, or has refused it and changed nothing.
     Taken(Outcome),
     /// The connection to the agent is lost.
     Lost,
-    /// Its own file was read again: what was refused may be tried again.
+    /// The instance's own file was read again, so that an order that was refused may be tried again.
     FileChanged(&'a Traits),
-    /// The agent is to be told at once: something that was lent is not used any more, or discovery has spoken.
+    /// The agent should receive a report now: capacity of a limit was freed, or discovery has sent an event.
     Report,
 }
 
-/// What is to be done, in this order.
+/// An output of the state machine. Actions must be carried out in their order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Keep this for the next start.
+    /// Persist this for the next start.
     Keep(Memory),
-    /// Check all of this, then have all of it in effect, or nothing; then tell [`Event::Taken`].
+    /// Check the whole order, then apply it in full or not at all, and report the outcome by [`Event::Taken`].
     Take(Order),
-    /// Send this to the agent. What can't be sent is dropped.
+    /// Send this to the agent. A message that cannot be sent is dropped.
     Send(ToAgent),
-    /// This is lent of fleet-wide limits.
-    Lent(Lent),
-    /// This is what the fleet goes by of lists that it shares.
+    /// Use these leases of fleet-wide limits.
+    Lent(Grant),
+    /// Use these lists, which the fleet shares.
     Lists(Lists),
 }
 
-/// One start of an instance.
+/// The state machine of one start of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Instance {
     who: Who,
@@ -91,23 +91,23 @@
     holding: Holding,
     overlay: Overlay,
     answer: Option<Answer>,
-    taking: Option<Order>,
-    waiting: Option<Order>,
+    in_progress: Option<Order>,
+    queued: Option<Order>,
     counts: Counts,
     next: Micros,
     every: Micros,
     spread: Micros,
     unanswered: u32,
-    away_after: u32,
+    max_unanswered: u32,
 }
 
 impl Instance {
-    /// A start. `memory` is what the last one kept; its overlay must be in effect already, and be empty where it
-    /// could not be. `who.incarnation` is raised above the one kept.
+    /// Creates the state machine of a start. `memory` is what the last start persisted. Its overlay must be in effect
+    /// already; it must be empty where it could not be applied. `who.incarnation` is raised above the persisted one.
     pub fn new(now: Micros, mut who: Who, traits: Traits, memory: Memory) -> Self {
         who.incarnation = who.incarnation.max(memory.incarnation.saturating_add(1));
         let Memory { term, revision, overlay, .. } = memory;
-        let (stamp, answer, taking, waiting, counts) = Default::default();
+        let (stamp, answer, in_progress, queued, counts) = Default::default();
         Instance {
             who,
             traits,
@@ -117,23 +117,23 @@
             holding: Holding { revision, overlay: overlay.fingerprint() },
             overlay,
             answer,
-            taking,
-            waiting,
+            in_progress,
+            queued,
             counts,
             next: now,
             every: 3_000_000,
             spread: 1_000_000,
             unanswered: 0,
-            away_after: UNANSWERED,
+            max_unanswered: MAX_UNANSWERED,
         }
     }
 
-    /// Holds the agent to be away after so many reports in a row without an answer.
-    pub fn away_after(self, reports: u32) -> Self {
-        Instance { away_after: reports.max(1), ..self }
+    /// Sets the number of unanswered reports in a row after which the agent counts as unreachable.
+    pub fn max_unanswered(self, reports: u32) -> Self {
+        Instance { max_unanswered: reports.max(1), ..self }
     }
 
-    /// Its requests within the window that ends now; they go with the next report.
+    /// Sets the request counts of the window that ends now; the next report contains them.
     pub fn count(&mut self, counts: Counts) {
         self.counts = counts;
     }
@@ -143,70 +143,72 @@
         self.next
     }
 
-    /// Where it stands with the agent.
+    /// The state of the session with the agent.
     pub fn session(&self) -> Session {
         self.session
     }
 
-    /// Who it is. The incarnation may have been raised by the agent.
+    /// The identity of this start. The agent may have raised the incarnation.
     pub fn who(&self) -> &Who {
         &self.who
     }
 
-    /// All that it has in effect beside its own file.
+    /// All settings in effect beside those of the instance's own file.
     pub fn overlay(&self) -> &Overlay {
         &self.overlay
     }
 
-    /// The revision and the fingerprint of what it has in effect.
+    /// The revision and the fingerprint of the settings in effect.
     pub fn holding(&self) -> &Holding {
         &self.holding
     }
 
-    /// The last order that it obeyed in this start.
+    /// The stamp of the last order that this start has obeyed.
     pub fn stamp(&self) -> Stamp {
         self.stamp
     }
 
-    /// The greatest term of an agent that it has heard of.
+    /// The greatest known term of an agent.
     pub fn term(&self) -> u64 {
         self.term
     }
 
-    /// What it made of the last order.
+    /// The answer to the last order.
     pub fn answer(&self) -> Option<&Answer> {
         self.answer.as_ref()
     }
 
-    /// Something has happened. `jitter` is a random number.
+    /// Handles an event and appends the resulting actions. `jitter` must be random.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, jitter: u64, actions: &mut Vec<Action>) {
         match event {
             Event::Timer if now < self.next => {}
-            Event::Timer => self.timer(now, jitter, actions),
-            Event::Message(message) => self.message(now, message, jitter, actions),
-            Event::Taken(outcome) => self.taken(outcome, actions),
-            Event::Lost => self.away(now, jitter),
+            Event::Timer => self.on_timer(now, jitter, actions),
+            Event::Message(message) => self.on_message(now, message, jitter, actions),
+            Event::Taken(outcome) => self.order_completed(outcome, actions),
+            Event::Lost => self.end_session(now, jitter),
             Event::Report if self.session == Session::In => actions.push(Action::Send(self.report())),
             Event::Report => {}
             Event::FileChanged(traits) => {
                 self.traits = traits.clone();
                 self.answer = None;
-                // The agent learns of it by the registration.
+                // The registration tells the agent about it.
                 self.session = Session::Out;
                 self.next = now;
             }
         }
     }
 
-    fn timer(&mut self, now: Micros, jitter: u64, actions: &mut Vec<Action>) {
+    fn on_timer(&mut self, now: Micros, jitter: u64, actions: &mut Vec<Action>) {
         match self.session {
             Session::Out | Session::Asked => {
                 self.session = Session::Asked;
-                self.next = now.saturating_add(PATIENCE).saturating_add(jitter % PATIENCE);
-                let wish = Register { who: self.who.clone(), traits: self.traits.clone(), term: self.term };
-                actions.push(Action::Send(ToAgent::Register(wish)));
+                self.next =
+                    now.saturating_add(REGISTRATION_TIMEOUT).saturating_add(jitter % REGISTRATION_TIMEOUT);
+                let registration =
+                    Register { who: self.who.clone(), traits: self.traits.clone(), term: self.term };
+                actions.push(Action::Send(ToAgent::Register(registration)));
             }
-            Session::In if self.unanswered >= self.away_after => self.away(now, jitter),
+            Session::In if self.unanswered >= self.max_unanswered => self.end_session(now, jitter),
             Session::In => {
                 self.unanswered += 1;
                 self.next = now.saturating_add(self.every);
@@ -215,27 +217,27 @@
         }
     }
 
-    /// The agent is away: it is come back to at a time of its own.
-    fn away(&mut self, now: Micros, jitter: u64) {
+    /// Ends the session. The instance registers again after a random delay.
+    fn end_session(&mut self, now: Micros, jitter: u64) {
         self.session = Session::Out;
         self.unanswered = 0;
         self.next = now.saturating_add(SHORTEST_WAIT).saturating_add(jitter % self.spread.max(1));
     }
 
-    fn message(&mut self, now: Micros, message: &ToInstance, jitter: u64, actions: &mut Vec<Action>) {
+    fn on_message(&mut self, now: Micros, message: &ToInstance, jitter: u64, actions: &mut Vec<Action>) {
         let wait = |again: Micros| now.saturating_add(again.clamp(1, LONGEST_WAIT));
         match message {
             ToInstance::Welcome(welcome) if welcome.start == self.who.start => {
-                if self.session != Session::Asked || !self.hear(welcome.term, actions) {
+                if self.session != Session::Asked || !self.observe_term(welcome.term, actions) {
                     return;
                 }
                 self.session = Session::In;
                 self.unanswered = 0;
-                self.every = welcome.every.clamp(GAPS.0, GAPS.1);
+                self.every = welcome.every.clamp(REPORT_INTERVALS.0, REPORT_INTERVALS.1);
                 self.spread = welcome.spread.clamp(1, LONGEST_WAIT);
                 if self.who.incarnation != welcome.incarnation {
                     self.who.incarnation = welcome.incarnation;
-                    actions.push(Action::Keep(self.memory()));
+                    actions.push(Action::Keep(self.persisted_state()));
                 }
                 self.next = now.saturating_add(self.every);
                 self.unanswered = 1;
@@ -245,10 +247,10 @@
                 if *start == self.who.start && self.session == Session::In =>
             {
                 if *term < self.term {
-                    // An agent that was replaced and does not know it: the other one is sought.
-                    return self.away(now, jitter);
+                    // This agent was replaced and does not know it: look for the other one.
+                    return self.end_session(now, jitter);
                 }
-                self.hear(*term, actions);
+                self.observe_term(*term, actions);
                 self.unanswered = 0;
             }
             ToInstance::Superseded { start, again, .. } | ToInstance::Later { start, again }
@@ -261,52 +263,52 @@
                 self.session = Session::Out;
                 self.next = now;
             }
-            // From an agent that is not followed any more, or not yet, nothing is taken.
-            ToInstance::Lent(lent)
-                if lent.start == self.who.start
+            // Messages from an agent outside a session are ignored.
+            ToInstance::Lent(grant)
+                if grant.start == self.who.start
                     && self.session == Session::In
-                    && self.hear(lent.by.term, actions) =>
+                    && self.observe_term(grant.by.term, actions) =>
             {
-                actions.push(Action::Lent(lent.clone()));
+                actions.push(Action::Lent(grant.clone()));
             }
             ToInstance::Lists(lists)
                 if lists.start == self.who.start
                     && self.session == Session::In
-                    && self.hear(lists.stamp.term, actions) =>
+                    && self.observe_term(lists.stamp.term, actions) =>
             {
                 actions.push(Action::Lists(lists.clone()));
             }
-            ToInstance::Order(order) if order.start == self.who.start => self.order(order, actions),
+            ToInstance::Order(order) if order.start == self.who.start => self.on_order(order, actions),
             _ => {}
         }
     }
 
-    /// An agent has spoken. False if a later one has been heard of.
-    fn hear(&mut self, term: u64, actions: &mut Vec<Action>) -> bool {
+    /// Records the term of an agent that has sent a message. Returns false where a later term is known.
+    fn observe_term(&mut self, term: u64, actions: &mut Vec<Action>) -> bool {
         if term > self.term {
             self.term = term;
-            actions.push(Action::Keep(self.memory()));
+            actions.push(Action::Keep(self.persisted_state()));
         }
         term >= self.term
     }
 
-    fn order(&mut self, order: &Order, actions: &mut Vec<Action>) {
-        let fenced = !planted(Planted::NoFencing);
-        if self.session != Session::In || fenced && !self.hear(order.stamp.term, actions) {
+    fn on_order(&mut self, order: &Order, actions: &mut Vec<Action>) {
+        let fenced = !is_injected(InjectedBug::NoFencing);
+        if self.session != Session::In || fenced && !self.observe_term(order.stamp.term, actions) {
             return;
         }
         if fenced && order.stamp < self.stamp {
             return;
         }
-        if let Some(taking) = &self.taking {
-            // One at a time; of those that come meanwhile the newest counts.
-            let newest = self.waiting.as_ref().unwrap_or(taking);
+        if let Some(in_progress) = &self.in_progress {
+            // One order at a time is carried out; of those that arrive meanwhile, the newest is kept.
+            let newest = self.queued.as_ref().unwrap_or(in_progress);
             if order.stamp > newest.stamp {
-                self.waiting = Some(order.clone());
+                self.queued = Some(order.clone());
             }
             return;
         }
-        if order.stamp == self.stamp && !planted(Planted::ForgetRepeats) {
+        if order.stamp == self.stamp && !is_injected(InjectedBug::ForgetRepeats) {
             return actions.push(Action::Send(self.report()));
         }
         let overlay = order.overlay.fingerprint();
@@ -316,22 +318,22 @@
         };
         let known = self.answer.as_mut().filter(same);
         if let Some(answer) = known.filter(|answer| holds || answer.outcome != Outcome::Applied)
-            && !planted(Planted::ForgetRepeats)
+            && !is_injected(InjectedBug::ForgetRepeats)
         {
-            // The same again under a later stamp: the same answer, and nothing is done.
+            // A repeated order under a later stamp: the answer is repeated too, and nothing is applied.
             answer.stamp = order.stamp;
             self.stamp = order.stamp;
             return actions.push(Action::Send(self.report()));
         }
-        if planted(Planted::AckBeforeEffect) {
-            self.obey(order, Outcome::Applied);
+        if is_injected(InjectedBug::AckBeforeEffect) {
+            self.record_outcome(order, Outcome::Applied);
             actions.push(Action::Send(self.report()));
         }
-        self.taking = Some(order.clone());
+        self.in_progress = Some(order.clone());
         actions.push(Action::Take(order.clone()));
     }
 
-    fn obey(&mut self, order: &Order, outcome: Outcome) {
+    fn record_outcome(&mut self, order: &Order, outcome: Outcome) {
         let overlay = order.overlay.fingerprint();
         let Order { stamp, change, revision, .. } = order.clone();
         if outcome == Outcome::Applied {
@@ -342,17 +344,17 @@
         self.answer = Some(Answer { stamp, change, revision, overlay, outcome });
     }
 
-    fn taken(&mut self, outcome: Outcome, actions: &mut Vec<Action>) {
-        let Some(order) = self.taking.take() else { return };
-        self.obey(&order, outcome);
-        actions.push(Action::Keep(self.memory()));
+    fn order_completed(&mut self, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(order) = self.in_progress.take() else { return };
+        self.record_outcome(&order, outcome);
+        actions.push(Action::Keep(self.persisted_state()));
         actions.push(Action::Send(self.report()));
-        if let Some(next) = self.waiting.take() {
-            self.order(&next, actions);
+        if let Some(next) = self.queued.take() {
+            self.on_order(&next, actions);
         }
     }
 
-    fn memory(&self) -> Memory {
+    fn persisted_state(&self) -> Memory {
         Memory {
             incarnation: self.who.incarnation,
             term: self.term,
@@ -378,10 +380,10 @@
         self.who.name.clear();
     }
 
-    /// Whether the next timer finds the agent away.
+    /// Whether the next timer ends the session.
     #[cfg(any(test, feature = "explore"))]
-    pub(crate) fn goes_away(&self) -> bool {
-        self.session == Session::In && self.unanswered >= self.away_after
+    pub(crate) fn ends_session(&self) -> bool {
+        self.session == Session::In && self.unanswered >= self.max_unanswered
     }
 
     #[cfg(any(test, feature = "explore"))]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,22 +1,22 @@
-//! A fleet of instances and the agent that changes them, as state machines: no clock, no I/O, no randomness but a
-//! seed. Whatever is told of time is passed in as whole microseconds of a monotonic clock; all maps are ordered, so
-//! that the same events give the same actions.
+//! The control plane of a fleet as state machines: an agent, and the instances that it changes. They have no clock,
+//! do no I/O and use no randomness but a seed. The caller passes times in as whole microseconds of a monotonic clock.
+//! All maps are ordered, so that the same events give the same actions.
 //!
-//! - [`Fleet`] is the agent: [`membership`], the one [`rollout`] under way, the [`change::Layers`] settled on, and
-//!   what is ordered of each instance. Whatever must last is given out as records, to be made durable together
-//!   before anything else of the same call is done.
+//! - [`Fleet`] is the agent's state machine: the [`membership`], the one [`rollout`] under way, the
+//!   [`change::Layers`] in effect, and the orders to each instance. It returns what must be durable as records. The
+//!   caller must make them durable together before it does anything else that the same call returned.
 //! - [`Instance`] is the instance's side of the [`protocol`].
-//! - [`gate`] judges by the instances' own figures whether a change hurts.
+//! - [`gate`] judges by the instances' own request counts whether a change does harm.
 //!
-//! With the feature `explore` there is also an explorer that runs both sides through every order of messages,
-//! losses, repeats and crashes of small fleets.
+//! With the feature `explore` there is also an explorer that runs both sides through every order of messages, losses,
+//! repeats and crashes of small fleets.
 
 pub mod change;
 pub mod file;
 mod fleet;
+pub mod fleet_limits;
 pub mod gate;
 mod instance;
-pub mod lending;
 pub mod membership;
 pub mod protocol;
 pub mod rollout;
@@ -27,18 +27,20 @@
 pub mod explore;
 
 pub use fleet::{
-    Accepted, By, Declined, Entry, Fleet, Line, Note, Output, Record, Rules, Since, StandDown, Time, Unsound,
-    difference,
+    Accepted, By, Declined, Entry, Fleet, InstanceState, InvalidRecord, Note, Output, Record, Rules, Since,
+    StandDown, Time, difference,
 };
+// The former name, for code that still uses it.
+pub use fleet::InstanceState as Line;
 pub use instance::{Action, Event, Instance, Memory, Session};
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// A time, or a span of time, in microseconds. Times only ever grow; their zero means nothing.
+/// A point in time or a duration, in microseconds. Times never decrease; their zero has no meaning.
 pub type Micros = u64;
 
-/// What is wrong with something, and where.
+/// What is wrong with a document, and where.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Problem {
     /// The field at fault, such as `set.weight/w7`.
@@ -53,32 +55,32 @@
     }
 }
 
-/// Bugs that the explorer plants to see whether it finds them. None outside of it.
+/// Bugs that the explorer injects to check that it finds them. A program that serves has none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Planted {
-    /// An instance says that an order is in effect before it is.
+pub enum InjectedBug {
+    /// An instance acknowledges an order before it has taken effect.
     AckBeforeEffect,
-    /// An instance obeys whatever comes, however old.
+    /// An instance obeys every order, however old.
     NoFencing,
-    /// An instance does not remember what it made of an order: a repeat is tried again.
+    /// An instance does not remember the outcome of an order, and carries a repeated one out again.
     ForgetRepeats,
-    /// The agent takes an answer to an order of an earlier term for one to its own.
-    OldAnswers,
-    /// The agent sends before what it decided lasts.
+    /// The agent accepts an answer to an order of an earlier term as one to its own order.
+    AcceptOldAnswers,
+    /// The agent sends messages before the records of its decision are durable.
     SendBeforeSave,
-    /// An instance is told by its name alone: whoever reports under it renews its lease and answers its orders.
-    NamesAlone,
-    /// An instance puts settings in effect one by one, and stops where one makes no sense.
-    HalfTaken,
+    /// The agent identifies instances by their names only: any process may renew the lease and answer the orders.
+    IdentifyByName,
+    /// An instance applies settings one by one, and stops at the first invalid one.
+    ApplyPartially,
     /// The agent forgets a rollout that was under way when it was killed.
     ForgetRollout,
 }
 
-/// Whether a bug is planted.
+/// Whether a bug is injected. Always false in a program that serves.
 #[inline]
-pub(crate) fn planted(_bug: Planted) -> bool {
+pub(crate) fn is_injected(_bug: InjectedBug) -> bool {
     #[cfg(any(test, feature = "explore"))]
-    return explore::is_planted(_bug);
+    return explore::is_injected(_bug);
     #[cfg(not(any(test, feature = "explore")))]
     false
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,31 +1,31 @@
-//! Who is there: one start of one instance for each name, kept by a lease.
+//! The membership of a fleet: for each name, the one start of an instance that holds it under a lease.
 //!
-//! | state | entered when | what it means |
+//! | state | entered when | meaning |
 //! | --- | --- | --- |
-//! | joining | a start registers | it may use its name; its first report is awaited |
-//! | alive | it reports | its lease runs |
-//! | suspect | its lease ended | it may be slow, cut off or dead; it keeps its name |
-//! | gone | a second span passed | its name is free; a report makes it register again |
+//! | joining | a start registers | it may use the name; its first report is awaited |
+//! | alive | it reports | its lease is valid |
+//! | suspect | its lease has expired | it may be slow, disconnected or dead; it keeps the name |
+//! | gone | the grace period has passed too | the name is free; after a report it has to register again |
 //!
-//! Of two starts with one name the one with the greater incarnation holds it. A start whose incarnation is not
-//! greater waits until the holder is gone, and then gets an incarnation above the holder's. The other start is noted
-//! as the name's rival for operators to see: two processes configured with one name show as rivals for as long as
-//! both run, a restart shows none.
+//! Of two starts with one name, the one with the greater incarnation holds it. A start whose incarnation is not
+//! greater waits until the holder is gone, and then receives an incarnation above the holder's. Until then it is
+//! recorded as the name's rival, for operators to see. Two processes configured with one name show as rivals for as
+//! long as both run; a restart shows no rival.
 
 use crate::change::Traits;
 use crate::protocol::{Register, Who};
-use crate::{Micros, Planted, planted};
+use crate::{InjectedBug, Micros, is_injected};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Spans and bounds of membership.
+/// Durations and bounds of membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Leases {
-    /// How long one that said nothing is still held to be alive, in microseconds.
+    /// How long a member without reports counts as alive, in microseconds.
     pub lease: Micros,
-    /// How long a suspect is waited for, in microseconds.
+    /// The grace period of a suspect, in microseconds.
     pub grace: Micros,
-    /// How long one that is gone is remembered, in microseconds.
+    /// How long a member that is gone is remembered, in microseconds.
     pub memory: Micros,
     /// The most names that are known.
     pub most: usize,
@@ -37,100 +37,101 @@
     }
 }
 
-/// Whether an instance is there.
+/// The state of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Presence {
-    /// It has registered and not yet reported.
+    /// It has registered and has not reported yet.
     Joining,
-    /// Its lease runs.
+    /// Its lease is valid.
     Alive,
-    /// Its lease ended a short while ago.
+    /// Its lease has expired recently.
     Suspect,
-    /// It has been silent for too long.
+    /// It has been silent for longer than the grace period.
     Gone,
 }
 
-/// Another start that wants the same name.
+/// Another start that wants to use the same name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rival {
-    /// Its start.
+    /// The start.
     pub start: u64,
-    /// The incarnation it came with.
+    /// The incarnation that it registered with.
     pub incarnation: u64,
-    /// How often it has come, up to [`SEEN`]: a start that was replaced comes once, another process again and again.
+    /// How often it has registered, up to [`SEEN`]. A start that was replaced registers once, another process
+    /// repeatedly.
     pub seen: u32,
 }
 
-/// A rival that came so often is a process of its own.
+/// A rival that has registered this often is a process of its own.
 pub const SEEN: u32 = 3;
 
 /// The start that holds a name.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
-    /// Which start.
+    /// The start.
     pub start: u64,
-    /// The incarnation it goes by.
+    /// Its incarnation.
     pub incarnation: u64,
-    /// What it says of itself.
+    /// Its traits, as it registered them.
     pub traits: Traits,
-    /// Whether it is there.
+    /// Its state.
     pub presence: Presence,
-    /// When that changes if it stays silent.
+    /// When the state changes if no report arrives.
     pub until: Micros,
-    /// One that is turned away while this one is there.
+    /// A start that was rejected because this one holds the name.
     pub rival: Option<Rival>,
 }
 
-/// What of a member lasts.
+/// The part of a member that is persisted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Kept {
-    /// Which start.
+pub struct PersistedMember {
+    /// The start.
     pub start: u64,
-    /// The incarnation it went by.
+    /// Its incarnation.
     pub incarnation: u64,
-    /// What it said of itself.
+    /// Its traits.
     pub traits: Traits,
 }
 
-/// What comes of a wish to register.
+/// The result of a registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Registered {
-    /// It holds the name.
+    /// The start holds the name.
     Welcome {
-        /// The incarnation it goes by.
+        /// Its incarnation from now on.
         incarnation: u64,
-        /// Whether another start held the name before, or none.
+        /// Whether the name was free before or held by another start.
         new: bool,
     },
     /// Another start holds the name.
     Superseded {
         /// The holder's incarnation.
         by: u64,
-        /// Microseconds after which it is worth asking again.
+        /// The delay after which to try again, in microseconds.
         again: Micros,
     },
-    /// More names are known than there may be, and all are in use.
+    /// The most names are known already, and all of them are in use.
     Full,
 }
 
-/// What comes of a report.
+/// The result of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Renewed {
-    /// Its lease runs anew; it was so before.
+    /// The lease is renewed; this was the state before.
     Renewed(Presence),
-    /// It does not hold the name and nobody does: it has to register.
+    /// Neither this start nor another holds the name: the start has to register.
     Unknown,
     /// Another start holds the name.
     Superseded {
         /// The holder's incarnation.
         by: u64,
-        /// Microseconds after which it is worth asking again.
+        /// The delay after which to try again, in microseconds.
         again: Micros,
     },
 }
 
-/// All names that are known.
+/// All known names and their holders.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Membership {
     leases: Leases,
@@ -138,14 +139,14 @@
 }
 
 impl Membership {
-    /// Nobody yet.
+    /// Creates an empty membership.
     pub fn new(leases: Leases) -> Self {
         Membership { leases, members: BTreeMap::new() }
     }
 
-    /// One that was known before the agent's start: suspect, until it speaks.
-    pub fn restore(&mut self, now: Micros, name: String, kept: Kept) {
-        let Kept { start, incarnation, traits } = kept;
+    /// Adds a member that was known before the agent started. It is suspect until it reports.
+    pub fn restore(&mut self, now: Micros, name: String, member: PersistedMember) {
+        let PersistedMember { start, incarnation, traits } = member;
         let until = now.saturating_add(self.leases.lease).saturating_add(self.leases.grace);
         if self.members.len() < self.leases.most {
             let presence = Presence::Suspect;
@@ -153,49 +154,52 @@
         }
     }
 
-    /// A start wants to be known by its name. Its name must have been checked.
-    pub fn register(&mut self, now: Micros, wish: &Register) -> Registered {
-        let Who { name, start, incarnation } = &wish.who;
+    /// Registers a start under its name. The name must have been checked.
+    pub fn register(&mut self, now: Micros, registration: &Register) -> Registered {
+        let Who { name, start, incarnation } = &registration.who;
         let until = now.saturating_add(self.leases.lease);
         if let Some(member) = self.members.get_mut(name) {
             let same = member.start == *start;
             if !same && *incarnation <= member.incarnation && member.presence != Presence::Gone {
-                return member.turn_away(now, *start, *incarnation);
+                return member.reject(now, *start, *incarnation);
             }
             if same && member.presence != Presence::Gone {
-                // It says so again, since it did not hear the answer or lost the connection.
-                member.traits = wish.traits.clone();
+                // It registers again, because it did not receive the answer or lost the connection.
+                member.traits = registration.traits.clone();
                 member.presence = Presence::Joining;
                 member.until = until;
                 return Registered::Welcome { incarnation: member.incarnation, new: false };
             }
-            // A number that was used before would make two starts look like one.
+            // Two starts with the same incarnation would be taken for one.
             let above = member.incarnation.saturating_add(1);
             let granted = if same { member.incarnation } else { above.max(*incarnation) };
-            *member = Member::joining(*start, granted, wish.traits.clone(), until);
+            *member = Member::joining(*start, granted, registration.traits.clone(), until);
             return Registered::Welcome { incarnation: granted, new: !same };
         }
-        if self.members.len() >= self.leases.most && !self.forget_one() {
+        if self.members.len() >= self.leases.most && !self.forget_longest_gone() {
             return Registered::Full;
         }
-        self.members.insert(name.clone(), Member::joining(*start, *incarnation, wish.traits.clone(), until));
+        self.members
+            .insert(name.clone(), Member::joining(*start, *incarnation, registration.traits.clone(), until));
         Registered::Welcome { incarnation: *incarnation, new: true }
     }
 
-    /// A start says that it is there.
+    /// Renews the lease of a start that has reported.
     pub fn renew(&mut self, now: Micros, who: &Who) -> Renewed {
         let Some(member) = self.members.get_mut(&who.name) else { return Renewed::Unknown };
-        if member.start != who.start && !planted(Planted::NamesAlone) {
+        if member.start != who.start && !is_injected(InjectedBug::IdentifyByName) {
             if member.presence == Presence::Gone {
                 return Renewed::Unknown;
             }
-            return match member.turn_away(now, who.start, who.incarnation) {
+            return match member.reject(now, who.start, who.incarnation) {
                 Registered::Superseded { by, again } => Renewed::Superseded { by, again },
                 _ => Renewed::Unknown,
             };
         }
         let was = member.presence;
-        if was == Presence::Gone || member.incarnation != who.incarnation && !planted(Planted::NamesAlone) {
+        if was == Presence::Gone
+            || member.incarnation != who.incarnation && !is_injected(InjectedBug::IdentifyByName)
+        {
             return Renewed::Unknown;
         }
         member.presence = Presence::Alive;
@@ -203,7 +207,7 @@
         Renewed::Renewed(was)
     }
 
-    /// Time has passed. Gives those whose presence has changed; one that is forgotten is told as gone once more.
+    /// Returns the members whose state has changed by now. A member that is forgotten appears as gone once more.
     pub fn tick(&mut self, now: Micros) -> Vec<(String, Presence)> {
         let mut changed = Vec::new();
         let leases = self.leases;
@@ -227,7 +231,7 @@
         changed
     }
 
-    /// When time matters next.
+    /// When [`Membership::tick`] is due next.
     pub fn next(&self) -> Option<Micros> {
         self.members.values().map(|member| member.until).min()
     }
@@ -237,23 +241,23 @@
         self.members.get(name)
     }
 
-    /// All holders, in the order of their names.
+    /// All holders, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Member)> {
         self.members.iter()
     }
 
-    /// How many names are known.
+    /// The number of known names.
     pub fn len(&self) -> usize {
         self.members.len()
     }
 
-    /// Whether none is.
+    /// Whether no name is known.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
     }
 
-    /// Whether so many names are known that another one makes one be forgotten.
-    fn forget_one(&mut self) -> bool {
+    /// Forgets the member that has been gone for longest. Returns whether there was one.
+    fn forget_longest_gone(&mut self) -> bool {
         let gone = self.members.iter().filter(|(_, member)| member.presence == Presence::Gone);
         let longest = gone.min_by_key(|(_, member)| member.until).map(|(name, _)| name.clone());
         longest.is_some_and(|name| self.members.remove(&name).is_some())
@@ -270,12 +274,12 @@
         Member { start, incarnation, traits, presence: Presence::Joining, until, rival: None }
     }
 
-    /// What of it lasts.
-    pub fn kept(&self) -> Kept {
-        Kept { start: self.start, incarnation: self.incarnation, traits: self.traits.clone() }
+    /// The part of the member that is persisted.
+    pub fn persisted(&self) -> PersistedMember {
+        PersistedMember { start: self.start, incarnation: self.incarnation, traits: self.traits.clone() }
     }
 
-    fn turn_away(&mut self, now: Micros, start: u64, incarnation: u64) -> Registered {
+    fn reject(&mut self, now: Micros, start: u64, incarnation: u64) -> Registered {
         let seen = self.rival.filter(|rival| rival.start == start).map_or(0, |rival| rival.seen);
         self.rival = Some(Rival { start, incarnation, seen: (seen + 1).min(SEEN) });
         Registered::Superseded { by: self.incarnation, again: self.until.saturating_sub(now) }
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -1,37 +1,38 @@
-//! The messages between an instance and the agent, version 1. `docs/control-protocol.md` tells how they travel.
+//! The messages between an instance and the agent, version 1. `docs/control-protocol.md` describes how they are
+//! transported.
 //!
-//! Everything is level-triggered: an instance's report says what it holds and which order it obeyed last, and the
-//! agent answers with an order for as long as that is not what it should be. So a message that is lost, late or
-//! doubled does no harm: the next report heals it.
+//! The protocol is level-triggered: an instance's report contains the settings in effect and the last order that it
+//! obeyed, and the agent answers with an order for as long as these are not the desired ones. So a message that is
+//! lost, late or duplicated does no harm: the next report repairs it.
 
 use crate::Problem;
 use crate::change::Traits;
 use crate::gate::Counts;
 use crate::settings::{Fingerprint, Overlay, check_name};
-use madderloom_quota::{Asks, Lent};
+use madderloom_quota::{Grant, LeaseRequests};
 use madderloom_roster::{Lists, Tells};
 use serde::{Deserialize, Serialize};
 
-/// The version of the protocol; it stands in the path of every request.
+/// The version of the protocol; it is part of the path of every request.
 pub const VERSION: u32 = 1;
 /// The largest message of an instance, in bytes.
 pub const LARGEST_FROM_INSTANCE: usize = 64 << 10;
 /// The largest message of the agent to an instance, and of the command line to the agent, in bytes.
 pub const LARGEST_ORDER: usize = 8 << 20;
-/// The longest text in which an instance says why it refused, in bytes.
+/// The longest reason for a refusal, in bytes.
 pub const LONGEST_REASON: usize = 1_024;
 
-/// Which order is the later one: by the term of the agent that gave it, then by its number. Numbers count the
-/// orders for one instance within one term, from 1.
+/// Orders the agent's orders: by the term of the agent that gave them, then by number. Numbers count the orders to
+/// one instance within one term, from 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
-    /// The term of the agent: grows with each of its starts.
+    /// The term of the agent; it grows with each of the agent's starts.
     pub term: u64,
     /// The number of the order.
     pub number: u64,
 }
 
-/// Which start of which instance speaks or is spoken to.
+/// The identity of one start of an instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Who {
     /// The instance's name.
@@ -43,157 +44,157 @@
 }
 
 impl Who {
-    /// Checks what has come from outside.
+    /// Checks the name.
     ///
     /// # Errors
-    /// The field at fault.
+    /// The invalid field.
     pub fn check(&self) -> Result<(), Problem> {
         check_name(&self.name).map_err(|problem| Problem { field: "name".into(), problem })
     }
 }
 
-/// What an instance has in effect beside its own file.
+/// The settings in effect on an instance beside its own file.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Holding {
     /// The revision of the newest change in it; 0 for none.
     pub revision: u64,
-    /// The fingerprint of all of it.
+    /// The fingerprint of all settings.
     pub overlay: Fingerprint,
 }
 
-/// How an instance met an order.
+/// The outcome of an order.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
-    /// All of it is in effect.
+    /// The order is in effect in full.
     Applied,
-    /// None of it is.
+    /// The order was refused and nothing has changed.
     Refused(Problem),
 }
 
-/// What an instance made of the last order that it obeyed.
+/// An instance's answer to the last order that it obeyed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Answer {
-    /// Which order.
+    /// The stamp of the order.
     pub stamp: Stamp,
-    /// The change it was for.
+    /// The change of the order.
     pub change: String,
-    /// The revision it was to bring.
+    /// The revision of the order.
     pub revision: u64,
-    /// The fingerprint of what it was to bring.
+    /// The fingerprint of the ordered settings.
     pub overlay: Fingerprint,
-    /// What came of it.
+    /// The outcome.
     pub outcome: Outcome,
 }
 
-/// The agent's order: have exactly this in effect beside your own file.
+/// The agent's order: exactly these settings are to be in effect beside the instance's own file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Order {
-    /// Which start of the instance it is for; any other one takes no notice.
+    /// The start that the order is for; any other start ignores it.
     pub start: u64,
     /// Its place among all orders.
     pub stamp: Stamp,
-    /// The change that it brings; empty where the fleet has settled on none for this instance.
+    /// The change that the order belongs to; empty where no change is in effect for the instance.
     pub change: String,
-    /// The revision that it brings.
+    /// The revision of the change.
     pub revision: u64,
-    /// All that is to be in effect.
+    /// All settings.
     pub overlay: Overlay,
 }
 
-/// What an instance sends.
+/// A message of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ToAgent {
-    /// It wants to be known by its name.
+    /// The instance registers under its name.
     Register(Register),
-    /// It is there, and this is how it is.
+    /// A heartbeat with the state of the instance.
     Report(Report),
 }
 
-/// An instance's wish to be known by its name.
+/// An instance's registration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Register {
-    /// Who it is.
+    /// The identity of the start.
     pub who: Who,
-    /// What it says of itself.
+    /// Its traits.
     #[serde(default)]
     pub traits: Traits,
-    /// The greatest term of an agent that it has heard of: it obeys none of an earlier one.
+    /// The greatest known term of an agent. The instance obeys no agent of an earlier term.
     #[serde(default)]
     pub term: u64,
 }
 
-/// An instance's word that it is there, and how it is. Renews its lease.
+/// An instance's heartbeat with its state. It renews the instance's lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Report {
-    /// Who it is.
+    /// The identity of the start.
     pub who: Who,
-    /// The greatest term of an agent that it has heard of.
+    /// The greatest known term of an agent.
     #[serde(default)]
     pub term: u64,
-    /// The last order that it obeyed in this start.
+    /// The answer to the last order that this start has obeyed.
     #[serde(default)]
     pub answer: Option<Answer>,
-    /// What it has in effect.
+    /// The settings in effect.
     #[serde(default)]
     pub holding: Holding,
-    /// Its requests within the last window.
+    /// The requests of the last window.
     #[serde(default)]
     pub counts: Counts,
-    /// What it says of fleet-wide limits; nothing where it takes part in none.
+    /// The requests for leases of fleet-wide limits; none where the instance takes part in no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub asks: Option<Box<Asks>>,
-    /// What it says of lists that the fleet shares; nothing where it takes part in none.
+    pub asks: Option<Box<LeaseRequests>>,
+    /// The state of the lists that the fleet shares; none where the instance takes part in no list.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tells: Option<Box<Tells>>,
 }
 
-/// What the agent sends to an instance.
+/// A message of the agent to an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ToInstance {
-    /// It is known by its name, until its lease ends.
+    /// The registration is accepted.
     Welcome(Welcome),
-    /// Another start holds the name; come again after so many microseconds.
+    /// Another start holds the name.
     Superseded {
-        /// Its own start, as it said.
+        /// The start that the message is for.
         start: u64,
         /// The incarnation that holds the name.
         by: u64,
-        /// Microseconds.
+        /// The delay after which to register again, in microseconds.
         again: u64,
     },
-    /// Too many come at once: come again after so many microseconds.
+    /// Too many instances register at once.
     Later {
-        /// Its own start, as it said.
+        /// The start that the message is for.
         start: u64,
-        /// Microseconds.
+        /// The delay after which to register again, in microseconds.
         again: u64,
     },
-    /// It is not known here: it has to register again.
+    /// The start is not registered and has to register again.
     Unknown {
-        /// Its own start, as it said.
+        /// The start that the message is for.
         start: u64,
     },
-    /// Its lease is renewed.
+    /// The lease of the name is renewed.
     Renewed {
-        /// Its own start, as it said.
+        /// The start that the message is for.
         start: u64,
         /// The agent's term.
         term: u64,
     },
-    /// What it has to have in effect.
+    /// The settings that are to be in effect.
     Order(Order),
-    /// What it is lent of fleet-wide limits. It goes to those alone that asked, and so know of it.
-    Lent(Lent),
-    /// What the fleet goes by of lists that it shares. It goes to those alone that told of theirs, and so know of it.
+    /// Leases of fleet-wide limits. Sent only to instances that have requested some, and so know the message.
+    Lent(Grant),
+    /// The lists that the fleet shares. Sent only to instances that have reported theirs, and so know the message.
     Lists(Lists),
 }
 
 impl ToInstance {
-    /// The start that it is for.
+    /// The start that the message is for.
     pub fn start(&self) -> u64 {
         match self {
             ToInstance::Welcome(welcome) => welcome.start,
@@ -208,17 +209,17 @@
     }
 }
 
-/// The agent's answer to one that may use its name.
+/// The agent's answer to an accepted registration.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Welcome {
-    /// Its own start, as it said.
+    /// The start that the message is for.
     pub start: u64,
-    /// The incarnation it goes by from now on: its own, or a greater one.
+    /// The incarnation from now on: that of the registration, or a greater one.
     pub incarnation: u64,
     /// The agent's term.
     pub term: u64,
-    /// It is to report so often, in microseconds.
+    /// The report interval, in microseconds.
     pub every: u64,
-    /// Where the agent goes away, it is to come back at a random time within so many microseconds.
+    /// The time within which the instance should register again after the agent was unreachable, in microseconds.
     pub spread: u64,
 }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -1,4 +1,4 @@
-//! One change on its way through the fleet. Every state of it can be written down and gone on from.
+//! The rollout of one change. Every state of it can be persisted and resumed.
 //!
 //! ```text
 //! Forward(wave) -> Watch(wave) -> Forward(wave + 1) ... -> Ended(Done)
@@ -7,8 +7,8 @@
 //!               +----------> Back     -> Ended(TakenBack)      (from Stopping too)
 //! ```
 //!
-//! Each target goes from pending over sent to applied, refused or failed. Deadlines do not last: an agent that goes
-//! on after its end gives each instance that has not answered its full time again.
+//! Each target goes from pending through sent to applied, refused or failed. Deadlines are not persisted: an agent
+//! that resumes a rollout gives each instance that has not answered its full time again.
 
 use crate::change::{Change, Share, Then, What};
 use crate::gate::{Counts, Sample, Verdict, judge};
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
-    /// It did not answer in time. It may have the change or not, and is brought in line once it is back.
+    /// It did not answer in time. It may have the change or not, and receives the desired settings once it is back.
     Unreachable,
     /// The rollout ended before its turn; it was sent nothing.
     NotReached,
@@ -31,19 +31,19 @@
     Overtaken,
 }
 
-/// How far a target is.
+/// The progress of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Step {
     /// Its turn has not come.
     Pending,
-    /// It has been ordered and has not answered.
+    /// The order was sent and has not been answered.
     Sent,
-    /// All of it is in effect.
+    /// The change is in effect in full.
     Applied,
-    /// None of it is, and what it had before still is.
+    /// The change was refused, and the former settings are still in effect.
     Refused(Problem),
-    /// It is not known to have it.
+    /// It is not known whether the change is in effect.
     Failed(Reason),
 }
 
@@ -61,18 +61,18 @@
     }
 }
 
-/// One instance that the change is for.
+/// An instance that the change is for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Target {
     /// Its wave, from 0.
     pub wave: u32,
-    /// How far it is.
+    /// The progress of the change.
     pub step: Step,
-    /// How far taking back is, once that has begun and it may have had the change.
+    /// The progress of taking it back, once that has begun and where the instance may have had the change.
     pub back: Option<Step>,
-    /// Its requests in the last window before the rollout began.
+    /// Its requests of the last window before the rollout began.
     pub before: Counts,
-    /// When it has been silent for too long.
+    /// When it counts as unreachable.
     #[serde(skip)]
     pub until: Option<Micros>,
 }
@@ -85,11 +85,11 @@
     Done,
     /// Nothing more is sent; those that have the change keep it.
     Stopped,
-    /// Those that had it got back what they had.
+    /// Instances that had the change have their former settings again.
     TakenBack,
 }
 
-/// Where a rollout is.
+/// The phase of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
@@ -98,20 +98,20 @@
         /// From 0.
         wave: u32,
     },
-    /// A wave is through, and the figures are watched before the next one.
+    /// A wave is complete, and the request counts are observed before the next one.
     Watch {
-        /// The wave that is through.
+        /// The wave that is complete.
         wave: u32,
     },
-    /// It is to stop; those that were sent to are waited for.
+    /// The rollout is to stop, and waits for the instances that were sent an order.
     Stopping,
-    /// It is being taken back.
+    /// The change is being taken back.
     Back,
-    /// It is over.
+    /// The rollout has ended.
     Ended(End),
 }
 
-/// Which order of a rollout an answer belongs to.
+/// The order of a rollout that an answer belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Cause {
     /// The rollout, by the revision that it makes.
@@ -120,16 +120,16 @@
     pub back: bool,
 }
 
-/// What an instance is to have while a rollout is under way.
+/// The settings that an instance should have while a rollout is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    /// What the fleet had settled on before.
+    /// Those without the change.
     Old,
-    /// The change.
+    /// Those with the change.
     New,
 }
 
-/// A change on its way.
+/// The rollout of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rollout {
     /// The change.
@@ -142,30 +142,30 @@
     pub by: By,
     /// Where it is.
     pub phase: Phase,
-    /// Why it stops or is taken back, and who said so.
+    /// Why it stops or is taken back, and by whom.
     pub why: Option<String>,
-    /// Requests of the instances that it is not for, in the last window before it began.
+    /// The requests of the instances that it is not for, in the last window before it began.
     pub others: BTreeMap<String, Counts>,
-    /// The instances that it is for. Written down each for itself.
+    /// The instances that the change is for. Each is persisted in a record of its own.
     #[serde(skip)]
     pub targets: BTreeMap<String, Target>,
-    /// When the watch may end, and when it must.
+    /// When the observation may end, and when it must.
     #[serde(skip)]
     pub(crate) watch: Option<(Micros, Micros)>,
-    /// What has changed since it was last written down.
+    /// What has changed since it was last persisted.
     #[serde(skip)]
-    pub(crate) touched: Touched,
+    pub(crate) unsaved: Unsaved,
 }
 
-/// What must be written down.
+/// The parts of a rollout that must be persisted.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Touched {
+pub(crate) struct Unsaved {
     pub(crate) head: bool,
     pub(crate) targets: BTreeSet<String>,
 }
 
 impl Rollout {
-    /// A change that begins, with the instances that it is for and how they were doing.
+    /// Starts the rollout of a change, with the request counts of the instances that it is for and of the others.
     pub fn new(
         change: Change,
         revision: u64,
@@ -173,7 +173,7 @@
         chosen: BTreeMap<String, Counts>,
         others: BTreeMap<String, Counts>,
     ) -> Self {
-        // An order that has nothing to do with names: the first ones are not always the same.
+        // The order does not depend on names alone, so that it is not always the same instances that are first.
         let mut order: Vec<(&String, Counts)> = chosen.iter().map(|(name, counts)| (name, *counts)).collect();
         order.sort_by_cached_key(|(name, _)| Fingerprint::of(&(&change.id, name)));
         let ends: Vec<usize> =
@@ -183,23 +183,23 @@
             (name.clone(), Target { wave, step: Step::Pending, back: None, before, until: None })
         };
         let targets: BTreeMap<String, Target> = order.into_iter().enumerate().map(target).collect();
-        let touched = Touched { head: true, targets: targets.keys().cloned().collect() };
+        let unsaved = Unsaved { head: true, targets: targets.keys().cloned().collect() };
         let phase = Phase::Forward { wave: 0 };
         let (back_revision, why, watch) = (None, None, None);
-        Rollout { change, revision, back_revision, by, phase, why, others, targets, watch, touched }
+        Rollout { change, revision, back_revision, by, phase, why, others, targets, watch, unsaved }
     }
 
-    /// All of it but the targets.
+    /// The rollout without its targets.
     pub fn head(&self) -> Rollout {
-        let (targets, watch, touched) = Default::default();
-        Rollout { targets, watch, touched, ..self.clone() }
+        let (targets, watch, unsaved) = Default::default();
+        Rollout { targets, watch, unsaved, ..self.clone() }
     }
 
-    /// Goes on after the agent's end: every deadline begins anew.
+    /// Resumes the rollout after a restart of the agent: every deadline starts anew.
     pub fn resume(&mut self, now: Micros) {
         let until = Some(now.saturating_add(self.change.rollout.silence));
         for target in self.targets.values_mut() {
-            target.until = if target.awaited(self.phase) { until } else { None };
+            target.until = if target.is_awaited(self.phase) { until } else { None };
         }
         if let Phase::Watch { .. } = self.phase {
             self.begin_watch(now);
@@ -212,7 +212,7 @@
         self.watch = Some((pause, pause.saturating_add(patience)));
     }
 
-    /// What an instance is to have.
+    /// The settings that an instance should have.
     pub fn side(&self, name: &str) -> Side {
         let Some(target) = self.targets.get(name) else { return Side::Old };
         match (&self.phase, &target.step) {
@@ -224,14 +224,14 @@
         }
     }
 
-    /// The order that an instance is to answer, if there is one.
+    /// The order that an instance has to answer, if there is one.
     pub fn cause(&self, name: &str) -> Option<Cause> {
         let back = self.phase == Phase::Back;
-        let target = self.targets.get(name).filter(|target| target.awaited(self.phase))?;
+        let target = self.targets.get(name).filter(|target| target.is_awaited(self.phase))?;
         (target.until.is_some()).then_some(Cause { revision: self.revision, back })
     }
 
-    /// An instance has answered the order that it was to answer.
+    /// Records the answer to an order of this rollout.
     pub fn answered(&mut self, name: &str, cause: Cause, outcome: &Outcome) {
         if self.cause(name) != Some(cause) {
             return;
@@ -242,35 +242,35 @@
             Outcome::Refused(problem) => Step::Refused(problem.clone()),
         };
         target.until = None;
-        *target.current(cause.back) = step;
-        self.touched.targets.insert(name.to_string());
+        *target.step_mut(cause.back) = step;
+        self.unsaved.targets.insert(name.to_string());
     }
 
-    /// An instance that had the change was started anew and now refuses it.
+    /// Records that an instance that had the change has restarted and now refuses it.
     pub fn refused_later(&mut self, name: &str, problem: &Problem) {
         if let Phase::Forward { .. } | Phase::Watch { .. } | Phase::Stopping = self.phase
             && let Some(target) = self.targets.get_mut(name)
             && target.step == Step::Applied
         {
             target.step = Step::Refused(problem.clone());
-            self.touched.targets.insert(name.to_string());
+            self.unsaved.targets.insert(name.to_string());
         }
     }
 
-    /// Stops it: those that have the change keep it. False if it is past that.
+    /// Stops the rollout: instances that have the change keep it. Returns false where it is too late.
     pub fn stop(&mut self, why: String) -> bool {
         let under_way = matches!(self.phase, Phase::Forward { .. } | Phase::Watch { .. });
         if under_way {
-            self.turn(Phase::Stopping, why);
+            self.change_phase(Phase::Stopping, why);
         }
         under_way
     }
 
-    /// Takes it back, as the given revision. False if it is past that.
+    /// Takes the change back under a new revision. Returns false where it is too late.
     pub fn take_back(&mut self, now: Micros, revision: u64, why: String) -> bool {
         let under_way = matches!(self.phase, Phase::Forward { .. } | Phase::Watch { .. } | Phase::Stopping);
         if under_way {
-            self.turn(Phase::Back, why);
+            self.change_phase(Phase::Back, why);
             self.back_revision = Some(revision);
             let until = Some(now.saturating_add(self.change.rollout.silence));
             for (name, target) in &mut self.targets {
@@ -278,7 +278,7 @@
                     Step::Pending | Step::Failed(Reason::NotReached) => {
                         target.step = Step::Failed(Reason::NotReached)
                     }
-                    // It has what it had before.
+                    // Its former settings are in effect.
                     Step::Refused(_) => continue,
                     Step::Sent | Step::Applied | Step::Failed(_) => {
                         if target.step == Step::Sent {
@@ -288,21 +288,22 @@
                         target.until = until;
                     }
                 }
-                self.touched.targets.insert(name.clone());
+                self.unsaved.targets.insert(name.clone());
             }
         }
         under_way
     }
 
-    fn turn(&mut self, phase: Phase, why: String) {
+    fn change_phase(&mut self, phase: Phase, why: String) {
         self.phase = phase;
         self.why = Some(why);
         self.watch = None;
-        self.touched.head = true;
+        self.unsaved.head = true;
     }
 
-    /// Does what is due. `next` is the revision that taking it back makes; `counts` gives the newest figures of an
-    /// instance that is there. True if taking back has begun, so that the revision is used.
+    /// Does what is due. `next` is the revision that taking the change back makes; `counts` returns the newest
+    /// request counts of an instance that is alive. Returns whether taking it back has begun, so that the revision is
+    /// used.
     pub fn advance(&mut self, now: Micros, next: u64, counts: &dyn Fn(&str) -> Option<Counts>) -> bool {
         self.expire(now);
         let mut took_back = false;
@@ -368,7 +369,7 @@
                     for (name, target) in &mut self.targets {
                         if target.step == Step::Pending {
                             target.step = Step::Failed(Reason::NotReached);
-                            self.touched.targets.insert(name.clone());
+                            self.unsaved.targets.insert(name.clone());
                         }
                     }
                     self.phase = Phase::Ended(End::Stopped);
@@ -381,18 +382,18 @@
             }
             Phase::Ended(_) => {}
         }
-        self.touched.head |= self.phase != before;
+        self.unsaved.head |= self.phase != before;
         self.phase != before
     }
 
-    /// When time matters next; what is due by now has been seen to.
+    /// When the rollout has to be advanced next.
     pub fn next(&self, now: Micros) -> Option<Micros> {
         let silences = self.targets.values().filter_map(|target| target.until);
         let watch = self.watch.into_iter().flat_map(|(until, patience)| [until, patience]);
         silences.chain(watch).filter(|at| *at > now).min()
     }
 
-    /// How many refused or failed on the way forward.
+    /// The number of targets that refused the change or failed.
     pub fn failures(&self) -> usize {
         let failed = |t: &&Target| matches!(t.step, Step::Refused(_) | Step::Failed(Reason::Unreachable));
         self.targets.values().filter(failed).count()
@@ -412,14 +413,14 @@
         }
     }
 
-    /// Those that were silent for too long have failed.
+    /// Fails the targets that have not answered in time.
     fn expire(&mut self, now: Micros) {
         let back = self.phase == Phase::Back;
         for (name, target) in &mut self.targets {
             if target.until.is_some_and(|until| until <= now) {
                 target.until = None;
-                *target.current(back) = Step::Failed(Reason::Unreachable);
-                self.touched.targets.insert(name.clone());
+                *target.step_mut(back) = Step::Failed(Reason::Unreachable);
+                self.unsaved.targets.insert(name.clone());
             }
         }
     }
@@ -432,7 +433,7 @@
         for (name, target) in pending.take(room) {
             target.step = Step::Sent;
             target.until = until;
-            self.touched.targets.insert(name.clone());
+            self.unsaved.targets.insert(name.clone());
         }
     }
 
@@ -448,7 +449,7 @@
         judge(rule, &changed, &others)
     }
 
-    /// Whether it takes another change back.
+    /// Whether the change undoes another one.
     pub fn is_undo(&self) -> bool {
         matches!(self.change.what, What::Undo(_))
     }
@@ -465,15 +466,15 @@
 }
 
 impl Step {
-    /// Whether nothing more comes of it.
+    /// Whether the step will not change any more.
     pub fn is_final(&self) -> bool {
         !matches!(self, Step::Pending | Step::Sent)
     }
 }
 
 impl Target {
-    /// Whether it has been ordered and has not answered.
-    fn awaited(&self, phase: Phase) -> bool {
+    /// Whether an order was sent and has not been answered.
+    fn is_awaited(&self, phase: Phase) -> bool {
         match phase {
             Phase::Back => self.back == Some(Step::Sent),
             Phase::Ended(_) => false,
@@ -481,7 +482,7 @@
         }
     }
 
-    fn current(&mut self, back: bool) -> &mut Step {
+    fn step_mut(&mut self, back: bool) -> &mut Step {
         if back { self.back.get_or_insert(Step::Sent) } else { &mut self.step }
     }
 }
