--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -1,19 +1,20 @@
-//! When instances that all come back at once may register: so many a second, each at a time of its own.
+//! Rate limiting of registrations: instances that all return at once are admitted at a fixed rate, each at its own
+//! time.
 
 use crate::Micros;
 use std::collections::BTreeMap;
 
-/// Places that are kept for those who were told to come later.
-const MOST: usize = 8_192;
+/// The most reserved reservations.
+const MAX_RESERVATIONS: usize = 8_192;
 
-/// How many may register, and how fast.
+/// The rate at which instances may register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Pace {
     /// Registrations a second.
     pub rate: u32,
-    /// So many at once are let in without waiting.
+    /// Registrations that are admitted at once without a delay.
     pub burst: u32,
-    /// The longest wait that anyone is told, in microseconds.
+    /// The longest delay, in microseconds.
     pub horizon: Micros,
 }
 
@@ -23,66 +24,67 @@
     }
 }
 
-/// Lets registrations in at a pace. Each that has to wait gets a place in a line and is told when it comes.
+/// Admits registrations at a fixed rate. An instance that has to wait receives a place in a queue, and is told its
+/// time.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Spread {
     pace: Pace,
-    /// When the line that has formed is through.
-    through: Micros,
-    /// Who was told to come when.
-    places: BTreeMap<String, Micros>,
+    /// When the queue will be empty.
+    queue_end: Micros,
+    /// The reserved reservations: names and times.
+    reservations: BTreeMap<String, Micros>,
 }
 
 impl Spread {
-    /// Nobody waits.
+    /// Creates a limiter with an empty queue.
     pub fn new(pace: Pace) -> Self {
-        Spread { pace, through: 0, places: BTreeMap::new() }
+        Spread { pace, queue_end: 0, reservations: BTreeMap::new() }
     }
 
     fn gap(&self) -> Micros {
         1_000_000 / Micros::from(self.pace.rate.max(1))
     }
 
-    /// Whether one may register now, or else after how many microseconds. `jitter` is a random number that spreads
-    /// those for whom there is no place in the line.
+    /// Admits a registration now, or returns the delay in microseconds. `jitter` must be random; it spreads the
+    /// instances for which there is no place in the queue.
     pub fn admit(&mut self, now: Micros, name: &str, jitter: u64) -> Result<(), Micros> {
         let gap = self.gap();
-        if let Some(&at) = self.places.get(name) {
+        if let Some(&at) = self.reservations.get(name) {
             if at > now.saturating_add(gap) {
                 return Err(at - now);
             }
-            self.places.remove(name);
+            self.reservations.remove(name);
             return Ok(());
         }
-        let ahead = self.through.saturating_sub(now);
+        let ahead = self.queue_end.saturating_sub(now);
         if ahead <= gap.saturating_mul(Micros::from(self.pace.burst)) {
-            self.through = self.through.max(now).saturating_add(gap);
+            self.queue_end = self.queue_end.max(now).saturating_add(gap);
             return Ok(());
         }
-        // Places that nobody came for end on their own.
+        // Places that were not used in time are dropped.
         let stale = self.pace.horizon;
-        if self.places.len() >= MOST {
-            self.places.retain(|_, at| at.saturating_add(stale) > now);
+        if self.reservations.len() >= MAX_RESERVATIONS {
+            self.reservations.retain(|_, at| at.saturating_add(stale) > now);
         }
-        if ahead >= self.pace.horizon || self.places.len() >= MOST {
-            // No place is kept that far ahead: somewhere in the last half, and ask again.
+        if ahead >= self.pace.horizon || self.reservations.len() >= MAX_RESERVATIONS {
+            // No place is reserved that far ahead: the instance asks again within the last half.
             return Err(self.pace.horizon / 2 + jitter % (self.pace.horizon / 2).max(1));
         }
-        let at = self.through;
-        self.through = at.saturating_add(gap);
-        self.places.insert(name.to_string(), at);
+        let at = self.queue_end;
+        self.queue_end = at.saturating_add(gap);
+        self.reservations.insert(name.to_string(), at);
         Err(at.saturating_sub(now).max(1))
     }
 
-    /// Within which time so many instances should spread their return, in microseconds.
+    /// The time over which a number of instances should spread their return, in microseconds.
     pub fn span(&self, instances: usize) -> Micros {
         self.gap().saturating_mul(instances as Micros).min(self.pace.horizon)
     }
 
     #[cfg(any(test, feature = "explore"))]
     pub(crate) fn rebase(&mut self, by: Micros) {
-        self.through = self.through.saturating_sub(by);
-        self.places.values_mut().for_each(|at| *at = at.saturating_sub(by));
+        self.queue_end = self.queue_end.saturating_sub(by);
+        self.reservations.values_mut().for_each(|at| *at = at.saturating_sub(by));
     }
 }
 
@@ -90,7 +92,8 @@
 mod tests {
     use super::*;
 
-    /// 500 come at once and come again when they are told to; gives the times at which they were let in.
+    /// Plays instances that all register at once and return when they are told to. Returns the times of their
+    /// admission.
     fn come_back(pace: Pace, count: usize) -> Vec<Micros> {
         let mut spread = Spread::new(pace);
         let mut rng = oorandom::Rand64::new(3);
--- a/crates/quota/examples/admission.rs
+++ b/crates/quota/examples/admission.rs
@@ -1,21 +1,21 @@
-//! What letting a request in costs, under a lease and without limits.
+//! Measures what admitting a request costs, under a lease and without limits.
 //!
 //! `cargo run --release -p madderloom-quota --example admission`
 
-use madderloom_quota::{Amount, Holder, Lease, Lent, ONE, Safe, Who};
+use madderloom_quota::{Amount, Grant, Lease, LeaseHolder, ONE, Safe, ServerId};
 use std::hint::black_box;
 use std::time::Instant;
 
 const TIMES: u64 = 5_000_000;
 
 fn main() {
-    let mut holder = Holder::default();
+    let mut holder = LeaseHolder::default();
     holder.follow(1, [("submissions".to_string(), Safe::Nothing)]);
-    let asks = holder.ask(1);
+    let requests = holder.ask(1);
     let amount = Amount { rate: 1_000_000_000 * ONE, burst: 1_000_000 * ONE, open: 1_000_000 };
     let of = vec![Lease { limit: "submissions".into(), amount, whole: amount }];
-    let by = Who { term: 1, id: 1 };
-    holder.take(1, &Lent { start: 1, by, number: 1, answers: asks.seq, lasts: 600_000_000, of });
+    let by = ServerId { term: 1, id: 1 };
+    holder.take(1, &Grant { start: 1, by, number: 1, answers: requests.seq, duration: 600_000_000, of });
     for limit in ["submissions", "none of this instance's"] {
         let begin = Instant::now();
         for at in 0..TIMES {
@@ -23,9 +23,6 @@
             assert!(done.is_ok(), "{done:?}");
             holder.end(limit);
         }
-        println!(
-            "{limit}: {:.1} ns for letting in and ending",
-            begin.elapsed().as_nanos() as f64 / TIMES as f64
-        );
+        println!("{limit}: {:.1} ns for admission and end", begin.elapsed().as_nanos() as f64 / TIMES as f64);
     }
 }
--- a/crates/quota/src/bound.rs
+++ b/crates/quota/src/bound.rs
@@ -1,25 +1,25 @@
-//! The bound of one limit, as arithmetic that an operator can follow.
+//! The bound of one limit, shown as arithmetic that an operator can follow.
 
 use crate::{Amount, DRIFT, FAST, Micros, ONE, UNBOUNDED};
 use std::fmt;
 
-/// What a limit bounds, in figures. Its text is one line for each.
+/// The figures that the bound of a limit follows from. Displays as one line for each bound.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Bound {
     /// The limit's name.
     pub name: String,
-    /// All of it.
+    /// The whole limit.
     pub whole: Amount,
-    /// How long a lease lasts.
+    /// The duration of a lease.
     pub lease: Micros,
-    /// How often instances report.
+    /// The time between two reports of an instance.
     pub every: Micros,
-    /// How long a request may be open.
+    /// The longest time that a request stays open.
     pub longest: Micros,
 }
 
-/// Thousandths as people read them.
-fn whole(thousandths: u64) -> f64 {
+/// Converts thousandths to units.
+fn units(thousandths: u64) -> f64 {
     thousandths as f64 / ONE as f64
 }
 
@@ -32,7 +32,7 @@
         let Bound { name, whole: Amount { rate, burst, open }, lease, every, longest } = self;
         write!(f, "fleet limit {name}:")?;
         if *rate != UNBOUNDED {
-            let (rate, burst) = (whole(*rate), whole(*burst));
+            let (rate, burst) = (units(*rate), units(*burst));
             write!(
                 f,
                 "\n  let in over any W seconds by all instances with a lease: {rate} x W + {burst}; in 10 s: {rate} x 10 + \
--- a/crates/quota/tests/no_window_is_over_the_limit.rs
+++ b/crates/quota/tests/no_window_is_over_the_limit.rs
@@ -1,21 +1,25 @@
-//! A lender and many holders over a network that loses, delays, doubles and reorders, with clocks that run apart, holders
-//! and lenders that freeze, die and come back: in no window is more let in than the limit, and never is more open.
+//! A lease server and many holders over a network that loses, delays, doubles and reorders messages, with clocks that
+//! drift, and holders and servers that freeze, die and come back: no window admits more than the limit, and never are
+//! more requests open.
 
-use madderloom_quota::{Amount, Asks, Holder, Lender, Lent, Limit, Micros, Note, ONE, Safe, Who};
+use madderloom_quota::{
+    Amount, Grant, LeaseHolder, LeaseRequest, LeaseRequests, LeaseServer, Limit, Micros, Note, ONE, Safe,
+    ServerId,
+};
 use madderloom_rig::worst;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BinaryHeap};
 
 const EVERY: Micros = 300_000;
-const LASTS: Micros = 3_000_000;
+const DURATION: Micros = 3_000_000;
 const LONGEST: Micros = 400_000;
 const LIMIT: &str = "submissions";
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
     Report(usize),
-    ToAgent(usize, Asks),
-    ToInstance(usize, Lent),
+    ToAgent(usize, LeaseRequests),
+    ToInstance(usize, Grant),
     AgentTick,
     Request(usize),
     End(usize),
@@ -42,7 +46,7 @@
 struct Start {
     name: String,
     start: u64,
-    holder: Holder,
+    holder: LeaseHolder,
     clock: Clock,
     frozen_until: Micros,
     /// It reports no more: another start has its name.
@@ -56,7 +60,7 @@
     events: BinaryHeap<std::cmp::Reverse<(Micros, u64, What)>>,
     order: u64,
     now: Micros,
-    agent: Option<Lender>,
+    agent: Option<LeaseServer>,
     agent_clock: Clock,
     agent_frozen: Micros,
     term: u64,
@@ -104,7 +108,7 @@
 
     fn begin(&mut self, name: String, load: f64) {
         let (clock, start, at) = (self.clock(), self.random.rand_u64(), self.starts.len());
-        let mut holder = Holder::default();
+        let mut holder = LeaseHolder::default();
         holder.follow(clock.at(self.now), [(LIMIT.to_string(), Safe::Nothing)]);
         self.starts.push(Start { name, start, holder, clock, frozen_until: 0, replaced: false, load });
         self.after(1, What::Report(at));
@@ -113,10 +117,11 @@
 
     fn start_agent(&mut self, former: Micros) {
         self.term += 1;
-        let (now, who) = (self.agent_clock.at(self.now), Who { term: self.term, id: self.random.rand_u64() });
-        let mut lender = Lender::new(now, who, LASTS, former, EVERY);
-        lender.set(now, BTreeMap::from([(LIMIT.to_string(), self.limit.clone())]));
-        self.agent = Some(lender);
+        let (now, who) =
+            (self.agent_clock.at(self.now), ServerId { term: self.term, id: self.random.rand_u64() });
+        let mut server = LeaseServer::new(now, who, DURATION, former, EVERY);
+        server.set_limits(now, BTreeMap::from([(LIMIT.to_string(), self.limit.clone())]));
+        self.agent = Some(server);
     }
 
     fn after(&mut self, wait: Micros, what: What) {
@@ -130,9 +135,9 @@
             return;
         }
         let late = self.random.rand_float() < self.lossy;
-        let delay = self.random.rand_range(100..if late { 2 * LASTS } else { 20_000 });
+        let delay = self.random.rand_range(100..if late { 2 * DURATION } else { 20_000 });
         if late && self.random.rand_float() < 0.3 {
-            let again = self.random.rand_range(100..2 * LASTS);
+            let again = self.random.rand_range(100..2 * DURATION);
             self.after(again, what.clone());
         }
         self.after(delay, what);
@@ -166,30 +171,31 @@
                 if start.replaced {
                     return;
                 }
-                let asks = start.holder.ask(start.clock.at(now));
-                self.send(What::ToAgent(at, asks));
+                let requests = start.holder.ask(start.clock.at(now));
+                self.send(What::ToAgent(at, requests));
                 self.after(EVERY, What::Report(at));
             }
-            What::ToAgent(at, asks) => {
+            What::ToAgent(at, requests) => {
                 let (name, start) = (self.starts[at].name.clone(), self.starts[at].start);
                 let by_agent = self.agent_clock.at(now);
-                let lent = self.agent.as_mut().and_then(|a| a.report(by_agent, &name, "", start, &asks));
-                lent.into_iter().for_each(|lent| self.send(What::ToInstance(at, lent)));
+                let grant =
+                    self.agent.as_mut().and_then(|a| a.handle_report(by_agent, &name, "", start, &requests));
+                grant.into_iter().for_each(|grant| self.send(What::ToInstance(at, grant)));
             }
-            What::ToInstance(at, lent) => {
+            What::ToInstance(at, grant) => {
                 let start = &mut self.starts[at];
-                if start.holder.take(start.clock.at(now), &lent) && !start.replaced {
-                    let asks = start.holder.ask(start.clock.at(now));
-                    self.send(What::ToAgent(at, asks));
+                if start.holder.take(start.clock.at(now), &grant) && !start.replaced {
+                    let requests = start.holder.ask(start.clock.at(now));
+                    self.send(What::ToAgent(at, requests));
                 }
             }
             What::AgentTick => {
                 let by_agent = self.agent_clock.at(now);
-                let words = self.agent.as_mut().map(|agent| agent.tick(by_agent)).unwrap_or_default();
-                for (_, lent) in words {
+                let grants = self.agent.as_mut().map(|agent| agent.tick(by_agent)).unwrap_or_default();
+                for (_, grant) in grants {
                     let at =
-                        self.starts.iter().position(|start| start.start == lent.start).expect("it is known");
-                    self.send(What::ToInstance(at, lent));
+                        self.starts.iter().position(|start| start.start == grant.start).expect("it is known");
+                    self.send(What::ToInstance(at, grant));
                 }
                 self.after(EVERY / 4, What::AgentTick);
             }
@@ -199,8 +205,8 @@
                     self.admitted.push(now);
                     self.open += 1;
                     self.most_open = self.most_open.max(self.open);
-                    let lasts = self.random.rand_range(1..LONGEST);
-                    self.after(lasts, What::End(at));
+                    let open_for = self.random.rand_range(1..LONGEST);
+                    self.after(open_for, What::End(at));
                 }
                 let gap = -(1.0 - self.random.rand_float()).ln() / self.starts[at].load;
                 self.after((gap * 1e6) as Micros, What::Request(at));
@@ -212,7 +218,7 @@
             What::KillAgent => self.agent = None,
             What::AgentBack => {
                 self.agent_clock = self.clock();
-                self.start_agent(LASTS);
+                self.start_agent(DURATION);
             }
             What::FreezeAgent(span) => self.agent_frozen = now + span,
             What::Freeze(at, span) => self.starts[at].frozen_until = now + span,
@@ -228,7 +234,7 @@
     fn draw_faults(&mut self, instances: u64, over: Micros, count: usize) {
         for _ in 0..count {
             let at = self.random.rand_range(0..over);
-            let span = self.random.rand_range(0..2 * LASTS);
+            let span = self.random.rand_range(0..2 * DURATION);
             let one = self.random.rand_range(0..instances) as usize;
             match self.random.rand_range(0..5) {
                 0 => {
@@ -272,8 +278,8 @@
         world.run(40_000_000);
         assert!(world.over() <= 1e-9, "seed {seed}: over by {}", world.over());
         assert!(world.most_open <= 14, "seed {seed}: {} open", world.most_open);
-        let notes = world.agent.iter_mut().flat_map(Lender::notes);
-        let odd: Vec<Note> = notes.filter(|note| *note != Note::Learned).collect();
+        let notes = world.agent.iter_mut().flat_map(LeaseServer::notes);
+        let odd: Vec<Note> = notes.filter(|note| *note != Note::Recovered).collect();
         assert!(odd.is_empty(), "seed {seed}: {odd:?}");
         served += world.admitted.len();
     }
@@ -311,11 +317,11 @@
     let set = |world: &mut World, rate| {
         let now = world.agent_clock.at(world.now);
         let limits = BTreeMap::from([(LIMIT.to_string(), limit(rate, 2 * rate, 1_000))]);
-        world.agent.as_mut().expect("it runs").set(now, limits);
+        world.agent.as_mut().expect("it runs").set_limits(now, limits);
     };
     set(&mut world, 0);
     world.run(20_000_000);
-    assert_eq!(world.used(12_000_000 + LASTS * 21 / 20, 20_000_000), 0.0);
+    assert_eq!(world.used(12_000_000 + DURATION * 21 / 20, 20_000_000), 0.0);
     set(&mut world, 30);
     world.run(30_000_000);
     let used = world.used(24_000_000, 30_000_000);
@@ -326,30 +332,32 @@
 #[test]
 fn parts_of_hundreds_are_found_in_three_reports_and_do_not_swing() {
     let now = |report: u64| 10_000_000 + report * EVERY;
-    let who = Who { term: 1, id: 1 };
-    let mut lender = Lender::new(0, who, LASTS, 0, EVERY);
-    lender.set(0, BTreeMap::from([(LIMIT.to_string(), limit(1_000, 600, 10_000))]));
+    let who = ServerId { term: 1, id: 1 };
+    let mut server = LeaseServer::new(0, who, DURATION, 0, EVERY);
+    server.set_limits(0, BTreeMap::from([(LIMIT.to_string(), limit(1_000, 600, 10_000))]));
     let wanted = |at: u64| if at.is_multiple_of(30) { 150 * ONE } else { ONE };
     let mut lent: Vec<Vec<u64>> = Vec::new();
     let mut numbers = vec![0; 300];
-    let mut words = 0;
+    let mut grants = 0;
     for report in 0..40 {
         let mut row = vec![0; 300];
         for at in 0..300u64 {
-            let ask = madderloom_quota::Ask {
+            let request = LeaseRequest {
                 limit: LIMIT.into(),
                 wanted: wanted(at) + report % 2,
                 wanted_open: 3,
                 ..Default::default()
             };
             let by = (numbers[at as usize] > 0).then_some(who);
-            let asks = Asks { seq: report + 1, by, number: numbers[at as usize], of: vec![ask] };
-            let word =
-                lender.report(now(report) + at * 900, &format!("i{at}"), "", at, &asks).expect("a word");
-            (numbers[at as usize], row[at as usize]) = (word.number, word.of[0].amount.rate);
+            let requests =
+                LeaseRequests { seq: report + 1, by, number: numbers[at as usize], of: vec![request] };
+            let grant = server
+                .handle_report(now(report) + at * 900, &format!("i{at}"), "", at, &requests)
+                .expect("a grant");
+            (numbers[at as usize], row[at as usize]) = (grant.number, grant.of[0].amount.rate);
         }
         if report > 4 {
-            words += lender.tick(now(report) + 299_000).len();
+            grants += server.tick(now(report) + 299_000).len();
         }
         lent.push(row);
     }
@@ -360,26 +368,27 @@
     for row in &lent[4..] {
         assert_eq!(row, &lent[4], "parts swing under steady demand");
     }
-    assert_eq!(words, 0, "words that nobody asked for");
+    assert_eq!(grants, 0, "grants that nobody asked for");
 }
 
 #[test]
 fn where_there_are_more_than_units_they_take_turns_and_all_have_had_one() {
-    let who = Who { term: 1, id: 1 };
-    let mut lender = Lender::new(0, who, LASTS, 0, EVERY);
-    lender.set(0, BTreeMap::from([(LIMIT.to_string(), limit(5, 3, 1_000))]));
+    let who = ServerId { term: 1, id: 1 };
+    let mut server = LeaseServer::new(0, who, DURATION, 0, EVERY);
+    server.set_limits(0, BTreeMap::from([(LIMIT.to_string(), limit(5, 3, 1_000))]));
     let (mut numbers, mut had, mut at_once) = (vec![0; 20], vec![false; 20], 0);
     for report in 0..1_200u64 {
         let mut have = 0;
         for at in 0..20u64 {
-            let ask = madderloom_quota::Ask { limit: LIMIT.into(), wanted: ONE, ..Default::default() };
+            let request = LeaseRequest { limit: LIMIT.into(), wanted: ONE, ..Default::default() };
             let by = (numbers[at as usize] > 0).then_some(who);
-            let asks = Asks { seq: report + 1, by, number: numbers[at as usize], of: vec![ask] };
+            let requests =
+                LeaseRequests { seq: report + 1, by, number: numbers[at as usize], of: vec![request] };
             let now = 10_000_000 + report * EVERY + at * 10_000;
-            let word = lender.report(now, &format!("i{at}"), "", at, &asks).expect("a word");
-            numbers[at as usize] = word.number;
-            have += usize::from(word.of[0].amount.burst >= ONE);
-            had[at as usize] |= word.of[0].amount.burst >= ONE;
+            let grant = server.handle_report(now, &format!("i{at}"), "", at, &requests).expect("a grant");
+            numbers[at as usize] = grant.number;
+            have += usize::from(grant.of[0].amount.burst >= ONE);
+            had[at as usize] |= grant.of[0].amount.burst >= ONE;
         }
         at_once = at_once.max(have);
     }
@@ -389,7 +398,7 @@
 /// More servers than there may be parts: none of them is without a bound, and what was used longest ago makes room.
 #[test]
 fn no_server_is_without_a_bound_however_many_there_are() {
-    let mut holder = Holder::default();
+    let mut holder = LeaseHolder::default();
     let one = Amount { rate: ONE, burst: ONE, open: 1 };
     holder.follow(1, [("node".to_string(), Safe::Fixed(one))]);
     for server in 0..1_000u64 {
@@ -400,7 +409,7 @@
         assert!(holder.admit_at(later, "node", &name).is_err(), "one is open");
         holder.end(&format!("node/{name}"));
     }
-    let known = |holder: &Holder| holder.standings(0).count();
+    let known = |holder: &LeaseHolder| holder.standings(0).count();
     assert_eq!(known(&holder), madderloom_quota::MOST_LIMITS);
     // All in use: another is turned away, and none is forgotten.
     let now = 4_000_000_000;
@@ -411,18 +420,18 @@
     assert_eq!(holder.standings(now).map(|(_, standing)| standing.open).sum::<u64>(), 255);
 }
 
-/// One that has three open under a lease of three is told of one less. What it said before it had them open comes late,
-/// and must not make room for others.
+/// One that has three open under a lease of three is told of one less. What it said before it had them open comes
+/// late, and must not make room for others.
 #[test]
 fn a_report_that_comes_behind_a_newer_one_says_nothing() {
-    let who = Who { term: 1, id: 1 };
-    let mut lender = Lender::new(0, who, LASTS, 0, EVERY);
-    lender.set(0, BTreeMap::from([(LIMIT.to_string(), limit(900, 900, 3))]));
-    let ask = |seq, number, open| Asks {
+    let who = ServerId { term: 1, id: 1 };
+    let mut server = LeaseServer::new(0, who, DURATION, 0, EVERY);
+    server.set_limits(0, BTreeMap::from([(LIMIT.to_string(), limit(900, 900, 3))]));
+    let request = |seq, number, open| LeaseRequests {
         seq,
         by: (number > 0).then_some(who),
         number,
-        of: vec![madderloom_quota::Ask {
+        of: vec![LeaseRequest {
             limit: LIMIT.into(),
             wanted: ONE,
             wanted_open: 2,
@@ -430,12 +439,16 @@
             ..Default::default()
         }],
     };
-    let open = |word: Option<Lent>| word.map(|word| word.of[0].amount.open);
-    assert_eq!(open(lender.report(10_000_000, "a", "", 1, &ask(1, 0, 0))), Some(3));
-    lender.report(10_000_000, "b", "", 2, &ask(1, 0, 0));
-    let told = open(lender.report(10_400_000, "a", "", 1, &ask(3, 1, 3))).expect("a word");
+    let open = |grant: Option<Grant>| grant.map(|grant| grant.of[0].amount.open);
+    assert_eq!(open(server.handle_report(10_000_000, "a", "", 1, &request(1, 0, 0))), Some(3));
+    server.handle_report(10_000_000, "b", "", 2, &request(1, 0, 0));
+    let told = open(server.handle_report(10_400_000, "a", "", 1, &request(3, 1, 3))).expect("a grant");
     assert!(told < 3, "{told}");
-    lender.report(10_500_000, "a", "", 1, &ask(4, 2, 3));
-    assert_eq!(lender.report(10_600_000, "a", "", 1, &ask(2, 2, 0)), None);
-    assert_eq!(open(lender.report(10_900_000, "b", "", 2, &ask(2, 1, 0))), Some(0), "three are open at a");
+    server.handle_report(10_500_000, "a", "", 1, &request(4, 2, 3));
+    assert_eq!(server.handle_report(10_600_000, "a", "", 1, &request(2, 2, 0)), None);
+    assert_eq!(
+        open(server.handle_report(10_900_000, "b", "", 2, &request(2, 1, 0))),
+        Some(0),
+        "three are open at a"
+    );
 }
