Ask for a peer's word through the runtime, so that a blocked writer gives way

Cause: where a write blocked, exchange::write_all awaited "readable or writable" and then asked the system whether something had come by a call that the runtime does not see. Readiness that the runtime remembered from an earlier answer (any read that fills its buffer leaves it) was never cleared, and TcpStream::ready takes nothing of the task's budget: the loop span without giving way, and the one thread served nobody until that server took or closed.

Change: a module readiness.rs holds all waits of the sidecar's own readers and writers, and states their bound. unblocked() looks inside try_io, which clears what is out of date, and takes a unit of the budget in each turn; write_all takes one for each write that left something over. Read for the same shape, in the runtime's source as well: - client::linger awaited readable(), which takes no budget, between reads: no spin, since a read that would block clears, but up to 1 MiB could be read in one turn, byte by byte at the worst. It reads through poll_read now, which takes a unit for each. - client poll_read, poll_write, parked; passing; exchange::more and speaks: sound. poll_read_ready, poll_write_ready, poll_peek and poll_read take a unit each, and the operation clears. They share the module's functions now. - the read behind Client::closing takes no budget; hyper gives way after 16 rounds. Sound. - has_gone, connections (take_idle, look) ask once for each connection and await nothing. No spin. - upload reads from hyper's channel, which holds one piece; probe uses exchange; the accept loops, second_address and admin use accept(), read() and hyper over the runtime's streams, all of which take units.

--- /dev/null
+++ b/crates/cli/tests/liveness/servers.rs
@@ -0,0 +1,71 @@
+//! Servers that take nothing of what is sent to them.
+
+use crate::rig::{Conn, Node, Sidecar, serve_all, until};
+use crate::{CLASS, WAITS_MS, is_at_rest, is_reached, others_are_served, start, until_read};
+use std::time::Duration;
+
+/// As long as a body may be that is kept whole before it is sent.
+const LONG: usize = 1 << 20;
+/// A connection is used again once nothing has come behind its answer for 20 ms.
+const QUIET: Duration = Duration::from_millis(40);
+/// What the process reads of an answer at once: one that fills it leaves the connection remembered as readable.
+const READ: usize = 1 << 10;
+/// More requests of that length than the system holds for a server that reads nothing.
+const MOST: u64 = 40;
+
+/// A request with a body of this length.
+fn long_request(length: usize) -> Vec<u8> {
+    let head = format!(
+        "POST /{CLASS} HTTP/1.1\r\nHost: s\r\nX-Trace-Id: long\r\nX-Expires-In-Ms: {WAITS_MS}\r\n\
+         Idempotency-Key: k\r\nContent-Length: {length}\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + length, b'x');
+    bytes
+}
+
+/// An answer that is so long with its head.
+fn answer_of(length: usize) -> String {
+    let head = |body: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {body}\r\n\r\n");
+    let body = length - head(length).len();
+    let body = body + (length - head(body).len() - body);
+    format!("{}{}", head(body), "x".repeat(body))
+}
+
+/// Long requests over one connection to a server that reads none of them and answers each, until one does not fit into
+/// what the system holds. The answer before it has filled the buffer that it was read into, so the connection is
+/// remembered as readable, and nothing more has come.
+fn stuck_behind_an_answer(sidecar: &Sidecar, node: &Node, client: &mut Conn) -> Conn {
+    client.write(long_request(LONG));
+    let mut conn = node.accept();
+    for number in 1..=MOST {
+        until("a long request is on its way", || conn.unread_here() > (number - 1) * LONG as u64);
+        until_read(client);
+        is_reached(sidecar);
+        if conn.unread_here() < number * LONG as u64 {
+            return conn;
+        }
+        conn.write(answer_of(READ));
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        // A connection that is used too early would not be this one.
+        std::thread::sleep(QUIET);
+        client.write(long_request(LONG));
+    }
+    panic!("the system holds {MOST} requests of {LONG} bytes");
+}
+
+#[test]
+fn a_server_that_takes_nothing_of_a_request_holds_up_nobody_else() {
+    let node = Node::new();
+    let sidecar = start(&[&node]);
+    let mut client = sidecar.client();
+    let conn = stuck_behind_an_answer(&sidecar, &node, &mut client);
+    serve_all(node);
+    others_are_served(&sidecar);
+    is_at_rest(&sidecar);
+    others_are_served(&sidecar);
+    assert!(!client.has_something(), "its request is not stuck");
+    // Its connection breaks before its last byte: it is sent again, to where it is taken.
+    conn.reset();
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -64,8 +64,7 @@
     /// The system does not tell of its connections.
     pub fn is_tried(&self) -> bool {
         const SYN_SENT: &str = "02";
-        let SocketAddr::V4(own) = self.address() else { return false };
-        let own = format!("{:08X}:{:04X}", u32::from_ne_bytes(own.ip().octets()), own.port());
+        let own = as_listed(self.address());
         let all = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of connections");
         all.lines().any(|line| {
             let mut words = line.split_whitespace().skip(2);
@@ -234,6 +233,30 @@
         !blocks
     }
 
+    /// How many bytes the other side has written and nobody has read, here or still at its end.
+    ///
+    /// # Panics
+    /// The connection has gone, or the system does not tell of its connections.
+    pub fn unread_here(&self) -> u64 {
+        let (own, other) = self.ends();
+        unread(other, own)
+    }
+
+    /// How many bytes this side has written and the other has not read.
+    ///
+    /// # Panics
+    /// As [`Conn::unread_here`].
+    pub fn unread_there(&self) -> u64 {
+        let (own, other) = self.ends();
+        unread(own, other)
+    }
+
+    /// The addresses of both ends, this one's first.
+    fn ends(&self) -> (SocketAddr, SocketAddr) {
+        let stream = self.0.get_ref();
+        (stream.local_addr().expect("it is bound"), stream.peer_addr().expect("it is connected"))
+    }
+
     /// Waits for one byte and reads it, with nothing behind it.
     ///
     /// # Panics
@@ -315,6 +338,29 @@
     }
 }
 
+/// The bytes between two ends of a connection over IPv4: sent and not acknowledged, and received and not read.
+fn unread(from: SocketAddr, to: SocketAddr) -> u64 {
+    let all = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of connections");
+    let queues = |local: SocketAddr, remote: SocketAddr| {
+        let (local, remote) = (as_listed(local), as_listed(remote));
+        all.lines().find_map(|line| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let (sent, received) = words.get(4)?.split_once(':')?;
+            let bytes = |digits| u64::from_str_radix(digits, 16).ok();
+            (words[1] == local && words[2] == remote).then_some((bytes(sent)?, bytes(received)?))
+        })
+    };
+    let sent = queues(from, to).map_or(0, |(sent, _)| sent);
+    let received = queues(to, from).map_or(0, |(_, received)| received);
+    sent + received
+}
+
+/// An address as the system's table of connections writes it.
+fn as_listed(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("{address} is not of IPv4") };
+    format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
+}
+
 /// A request as clients send it, with a fresh id; `more` holds further header lines.
 pub fn request(class: &str, left_ms: u64, more: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -9,9 +9,9 @@
 //! A client that has closed its side has gone. `hyper` hears of that by itself where it waits for the next bytes; where some
 //! lie unread before the end, nobody reads, and so the system is asked before each attempt begins ([`Client::has_gone`]).
 
-use super::exchange::peek_now;
 use super::heads::Heads;
 use super::listener::{LAME_DUCK, Listener};
+use super::readiness::{self, peek_now};
 use super::turns::Charged;
 use super::virtual_server;
 use bytes::Bytes;
@@ -31,7 +31,6 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
-use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 /// A connection that was opened, or whose last answer went, so little ago may have a request on the way.
@@ -123,21 +122,14 @@
     }
 
     fn poll_read(&self, context: &mut Context<'_>, into: &mut [u8]) -> Poll<io::Result<usize>> {
-        loop {
-            if self.stream.poll_read_ready(context)?.is_pending() {
-                // Once it is told to close nothing may be left that came before: the runtime may not have heard of it.
-                let found = if self.closing.get() && !into.is_empty() {
-                    rustix::net::recv(&self.stream, &mut *into, RecvFlags::DONTWAIT).ok()
-                } else {
-                    None
-                };
-                return found.map_or(Poll::Pending, |(count, _)| Poll::Ready(Ok(count)));
-            }
-            match self.stream.try_read(into) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read),
-            }
+        let read = readiness::poll_read(&self.stream, context, |stream| stream.try_read(into));
+        if read.is_pending() && self.closing.get() && !into.is_empty() {
+            // Once it is told to close nothing may be left that came before: the runtime may not have heard of it. This
+            // takes nothing of the budget; hyper gives way after 16 rounds by itself.
+            let found = rustix::net::recv(&self.stream, &mut *into, RecvFlags::DONTWAIT).ok();
+            return found.map_or(Poll::Pending, |(count, _)| Poll::Ready(Ok(count)));
         }
+        read
     }
 
     fn poll_write(
@@ -145,13 +137,7 @@
         context: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        readiness::poll_write(&self.stream, context, write)
     }
 
     /// The last byte of an answer that is passed on has been read from its server.
@@ -364,13 +350,11 @@
     let within = if short { LINGERS_IN_A_CROWD } else { LINGERS };
     let to_its_end = async {
         let mut left = LINGERS_OVER;
-        while left > 0 && client.stream.readable().await.is_ok() {
-            let read = SCRATCH.with_borrow_mut(|scratch| client.stream.try_read(scratch));
-            match read {
-                Ok(0) => return,
+        while left > 0 {
+            let read = |stream: &TcpStream| SCRATCH.with_borrow_mut(|scratch| stream.try_read(scratch));
+            match poll_fn(|context| readiness::poll_read(&client.stream, context, read)).await {
+                Ok(0) | Err(_) => return,
                 Ok(count) => left = left.saturating_sub(count),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
             }
         }
     };
@@ -387,7 +371,7 @@
             return Poll::Ready(client.holds_a_byte());
         }
         // Readiness alone is no byte: a fresh socket has been seen to claim it.
-        match client.stream.poll_peek(context, &mut ReadBuf::new(&mut [0])) {
+        match readiness::poll_peek(&client.stream, context) {
             Poll::Ready(Ok(count)) => return Poll::Ready(count > 0),
             Poll::Ready(Err(_)) => return Poll::Ready(false),
             Poll::Pending => {}
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -6,8 +6,8 @@
 //! in which they were put by is that in which they grow too old.
 
 use super::common::Common;
-use super::exchange::is_quiet;
 use super::limits::{Held, Member};
+use super::readiness::is_quiet;
 use foldhash::quality::FixedState;
 use madderloom_balancer::{Micros, ServerId};
 use std::cell::{Cell, RefCell};
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -15,18 +15,18 @@
 
 use super::BODY;
 use super::flow::HOP;
+use super::readiness::{Unblocked, is_quiet, unblocked};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode};
-use rustix::io::Errno;
-use rustix::net::RecvFlags;
 use smallvec::SmallVec;
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
-use tokio::io::{AsyncRead, Interest, ReadBuf};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::consume_budget;
 
 /// What is read at once; most answers are shorter.
 const READ: usize = 1 << 10;
@@ -153,12 +153,6 @@
     write_all(stream, &mut 0, bytes.len(), |from| stream.try_write(&bytes[from..])).await
 }
 
-/// Ends once the server says something, or closes.
-pub(super) async fn speaks(stream: &TcpStream) {
-    let mut byte = [0];
-    let _ = poll_fn(|context| stream.poll_peek(context, &mut ReadBuf::new(&mut byte))).await;
-}
-
 /// False where the server has answered or closed before that.
 async fn write_up_to(
     stream: &TcpStream,
@@ -187,11 +181,15 @@
     while *sent < end {
         match write(*sent) {
             Ok(0) => return Err(Broken::Connection),
-            Ok(count) => *sent += count,
+            Ok(count) => {
+                *sent += count;
+                if *sent < end {
+                    consume_budget().await;
+                }
+            }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                let ready = stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
-                if ready.is_readable() && !is_quiet(stream) {
+                if unblocked(stream).await? == Unblocked::PeerSpoke {
                     return Ok(false);
                 }
             }
@@ -201,18 +199,6 @@
     Ok(true)
 }
 
-/// How much of a first byte waits to be read, 0 at the end of the connection: asked of the system, and not of what the runtime
-/// has heard. Reads nothing, and does not wait.
-pub(super) fn peek_now(stream: &TcpStream) -> Result<usize, Errno> {
-    rustix::net::recv(stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(count, _)| count)
-}
-
-/// Whether nothing has come and the connection stands, by the system's word of this moment: what came while the process stood
-/// still is there before the runtime has heard of it. Reads nothing: what has come is still there.
-pub(super) fn is_quiet(stream: &TcpStream) -> bool {
-    matches!(peek_now(stream), Err(Errno::AGAIN | Errno::INTR))
-}
-
 /// How a body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -6,6 +6,7 @@
 use super::exchange::{self, Broken, Message, Progress, Taken, Whole};
 use super::ledger::{Entry, Gate};
 use super::passing::{Passing, Reply};
+use super::readiness;
 use super::service::Service;
 use super::teller::EndedAttempt;
 use super::transaction::Answer;
@@ -320,7 +321,8 @@
     let mut result = Ok(());
     let whole = loop {
         let piece = {
-            let (mut next, mut speaks) = (pin!(reader.next(&service.common)), pin!(exchange::speaks(stream)));
+            let (mut next, mut speaks) =
+                (pin!(reader.next(&service.common)), pin!(readiness::peer_spoke(stream)));
             poll_fn(|context| match next.as_mut().poll(context) {
                 Poll::Ready(piece) => Poll::Ready(Some(piece)),
                 Poll::Pending => speaks.as_mut().poll(context).map(|()| None),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,6 +36,9 @@
 mod process;
 #[cfg(test)]
 mod promises;
+mod readiness;
+#[cfg(test)]
+mod readiness_tests;
 mod reload;
 mod routing;
 mod second_address;
--- a/crates/sidecar/src/passing.rs
+++ b/crates/sidecar/src/passing.rs
@@ -8,6 +8,7 @@
 use super::connections::Lease;
 use super::counts::{Counts, count};
 use super::exchange::{Broken, Unwrapper};
+use super::readiness;
 use super::service::Service;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -73,16 +74,15 @@
                 Ok(None) => {}
             }
             let Some(lease) = self.lease.as_mut() else { return Poll::Ready(Some(Err(Broken::Connection))) };
-            if ready!(lease.stream.poll_read_ready(context)).is_err() {
-                return Poll::Ready(Some(Err(Broken::Connection)));
-            }
-            self.unread.reserve(READ);
-            match lease.stream.try_read_buf(&mut self.unread) {
+            let unread = &mut self.unread;
+            let read = readiness::poll_read(&lease.stream, context, |stream| {
+                unread.reserve(READ);
+                stream.try_read_buf(unread)
+            });
+            match ready!(read) {
                 Ok(0) if self.unwrapper.ends_with_connection() => return Poll::Ready(None),
-                Ok(0) => return Poll::Ready(Some(Err(Broken::Connection))),
+                Ok(0) | Err(_) => return Poll::Ready(Some(Err(Broken::Connection))),
                 Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return Poll::Ready(Some(Err(Broken::Connection))),
             }
         }
     }
