Give way between changes of a list and between closes; tests of what each peer may hold up

Cause, found by reading for loops that hold the thread: the watch's reader applied every line of what it had read at once, each at the cost of the whole list. 5,000 changes of one of 2,000 servers, 0.8 MB, kept a request waiting for 3.3 to 4.0 s (debug build). Connections to servers that grew too old together were all closed in one turn, some 10 us each, as were those that a server had closed when a request asked for one.

Change: pool::read_lines gives way behind each line; Connections::drop_old closes 512 in a turn, and take_idle drops 512 old and tries 512 others at most, one of which leaves room for a new connection. process::look_after gives way between such turns. The rest of the audit, of what it costs in one turn: forget, suspect and clear still close all idle connections of a server at once, some 10 us each, bounded by its share of the descriptors; a line of the watch, up to 1 MiB and 4,096 servers, is applied in one turn, and so is each answer of the agent. These are not split.

Clients of this target wait for 120 s now; no check is weaker, and it also shows now that the request is still stuck.

--- a/crates/cli/tests/liveness/main.rs
+++ b/crates/cli/tests/liveness/main.rs
@@ -9,6 +9,8 @@
 #[allow(dead_code, reason = "each test target uses a part of it")]
 mod rig;
 
+mod clients;
+mod lists;
 mod servers;
 
 use rig::{Conn, Node, Options, Sidecar, request, until};
@@ -21,14 +23,22 @@
 /// For how long the process is watched while nothing is asked of it, and the processor's time that it may use meanwhile.
 const WATCHED: Duration = Duration::from_secs(1);
 const IDLE_USE: Duration = Duration::from_millis(200);
-/// A class whose requests wait for this long.
+/// A class whose requests wait for so long that none ends by its time before the test has judged it.
 const CLASS: &str = "recheck";
-const WAITS_MS: u64 = 5_900;
+const WAITS_MS: u64 = 120_000;
 
-/// A process that opens no connections of its own accord: it probes no server.
+/// A process that opens no connections of its own accord: it probes no server. Its clients wait for long.
 fn start(nodes: &[&Node]) -> Sidecar {
     let addresses: Vec<_> = nodes.iter().map(|node| node.address()).collect();
-    let edit = |config: &mut serde_json::Value| config["settings"]["limits"]["probes"] = false.into();
+    let edit = |config: &mut serde_json::Value| {
+        let settings = &mut config["settings"];
+        settings["limits"]["probes"] = false.into();
+        let classes = settings["services"].as_array_mut().expect("classes");
+        let class = classes.iter_mut().find(|class| class["name"] == CLASS).expect("the class");
+        for time in ["on_time", "give_up"] {
+            class[time] = (WAITS_MS * 1_000).into();
+        }
+    };
     Sidecar::with(&addresses, Options { edit, ..Options::default() })
 }
 
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -278,6 +278,11 @@
         let _ = self.0.read_to_end(to);
     }
 
+    /// Reads to the end of the connection, however it ends, and keeps nothing of it.
+    pub fn skip(&mut self) {
+        let _ = std::io::copy(&mut self.0, &mut std::io::sink());
+    }
+
     /// Says that it writes no more; it still reads (a half-close).
     ///
     /// # Panics
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -22,8 +22,9 @@
 const QUIET: Micros = 20_000;
 /// How long connections are held to be breaking after one has broken.
 const BREAKING: Micros = 10_000_000;
-/// Idle connections that one sweep looks at for what the other side has closed.
-const LOOKED_AT: usize = 512;
+/// Idle connections that are looked at in one turn of the thread for what the other side has closed, and that are closed
+/// in one turn as too old. Each costs some ten microseconds.
+const AT_ONCE: usize = 512;
 
 /// Connections that are opened to one server at once. After a restart all that wait for it would come together, and each
 /// costs it work; those beyond wait for one to be open, and their time goes on.
@@ -120,8 +121,8 @@
     /// Drops those that have broken among the next few.
     fn look(&mut self) {
         let from = self.order.partition_point(|(number, _)| *number <= self.looked_at);
-        let next: Vec<(u64, ServerId)> = self.order.range(from..).take(LOOKED_AT).copied().collect();
-        self.looked_at = next.last().filter(|_| next.len() == LOOKED_AT).map_or(0, |(number, _)| *number);
+        let next: Vec<(u64, ServerId)> = self.order.range(from..).take(AT_ONCE).copied().collect();
+        self.looked_at = next.last().filter(|_| next.len() == AT_ONCE).map_or(0, |(number, _)| *number);
         for (number, server) in next {
             let Some(at) = place(&self.by_server, server, number) else { continue };
             let idle = self.by_server.get(&server).and_then(|waiting| waiting.get(at));
@@ -200,20 +201,21 @@
         }
     }
 
-    /// Costs the same however many are idle: they lie in the order in which they were put by, so what is too old
+    /// Costs little more however many are idle: they lie in the order in which they were put by, so what is too old
     /// is at the front, and what is still to be seen quiet at the back.
     fn take_idle(&self, server: ServerId) -> Option<Lease> {
         let now = self.common.clock.now();
         let waiting = &mut *self.waiting.borrow_mut();
         let of_server = waiting.by_server.get_mut(&server)?;
-        while of_server.front().is_some_and(|idle| now.saturating_sub(idle.since) >= self.idle_for.get()) {
-            of_server.pop_front();
-            waiting.count -= 1;
-        }
-        let mut quiet = of_server.partition_point(|idle| now.saturating_sub(idle.since) >= QUIET);
-        while quiet > 0 {
-            quiet -= 1;
-            let found = waiting.remove(server, quiet)?;
+        let is_old = |idle: &Idle| now.saturating_sub(idle.since) >= self.idle_for.get();
+        let dropped = of_server.partition_point(is_old).min(AT_ONCE);
+        of_server.drain(..dropped);
+        waiting.count -= dropped;
+        let old = of_server.partition_point(is_old);
+        let quiet = of_server.partition_point(|idle| now.saturating_sub(idle.since) >= QUIET);
+        // What is too old or has broken beyond so many is left to the sweep.
+        for at in (old..quiet).rev().take(AT_ONCE) {
+            let found = waiting.remove(server, at)?;
             if is_quiet(&found.lease.stream) {
                 return Some(found.lease);
             }
@@ -301,15 +303,26 @@
         self.heard.borrow_mut().remove(&server);
     }
 
-    /// Drops what has been idle for too long, and of a bounded number of the others what the other side has closed.
-    /// To be called once a second.
-    pub(super) fn sweep(&self) {
+    /// Drops what has been idle for too long, some of it: true where more is left.
+    pub(super) fn drop_old(&self) -> bool {
         let now = self.common.clock.now();
         let old = |since: Micros| now.saturating_sub(since) >= self.idle_for.get();
         let mut waiting = self.waiting.borrow_mut();
-        while waiting.oldest().is_some_and(|idle| old(idle.since)) {
+        for _ in 0..AT_ONCE {
+            if !waiting.oldest().is_some_and(|idle| old(idle.since)) {
+                return false;
+            }
             waiting.drop_oldest();
         }
+        true
+    }
+
+    /// Drops of a bounded number of idle connections what the other side has closed, and forgets servers that nobody
+    /// asks for. To be called once a second.
+    pub(super) fn sweep(&self) {
+        let now = self.common.clock.now();
+        let old = |since: Micros| now.saturating_sub(since) >= self.idle_for.get();
+        let mut waiting = self.waiting.borrow_mut();
         waiting.look();
         waiting.by_server.retain(|_, of_server| !of_server.is_empty());
         self.heard.borrow_mut().retain(|_, at| !old(*at));
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -598,8 +598,10 @@
                 if listing.snapshot && !shared.allows(&service.name, listing.index, ask_within) {
                     return Err(format!("lists version {}, which is older than the fleet's", listing.index));
                 }
-                apply_update(service, now, listing);
+                apply_update(service, service.common.clock.now(), listing);
                 shared.told(&service.name, service.pool.version(), || service.pool.shared());
+                // Each costs as much as the list is long, and what was read at once may hold thousands.
+                tokio::task::yield_now().await;
             }
         }
         if unread.is_empty() {
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -237,7 +237,11 @@
 async fn look_after(common: Rc<Common>) {
     loop {
         tokio::time::sleep(SWEEP).await;
-        for service in common.services.borrow().iter() {
+        let services = common.services.borrow().clone();
+        for service in services {
+            while service.connections.drop_old() {
+                tokio::task::yield_now().await;
+            }
             service.connections.sweep();
             service.second();
         }
