--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -585,6 +585,8 @@
         reader.push(frame.data_ref().map_or(&[], |d| d.as_ref()));
         while let Some(object) = reader.next()? {
             apply_line(service, now, &object)?;
+            // Each costs as much as the list is long, and what was read at once may hold thousands.
+            tokio::task::yield_now().await;
         }
         // Until a list is whole nothing is known of what was to be told since it began.
         if !was_within || !reader.is_within() {
