Add a watchdog: a turn of the event loop over 100 ms is a warning with its task

Change: a new crate, `watchdog`. All tasks of the sidecar, of the agent and of the link between them are spawned with their kind (`watchdog::spawn`), clients' connections with the port of their peer as well. Two mechanisms, because neither sees everything: the clock is read before and after each poll, which finds each long turn with its exact length once it has ended; and a thread that looks once a second reports a turn that goes on, and again whenever it has lasted twice as long. The runtime's hooks around a poll were not taken: they are unstable and know a task by its number only. Each report has the elapsed time and the processor time of the process, so that a task that spins is told apart from a process that was stopped or a call that blocks. Counted once a turn: `app.busy_turns` and `app.stalled_turns` in `INFO`, `event_loop` in the admin view.

Tests: a task that spins until the report of it is there; over loopback, the real program blocked by a pipe in the place of its configuration until its log has named the task; a long file; a stopped process.

--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -9,6 +9,7 @@
 use madderloom_fleet::Declined;
 use madderloom_fleet::protocol::LARGEST_ORDER;
 use madderloom_keys::{Files, Keyring, explain};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use rustls::pki_types::ServerName;
 use serde::Deserialize;
 use std::fmt;
@@ -99,7 +100,7 @@
         };
         let made = timeout(PATIENCE, connecting).await.unwrap_or_else(|_| Err("no answer in time".into()));
         let (sender, connection) = made.map_err(|why| format!("agent at {address}: {why}"))?;
-        tokio::task::spawn_local(async move {
+        watchdog::spawn(TaskKind::AgentCall, async move {
             // How it ended shows in the requests over it.
             let _ = connection.await;
         });
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -10,6 +10,7 @@
 use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules};
 use madderloom_quota::Note as Quota;
 use madderloom_roster::{Note as List, Relay};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -122,7 +123,7 @@
         again: Instant::now(),
     };
     driver.restore().await?;
-    tokio::task::spawn_local(driver.run(asked));
+    watchdog::spawn(TaskKind::AgentCore, driver.run(asked));
     Ok(Core(sender))
 }
 
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -10,6 +10,7 @@
 use madderloom_fleet::{Action, Event, Instance, Memory, Session};
 use madderloom_quota::{Asks, Lent};
 use madderloom_roster::{Lists, Tells};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::pin::Pin;
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc, watch};
@@ -179,7 +180,7 @@
         };
         let path = format!("/v1/instances/{name}/{what}");
         let body = serde_json::to_vec(&message).unwrap_or_default();
-        tokio::task::spawn_local(async move {
+        watchdog::spawn(TaskKind::AgentCall, async move {
             let came = match client.ask(Method::POST, &path, body).await {
                 Err(why) => Came::Lost(why),
                 Ok(answer) if answer.status != StatusCode::OK => {
@@ -205,7 +206,7 @@
             let (client, sender) = (Rc::clone(&self.watch), sender.clone());
             let who = self.machine.who();
             let path = format!("/v1/instances/{}/orders?start={}", who.name, who.start);
-            let watching = tokio::task::spawn_local(async move {
+            let watching = watchdog::spawn(TaskKind::AgentCall, async move {
                 let lines = sender.clone();
                 let ended = client.watch(&path, |line| {
                     if let Ok(message) = serde_json::from_slice(line) {
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -18,6 +18,7 @@
 use madderloom_fleet::protocol::{LARGEST_FROM_INSTANCE, LARGEST_ORDER, ToAgent, ToInstance};
 use madderloom_fleet::{Accepted, By, Declined};
 use madderloom_keys::{Keyring, Peer, Role, Shown, Verb, explain, role::may};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::convert::Infallible;
@@ -101,7 +102,7 @@
     /// What TLS does not support.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> Result<(), String> {
         let acceptor = TlsAcceptor::from(self.shared.keyring.server()?);
-        let looks = tokio::task::spawn_local(follow_files(Arc::clone(&self.shared.keyring)));
+        let looks = watchdog::spawn(TaskKind::KeyFiles, follow_files(Arc::clone(&self.shared.keyring)));
         let room = Arc::new(Semaphore::new(self.connections));
         // Connections end with the listener: one that lived on would hold an instance to an agent that is no more.
         let mut open = JoinSet::new();
@@ -110,12 +111,13 @@
                 let Ok(permit) = Arc::clone(&room).acquire_owned().await else { return };
                 while open.try_join_next().is_some() {}
                 match self.listener.accept().await {
-                    Ok((stream, _)) => {
+                    Ok((stream, peer)) => {
                         let (acceptor, shared) = (acceptor.clone(), Rc::clone(&self.shared));
-                        open.spawn_local(async move {
+                        let serving = async move {
                             serve_connection(stream, acceptor, shared).await;
                             drop(permit);
-                        });
+                        };
+                        open.spawn_local(watchdog::watch(TaskKind::AgentConnection.of_peer(peer), serving));
                     }
                     // Out of descriptors or the like: what is open goes on, and ends some time.
                     Err(problem) => {
@@ -313,7 +315,7 @@
     let mut messages: mpsc::Receiver<ToInstance> = shared.core.watch(name.to_string(), start).await;
     let (mut sender, body) = Channel::<Bytes, Infallible>::new(1);
     let keyring = Arc::clone(&shared.keyring);
-    tokio::task::spawn_local(async move {
+    watchdog::spawn(TaskKind::AgentConnection, async move {
         let mut beat = interval(BEAT);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
--- a/crates/cli/src/agent.rs
+++ b/crates/cli/src/agent.rs
@@ -2,6 +2,7 @@
 
 use crate::logging::{LAST_LINES, Logging};
 use madderloom_agent::{Agent as Program, Config, Lasting, Memory, Storage};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -39,6 +40,7 @@
         };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        let _watchdog = watchdog::start();
         let served = tokio::task::LocalSet::new().block_on(&runtime, async {
             let listen = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
             let (mut planned, mut by_hand) =
@@ -48,7 +50,7 @@
             let address = agent.address().map_err(|e| e.to_string())?;
             tracing::info!("listening on {address}");
             let keyring = agent.keyring();
-            tokio::task::spawn_local(async move {
+            watchdog::spawn(TaskKind::KeyFiles, async move {
                 while again.recv().await.is_some() {
                     match keyring.reload() {
                         Ok(_) => tracing::info!("the keys were read again"),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::logging::{LAST_LINES, Logging};
 use madderloom_operator::Operator;
 use madderloom_sidecar::{Config, Sidecar};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,6 +28,7 @@
         let (log, written) = self.logging.start()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        let _watchdog = watchdog::start();
         let served = tokio::task::LocalSet::new().block_on(&runtime, async {
             // In a task of its own: what is awaited here is polled again whenever any task has been.
             // Before all else: a signal that comes while the files are read must not end the program.
@@ -44,12 +46,12 @@
             let sidecar = Sidecar::new(config, operator)?;
             sidecar.set_log(log);
             let own = Rc::clone(&sidecar);
-            tokio::task::spawn_local(async move {
+            watchdog::spawn(TaskKind::Reload, async move {
                 while changed.recv().await.is_some() {
                     own.reload().await;
                 }
             });
-            let serving = tokio::task::spawn_local(sidecar.serve(stop));
+            let serving = watchdog::spawn(TaskKind::Lifecycle, sidecar.serve(stop));
             serving.await.map_err(|e| e.to_string())?
         });
         // The last lines tell how it ended; a standard error that nobody reads must not keep it from ending.
--- a/crates/cli/tests/operations/calls.rs
+++ b/crates/cli/tests/operations/calls.rs
@@ -23,6 +23,21 @@
     assert_eq!(sidecar.figure("app.registry_entries"), 1);
 }
 
+/// Those of a class stand on the page once, as `CLASS`.
+#[test]
+fn each_figure_is_on_the_page_for_on_call_staff() {
+    let page = include_str!("../../../../docs/on-call.md");
+    let node = Node::new();
+    let sidecar = asked(&[&node]);
+    let told = sidecar.call("INFO\n");
+    let names = told.lines().filter_map(|line| line.split_once('=')).map(|(name, _)| name);
+    let names: Vec<&str> = names.filter(|name| !name.starts_with("app.operations.")).collect();
+    assert!(names.len() >= 8, "{told}");
+    for name in names {
+        assert!(page.contains(&format!("`{name}`")), "{name} is not on the page");
+    }
+}
+
 #[rstest]
 #[case::empty("\n")]
 #[case::unknown("STOP\n")]
--- a/crates/cli/tests/operations/main.rs
+++ b/crates/cli/tests/operations/main.rs
@@ -8,6 +8,7 @@
 mod bodies;
 mod calls;
 mod drain;
+mod long_turns;
 mod retune;
 mod upgrade;
 
--- a/crates/cli/tests/services/operators.rs
+++ b/crates/cli/tests/services/operators.rs
@@ -50,6 +50,9 @@
     let told: serde_json::Value = serde_json::from_slice(&done.stdout).expect("an object");
     assert_eq!((&told["version"], &told["pools"][0]["requests"]["served"]), (&1.into(), &1.into()));
     assert_eq!(told["pools"][0]["servers"][0]["share"], 1.0);
+    for turns in ["busy_turns", "stalled_turns"] {
+        assert!(told["event_loop"][turns].is_u64(), "{turns}: {}", told["event_loop"]);
+    }
     let done = madderloom(&["status", "--socket", &socket_name, "z"]);
     assert_eq!(done.status.code(), Some(1));
     assert!(text(&done.stderr).contains("there is no pool z; there are a"), "{}", text(&done.stderr));
--- a/crates/operations/src/figures.rs
+++ b/crates/operations/src/figures.rs
@@ -45,6 +45,10 @@
     pub cfg_accepted: u64,
     /// See above.
     pub cfg_invalid: u64,
+    /// Long turns of the event loop that used the processor, since the process started.
+    pub busy_turns: u64,
+    /// Those that hardly did: the process was stopped or got no processor, or a call blocked.
+    pub stalled_turns: u64,
 }
 
 impl fmt::Display for Figures {
@@ -64,6 +68,8 @@
             ("out_of_rotation", self.out_of_rotation),
             ("cfg_accepted", self.cfg_accepted),
             ("cfg_invalid", self.cfg_invalid),
+            ("busy_turns", self.busy_turns),
+            ("stalled_turns", self.stalled_turns),
         ] {
             writeln!(to, "app.{name}={count}")?;
         }
@@ -92,12 +98,15 @@
         let figures = Figures {
             operations: vec![("submit-check".to_string(), ended), ("a=b\n.c".to_string(), Ended::default())],
             open_requests: 14,
+            busy_turns: 2,
+            stalled_turns: 5,
             ..Figures::default()
         };
         let text = figures.to_string();
         assert!(text.starts_with("app.operations.submit-check.fulfilled=812\n"));
         assert!(text.contains("\napp.operations.a_b__c.faulted=0\n"));
         assert!(text.contains("\napp.open_requests=14\n"));
+        assert!(text.contains("\napp.busy_turns=2\napp.stalled_turns=5\n"));
         assert!(text.ends_with("\neof\n"));
         assert!(text.lines().all(|line| line == "eof" || line.matches('=').count() == 1));
     }
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -19,6 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use madderloom_operator::Admin;
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -121,7 +122,7 @@
             Listening::Unix { .. } => at.to_string(),
         };
         tracing::info!(at = %place, "admin view on {place}");
-        let task = tokio::task::spawn_local(async move {
+        let task = watchdog::spawn(TaskKind::AdminListener, async move {
             let room = Arc::new(Semaphore::new(READERS));
             loop {
                 // The semaphore is never closed.
@@ -141,7 +142,7 @@
                     continue;
                 };
                 let viewer = viewer.clone();
-                tokio::task::spawn_local(async move {
+                watchdog::spawn(TaskKind::AdminConnection, async move {
                     serve(stream, viewer, (place, caller)).await;
                 });
             }
--- a/crates/sidecar/src/agent_link.rs
+++ b/crates/sidecar/src/agent_link.rs
@@ -23,6 +23,7 @@
 use madderloom_operator::{Operator, Source};
 use madderloom_quota::{Asks, Lent};
 use madderloom_roster::{Lists, Offer, Tells};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -285,10 +286,10 @@
         }
         let (sender, receiver) = watch::channel(traits);
         let (sidecar, own) = (Rc::downgrade(self), control.clone());
-        let task = tokio::task::spawn_local(async move {
+        let task = watchdog::spawn(TaskKind::AgentLink, async move {
             let begin =
                 || sidecar.upgrade().map(|_| keep_link(sidecar.clone(), own.clone(), receiver.clone()));
-            keep_going("the agent's link", begin).await;
+            keep_going(TaskKind::AgentLink, "the agent's link", begin).await;
         });
         *link = Some(Running { control, traits: sender, task: task.abort_handle() });
     }
--- a/crates/sidecar/src/drain.rs
+++ b/crates/sidecar/src/drain.rs
@@ -2,6 +2,7 @@
 
 use super::common::Common;
 use madderloom_operations::duty::State;
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
     }
     tracing::info!("draining: no new work is wanted");
     let common = Rc::clone(common);
-    tokio::task::spawn_local(async move {
+    watchdog::spawn(TaskKind::Drain, async move {
         loop {
             tokio::time::sleep(LOOK).await;
             let duty = common.duty.borrow().clone();
--- a/crates/sidecar/src/kept.rs
+++ b/crates/sidecar/src/kept.rs
@@ -1,5 +1,6 @@
 //! Background tasks that the process can't do without: one that ends is seen, logged and begun again.
 
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::future::Future;
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
@@ -20,14 +21,14 @@
 
 /// Runs a task in the present local set and begins it again whenever it ends or panics, 50 ms later at first and 5 s at
 /// most, until there is none to begin. What it had in hand is lost; what it is to look after must be kept elsewhere.
-pub(super) async fn keep_going<F>(what: &str, mut begin: impl FnMut() -> Option<F>)
+pub(super) async fn keep_going<F>(kind: TaskKind, what: &str, mut begin: impl FnMut() -> Option<F>)
 where
     F: Future<Output = ()> + 'static,
 {
     let mut wait = WAITS.0;
     while let Some(task) = begin() {
         let began = Instant::now();
-        let mut task = OwnedTask(tokio::task::spawn_local(task));
+        let mut task = OwnedTask(watchdog::spawn(kind, task));
         let how = match (&mut task.0).await {
             Ok(()) => "ended".to_string(),
             Err(problem) => problem.to_string(),
@@ -54,7 +55,7 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (own, held) = (Rc::clone(&begun), Rc::clone(&dropped));
             let keeper = tokio::task::spawn_local(async move {
-                keep_going("a test's task", || {
+                keep_going(TaskKind::Upkeep, "a test's task", || {
                     own.set(own.get() + 1);
                     let (turn, held) = (own.get(), Rc::clone(&held));
                     Some(async move {
--- a/crates/sidecar/src/levels.rs
+++ b/crates/sidecar/src/levels.rs
@@ -10,6 +10,7 @@
 use madderloom_levels::section::{Checked, FULL};
 use madderloom_levels::{Change, Order};
 use madderloom_store::{Batch, Durability};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use rustix::time::{ClockId, clock_gettime};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -63,7 +64,7 @@
                 }
             }
             *keeper = Some(fresh);
-            let task = tokio::task::spawn_local(run(Rc::clone(service)));
+            let task = watchdog::spawn(TaskKind::Levels, run(Rc::clone(service)));
             service.keep(task.abort_handle());
             None
         }
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -10,6 +10,7 @@
 use super::turns::{self, Account, Charged, InTurn};
 use madderloom_balancer::Micros;
 use madderloom_operator::MemberLimits;
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -147,7 +148,7 @@
         let own = Rc::clone(&listener);
         let of = own.label();
         tracing::info!(at = %address, "{of}listening on {address}");
-        tokio::task::spawn_local(own.serve(socket));
+        watchdog::spawn(TaskKind::AcceptLoop, own.serve(socket));
         listener
     }
 
@@ -265,16 +266,17 @@
                 continue;
             };
             match socket.accept().await {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     pause = AGAIN;
                     let own = Rc::clone(self);
                     let charged = Rc::new(Charged::new(self.account.clone()));
                     let to_charge = Rc::clone(&charged);
-                    tokio::task::spawn_local(InTurn::new(&self.common, charged, async move {
+                    let serving = InTurn::new(&self.common, charged, async move {
                         client::serve(&own, stream, to_charge).await;
                         drop(seat);
                         own.freed.notify_one();
-                    }));
+                    });
+                    watchdog::spawn(TaskKind::ClientConnection.of_peer(peer), serving);
                 }
                 Err(problem) if is_exhausted(&problem) => {
                     let of = self.label();
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -12,6 +12,7 @@
 use madderloom_ledger::{ListedMemory, ServerMemory};
 use madderloom_operator::Server;
 use madderloom_roster::first_wait;
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -507,7 +508,7 @@
     // A fixed list has nothing to follow, and all that it holds is known.
     let Some(discovery) = service.pool.discovery.get() else { return };
     let own = Rc::clone(service);
-    let watch = tokio::task::spawn_local(async move {
+    let watch = watchdog::spawn(TaskKind::DiscoveryWatch, async move {
         if waits {
             // Whoever is told by its fleet spares discovery the call.
             let ask_within = own.tuned().site.settings.rules.ask_within;
@@ -551,7 +552,7 @@
     call.asked = Some(service.common.clock.now());
     let made = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = made.map_err(|e| e.to_string())?;
-    let _task = OwnedTask(tokio::task::spawn_local(async move {
+    let _task = OwnedTask(watchdog::spawn(TaskKind::DiscoveryConnection, async move {
         // How it ended shows in the body that is read from it.
         let _ = connection.await;
     }));
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -6,6 +6,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, StatusCode};
 use madderloom_balancer::{Event, Micros, Report, ServerId};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::future::Ready;
 use std::rc::Rc;
 
@@ -15,7 +16,7 @@
 /// Asks, and tells the module what came back.
 pub(super) fn start(service: &Rc<Service>, server: ServerId) {
     let own = Rc::clone(service);
-    tokio::task::spawn_local(async move {
+    watchdog::spawn(TaskKind::LoadProbe, async move {
         let report = own.common.within(WAIT, ask(&own, server)).await.flatten();
         let now = own.common.clock.now();
         own.handle(now, Event::Probed(server, report));
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -16,6 +16,7 @@
 use madderloom_balancer::Micros;
 use madderloom_operator::{Kept, MemberLimits, Operator, PLATFORM};
 use madderloom_services::shares::Part;
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::cell::RefCell;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -87,17 +88,18 @@
             let socket = second_address::bind(at)?;
             let at = socket.local_addr().unwrap_or(at);
             tracing::info!(%at, "asked on {at}");
-            tokio::task::spawn_local(second_address::serve(Rc::clone(&common), socket));
+            let serving = second_address::serve(Rc::clone(&common), socket);
+            watchdog::spawn(TaskKind::ControlListener, serving);
         }
         let alarmed = Rc::clone(&common);
-        tokio::task::spawn_local(async move {
-            keep_going("timers", || Some(alarms::run(Rc::clone(&alarmed)))).await;
+        watchdog::spawn(TaskKind::Timers, async move {
+            keep_going(TaskKind::Timers, "timers", || Some(alarms::run(Rc::clone(&alarmed)))).await;
         });
         let state = own.and_then(|operator| operator.state.clone());
         let kept = state.as_ref().map(|state| state.usual).unwrap_or_default();
         if let Some((state, (file, _))) = state.zip(operator.as_ref()) {
             let keeper = Keeper::open(state).map_err(|problem| format!("{}: {problem}", file.display()))?;
-            tokio::task::spawn_local(Rc::clone(&keeper).run());
+            watchdog::spawn(TaskKind::State, Rc::clone(&keeper).run());
             common.keeper.get_or_init(|| keeper);
         }
         let name = match (&config, own) {
@@ -132,14 +134,15 @@
     pub async fn serve(self: Rc<Self>, stop: impl Future<Output = ()>) -> Result<(), String> {
         self.follow_agent();
         let common = Rc::clone(&self.common);
-        tokio::task::spawn_local(async move {
-            keep_going("upkeep", || Some(look_after(Rc::clone(&common)))).await
+        watchdog::spawn(TaskKind::Upkeep, async move {
+            keep_going(TaskKind::Upkeep, "upkeep", || Some(look_after(Rc::clone(&common)))).await
         });
         if let Some(scheduler) = &self.common.scheduler {
-            tokio::task::spawn_local(Rc::clone(scheduler).run());
+            watchdog::spawn(TaskKind::FairQueue, Rc::clone(scheduler).run());
         }
         let warm = self.common.keeper.get().map(|keeper| {
-            tokio::task::spawn_local(warm::run(Rc::clone(&self.common), Rc::clone(keeper))).abort_handle()
+            let writing = warm::run(Rc::clone(&self.common), Rc::clone(keeper));
+            watchdog::spawn(TaskKind::WarmState, writing).abort_handle()
         });
         stop.await;
         tracing::info!("stopping");
--- a/crates/sidecar/src/promises.rs
+++ b/crates/sidecar/src/promises.rs
@@ -30,6 +30,7 @@
         (on_call, format!("with {} to spare", seconds(upload::LAG))),
         (on_call, format!("Answers over {} go on", kib(super::BODY as u64))),
         (on_call, format!("takes nothing of one for {} is closed", seconds(client::STOPPED))),
+        (on_call, format!("A turn of {} ms or more", madderloom_watchdog::LONG_TURN.as_millis())),
         (readme, format!("for {} it still takes what comes", seconds(LAME_DUCK.as_micros() as u64))),
         (readme, format!("or is over {}", mib(manner.body_size as u64))),
         (readme, format!("as it is {} after an answer", seconds(manner.idle_within))),
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -11,6 +11,7 @@
 use madderloom_balancer::settings::Site;
 use madderloom_operator::{Bounds, MemberLimits, Operator, PLATFORM, Pool, parts};
 use madderloom_services::routes::{Route, Table};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::hash::BuildHasher;
 use std::rc::Rc;
 use std::time::Duration;
@@ -221,7 +222,7 @@
     }
 
     fn retire(&self, service: Rc<Service>, drain: Duration) {
-        tokio::task::spawn_local(service.leave(drain));
+        watchdog::spawn(TaskKind::PoolRemoval, service.leave(drain));
     }
 
     /// The place of the file's first pool and listener among the members.
--- a/crates/sidecar/src/second_address.rs
+++ b/crates/sidecar/src/second_address.rs
@@ -7,6 +7,7 @@
 use madderloom_balancer::{Micros, ServerState};
 use madderloom_operations::call::{self, Call, Fault};
 use madderloom_operations::figures::{Ended, Figures};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,8 +54,9 @@
             oldest.abort();
         }
         let common = Rc::clone(&common);
-        callers
-            .push_back(tokio::task::spawn_local(async move { answer(&common, stream).await }).abort_handle());
+        let caller =
+            watchdog::spawn(TaskKind::ControlConnection, async move { answer(&common, stream).await });
+        callers.push_back(caller.abort_handle());
     }
 }
 
@@ -115,7 +117,10 @@
 
 /// What the process reports, over all its services.
 fn figures(common: &Common) -> Figures {
+    let turns = watchdog::counts();
     let mut all = Figures {
+        busy_turns: turns.busy,
+        stalled_turns: turns.stalled,
         cfg_accepted: common.files_taken.get(),
         cfg_invalid: common.files_refused.get(),
         ..Figures::default()
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -41,6 +41,7 @@
         let bounds = &common.bounds;
         let [parked, served, servers] = common.held();
         let timers = common.alarms.counted();
+        let turns = madderloom_watchdog::counts();
         let all = |bound: &Rc<Bound>| json!({"used": bound.used(), "total": bound.total()});
         json!({
             "version": VERSION,
@@ -66,6 +67,7 @@
                 "held": {"parked": parked, "served": served, "servers": servers, "most": common.most_held.get()},
             },
             "timers": {"set": timers.set, "rung": timers.rung, "full_turns": timers.full_turns},
+            "event_loop": {"busy_turns": turns.busy, "stalled_turns": turns.stalled},
             "listeners": common.listeners.borrow().iter().map(|l| listener(l)).collect::<Value>(),
             "pools": common.services.borrow().iter().map(|s| pool(s, now)).collect::<Value>(),
         })
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -23,6 +23,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use madderloom_balancer::{Effect, Micros, NewRequest, RequestId};
 use madderloom_services::request::{Asked, Fault, split_key, subject};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::rc::Rc;
 
 /// A client counts its time from the sending, which is a little before the reading.
@@ -280,7 +281,7 @@
 /// answer lost on the way.
 fn drain(common: &Rc<Common>, mut body: Incoming, within: Micros) {
     let common = Rc::clone(common);
-    tokio::task::spawn_local(async move {
+    watchdog::spawn(TaskKind::BodyDrain, async move {
         let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
         // What has not come by then never will, and the connection ends with it.
         let _ = common.within(within, read).await;
