--- a/crates/sidecar/src/agent_link/mod.rs
+++ b/crates/sidecar/src/agent_link/mod.rs
@@ -20,6 +20,7 @@
 use madderloom_fleet::change::Traits;
 use madderloom_fleet::settings::{Key, LogLevel, Overlay, Value};
 use madderloom_operator::{Operator, Source};
+use madderloom_watchdog::{self as watchdog, TaskKind};
 use overlay::{sets_file, steering};
 use persisted::{kept, write};
 use serde_json::json;
@@ -223,10 +224,10 @@
         }
         let (sender, receiver) = watch::channel(traits);
         let (sidecar, own) = (Rc::downgrade(self), control.clone());
-        let task = tokio::task::spawn_local(async move {
+        let task = watchdog::spawn(TaskKind::AgentLink, async move {
             let begin =
                 || sidecar.upgrade().map(|_| keep_link(sidecar.clone(), own.clone(), receiver.clone()));
-            keep_going("the agent's link", begin).await;
+            keep_going(TaskKind::AgentLink, "the agent's link", begin).await;
         });
         *link = Some(Running { control, traits: sender, task: task.abort_handle() });
     }
