Let a change name 4,096 instances, and a look that is written once show all

A change may name 4,096 now, as many as a list has servers; a screen that is written anew still shows the forty that need a look first, and what is written once, as into a pipe, shows all.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -659,7 +659,7 @@
     once: bool,
 }
 
-/// Rows of instances that fit where the terminal's height is not known.
+/// Rows of instances on a screen that is written anew; what is written once has all of them.
 const ROWS: usize = 40;
 
 impl Top {
@@ -667,7 +667,7 @@
         self.connection.run(async |client| {
             let live = !self.once && std::io::stdout().is_terminal();
             loop {
-                let view = look(&client).await;
+                let view = look(&client, if live { ROWS } else { usize::MAX }).await;
                 let text = match &view {
                     Ok(view) => view.to_string(),
                     Err(failed) if live => format!("{failed}; trying again"),
@@ -688,9 +688,11 @@
     status: Status,
     rollout: Option<Rollouts>,
     instances: Vec<Instance>,
+    /// So many instances are shown at most.
+    rows: usize,
 }
 
-async fn look(client: &Client) -> Result<View, Failed> {
+async fn look(client: &Client, rows: usize) -> Result<View, Failed> {
     let status: Status = get(client, "/v1/status").await?;
     let rollout = match &status.rolling_out {
         // It may have ended since.
@@ -702,7 +704,7 @@
     instances.sort_by_key(|i| {
         (i.presence == Presence::Alive && i.in_line == Some(true) && i.refused.is_none(), i.name.clone())
     });
-    Ok(View { status, rollout, instances })
+    Ok(View { status, rollout, instances, rows })
 }
 
 impl fmt::Display for View {
@@ -731,7 +733,7 @@
         if !self.status.shared_lists.is_empty() {
             writeln!(f, "{}", lists(&self.status.shared_lists))?;
         }
-        let shown = &self.instances[..self.instances.len().min(ROWS)];
+        let shown = &self.instances[..self.instances.len().min(self.rows)];
         write!(f, "{}", table(shown))?;
         match self.instances.len() - shown.len() {
             0 => Ok(()),
--- a/crates/cli/tests/fleet/commands.rs
+++ b/crates/cli/tests/fleet/commands.rs
@@ -141,6 +141,17 @@
     assert_eq!((&listed[2]["name"], &listed[2]["in_line"]), (&"shop-2".into(), &true.into()));
 }
 
+/// A screen shows forty; what is written once, as into a pipe, is whole.
+#[test]
+fn a_look_that_is_written_once_has_all_instances() {
+    const MANY: usize = 45;
+    let rig = Rig::new();
+    rig.instances(MANY);
+    let top = rig.told("vic", &["top", "--once"], 0);
+    let rows = top.lines().filter(|line| line.starts_with("shop-")).count();
+    assert!(rows == MANY && !top.contains("more"), "{top}");
+}
+
 #[test]
 fn exit_codes_tell_refused_and_failed_and_unheard_apart() {
     let rig = Rig::new();
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -10,6 +10,8 @@
 pub const LONGEST_NOTE: usize = 1_024;
 /// The most patterns, labels or zones of a selector, and the most waves.
 pub const MOST_PATTERNS: usize = 256;
+/// The most names, and the most zones, that a change selects instances by: it may name each instance of a large fleet.
+pub const MOST_NAMES: usize = 4_096;
 
 /// What an instance says of itself and can be selected by.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -84,10 +86,14 @@
 
     fn check(&self, problems: &mut Vec<Problem>) {
         let mut add = |field: String, problem: String| problems.push(Problem { field, problem });
-        let lists = [("names", self.names.len()), ("labels", self.labels.len()), ("zones", self.zones.len())];
-        for (field, count) in lists {
-            if count > MOST_PATTERNS {
-                add(format!("select.{field}"), format!("{count} of them; there are {MOST_PATTERNS} at most"));
+        let lists = [
+            ("names", self.names.len(), MOST_NAMES),
+            ("labels", self.labels.len(), MOST_PATTERNS),
+            ("zones", self.zones.len(), MOST_NAMES),
+        ];
+        for (field, count, most) in lists {
+            if count > most {
+                add(format!("select.{field}"), format!("{count} of them; there are {most} at most"));
             }
         }
         for (at, pattern) in self.names.iter().enumerate() {
--- a/crates/fleet/tests/a_change_is_refused_with_its_field.rs
+++ b/crates/fleet/tests/a_change_is_refused_with_its_field.rs
@@ -1,6 +1,8 @@
 //! Changes as documents: the file, the checks, fingerprints, layers and differences.
 
-use madderloom_fleet::change::{Change, Layer, Layers, Policy, Selector, Share, Then, Traits, What};
+use madderloom_fleet::change::{
+    Change, Layer, Layers, MOST_NAMES, Policy, Selector, Share, Then, Traits, What,
+};
 use madderloom_fleet::file;
 use madderloom_fleet::settings::{Edits, Key, LogLevel, Overlay, Value};
 use proptest::prelude::*;
@@ -71,6 +73,24 @@
     begins(told("zones = [\"north\"]", "zones = [\"a b\"]"), "select.zones[0]: holds ' '");
 }
 
+/// A change may name each instance of a large fleet, and there is a bound that is told.
+#[test]
+fn a_change_names_4_096_instances_and_no_more() {
+    let named = |count: usize| {
+        let names: Vec<String> = (0..count).map(|number| format!("\"shop-{number}\"")).collect();
+        file::read(&FILE.replace("\"shop-*\"", &names.join(", ")), None)
+    };
+    let change = named(MOST_NAMES).expect("sound");
+    assert!(change.select.names.len() == 4_096 && change.check().is_empty());
+    let all = Traits { zone: "north".into(), ..Traits::default() };
+    assert!(change.select.matches("shop-4095", &all) && !change.select.matches("shop-4096", &all));
+    let fields: Vec<String> = match named(MOST_NAMES + 1) {
+        Ok(change) => change.check().into_iter().map(|problem| problem.field).collect(),
+        Err(problems) => problems.into_iter().map(|problem| problem.field).collect(),
+    };
+    assert_eq!(fields, ["select.names"]);
+}
+
 #[test]
 fn a_difference_tells_people_what_changed() {
     let mut former = Overlay::default();
