Keep the stories of 1,024 servers where a file does not say, as memory allows

Without servers under [timeline] the stories of 256 servers of each pool were kept: a cap below 1,024 on a list of servers. It is 1,024 now, or what half of the memory that the file grants has room for; memory is taken as servers are heard of.

--- a/crates/operator/src/timeline.rs
+++ b/crates/operator/src/timeline.rs
@@ -26,9 +26,11 @@
             "timeline.false_alarms_a_day",
             "must lie in 0.001 to 1000",
         );
-        let servers = self.servers.unwrap_or(usual.servers as u64);
-        document.require((1..=4_096).contains(&servers), "timeline.servers", "must lie in 1 to 4096");
         let each = Story::bytes_for_each_server() as u64;
+        let granted = memory.map_or(u64::MAX, |memory| memory / 2 / each.saturating_mul(pools.max(1) as u64));
+        // Where nothing is said, as many as the memory that the file grants has room for.
+        let servers = self.servers.unwrap_or((usual.servers as u64).min(granted).max(1));
+        document.require((1..=4_096).contains(&servers), "timeline.servers", "must lie in 1 to 4096");
         let bytes = servers.saturating_mul(pools.max(1) as u64).saturating_mul(each);
         document.require(
             memory.is_none_or(|memory| bytes <= memory / 2),
