Force answers without a length that are reset, and the time that a late repeat tells

A short answer without a length that is reset fails, is asked for elsewhere, or breaks off at its client, whichever side of the 50 ms the reset falls; a long one ends only where its server ends it; a repeat whose connection comes up a second late tells less than what is left when it arrives.

--- a/crates/cli/tests/acceptance/main.rs
+++ b/crates/cli/tests/acceptance/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code, reason = "each test target uses a part of it")]
 mod rig;
 
+mod answers;
 mod closes;
 mod gone_clients;
 mod repeats;
--- a/crates/cli/tests/acceptance/repeats.rs
+++ b/crates/cli/tests/acceptance/repeats.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::{Node, Options, Sidecar, accept_any, listing, serve_all, until};
 use crate::{Asked, late_connections};
+use std::time::Instant;
 
 /// An idempotency window of 700 ms, and connections that may take three seconds to come up.
 fn short_window(config: &mut serde_json::Value) {
@@ -52,3 +53,31 @@
     assert_eq!(client.read().expect("an answer").status(), 200);
     assert_eq!(asked.all(), 0, "it was sent to a server that drains");
 }
+
+/// What an attempt tells its server of the client's time is what is left when it is written: less what the first attempt
+/// took, and less what the connection of the second took to come up.
+#[test]
+fn a_repeat_behind_a_late_connection_tells_no_more_time_than_is_left() {
+    const LEFT_MS: u128 = 5_000;
+    let mut nodes = vec![Node::new(), Node::new()];
+    let addresses = [nodes[0].address(), nodes[1].address()];
+    let sidecar = Sidecar::with(&addresses, Options { edit: late_connections, ..Options::default() });
+    let asked = Instant::now();
+    let mut client = sidecar.ask("recheck", LEFT_MS as u64);
+    let (first, mut conn) = accept_any(&[&nodes[0], &nodes[1]]);
+    assert!(conn.read().is_some());
+    let late = nodes.remove(1 - first);
+    let held = late.hold_connections();
+    conn.reset();
+    until("the repeat's connection is tried", || late.is_tried());
+    drop(held);
+    let mut conn = late.accept();
+    // The system tries a connection again after a second: this is written behind that.
+    let came = asked.elapsed().as_millis();
+    let told = conn.read().expect("the repeat");
+    let told: u128 = told.header("x-expires-in-ms").and_then(|left| left.parse().ok()).expect("a time");
+    assert!(came > 500, "the connection was not late: {came} ms");
+    assert!(told > 0 && told <= LEFT_MS - came, "{told} ms are told {came} ms behind the request");
+    conn.answer("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -191,6 +191,14 @@
         Conn(BufReader::new(stream), false)
     }
 
+    /// The port that the other side has here.
+    ///
+    /// # Panics
+    /// The connection has gone.
+    pub fn peer_port(&self) -> u16 {
+        self.0.get_ref().peer_addr().expect("it stands").port()
+    }
+
     /// Writes this.
     ///
     /// # Panics
