--- a/crates/sidecar/src/common.rs
+++ b/crates/sidecar/src/common.rs
@@ -24,7 +24,7 @@
 /// Descriptors that are neither a client's nor a server's; the rest is shared out equally.
 const OWN_DESCRIPTORS: usize = 16;
 /// Of the most connections to one side, which is more than one process can use.
-const MOST_CONNECTIONS: usize = 1 << 16;
+pub(super) const MOST_CONNECTIONS: usize = 1 << 16;
 /// The bodies of open requests together hold this part of the memory at most, where nothing else is said.
 const BODIES: u64 = 4;
 
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -27,7 +27,7 @@
 
 /// Connections that are opened to one server at once. After a restart all that wait for it would come together, and each
 /// costs it work; those beyond wait for one to be open, and their time goes on.
-const OPENING: usize = 32;
+pub(super) const OPENING: usize = 32;
 
 /// What there is to one server.
 struct Server {
--- a/crates/sidecar/src/feed.rs
+++ b/crates/sidecar/src/feed.rs
@@ -14,8 +14,8 @@
 use tokio::time::{Instant, Sleep};
 
 /// Lines that are kept, and the most bytes of them together.
-const LINES: usize = 1_024;
-const BYTES: usize = 512 << 10;
+pub(super) const LINES: usize = 1_024;
+pub(super) const BYTES: usize = 512 << 10;
 /// A text of a line is cut to this: names come from outside.
 const TEXT: usize = 256;
 /// Who follows at once, at most.
--- a/crates/sidecar/src/list_reader.rs
+++ b/crates/sidecar/src/list_reader.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The longest object that is read, in bytes: some 6,000 servers as discovery lists them.
-const LONGEST: usize = 1 << 20;
+pub(super) const LONGEST: usize = 1 << 20;
 
 const NO_OBJECT: &str = "makes no sense: no object begins";
 
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -27,7 +27,7 @@
 /// And at most, where it fails again and again for another reason.
 const LONGEST_PAUSE: Micros = 1_000_000;
 /// Connections that wait to be taken.
-const BACKLOG: u32 = 1_024;
+pub(super) const BACKLOG: u32 = 1_024;
 
 /// How a listener treats its clients.
 #[derive(Clone, Copy)]
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -31,7 +31,7 @@
 const CONNECTS: Duration = Duration::from_secs(1);
 const ANSWERS: Duration = Duration::from_millis(4_500);
 /// The most servers of one list.
-const SERVERS: usize = 4_096;
+pub(super) const SERVERS: usize = 4_096;
 /// Weights that can be compared. One beyond them counts as one that makes no sense: as the usual.
 const WEIGHTS: RangeInclusive<f64> = 1e-6..=1e6;
 /// Clocks that differ by less are taken for the same: they are read one after the other.
--- a/crates/sidecar/src/promises.rs
+++ b/crates/sidecar/src/promises.rs
@@ -1,7 +1,8 @@
 //! The figures that the pages name, against the constants of the code.
 
 use super::listener::{LAME_DUCK, Manner};
-use super::{client, counts, second_address, upload};
+use super::{client, common, connections, counts, feed, list_reader, listener, pool, second_address, upload};
+use madderloom_fleet::{change, protocol, settings};
 
 /// So many seconds, as pages write them.
 fn seconds(micros: u64) -> String {
@@ -41,3 +42,53 @@
         assert!(words(page).contains(&told), "no page says: {told}");
     }
 }
+
+/// A figure as tables write it: 16,384.
+fn grouped(number: usize) -> String {
+    let digits = number.to_string();
+    let groups: Vec<&str> =
+        digits.as_bytes().rchunks(3).rev().filter_map(|group| str::from_utf8(group).ok()).collect();
+    groups.join(",")
+}
+
+/// The table of fixed bounds names these, each beside its constant, and none of a list of servers or instances lies below
+/// 1,024.
+#[test]
+fn the_table_of_bounds_is_that_of_the_code() {
+    let page = include_str!("../../../docs/acceptance.md");
+    let count = |place: &str, name: &str, of: usize| (format!("`{place}` `{name}`"), grouped(of));
+    let bytes = |place: &str, name: &str, of: usize| {
+        let size = if of >= 1 << 20 { format!("{} MiB", of >> 20) } else { format!("{} KiB", of >> 10) };
+        (format!("`{place}` `{name}`"), size)
+    };
+    let lists = [
+        ("sidecar/src/pool.rs", "SERVERS", pool::SERVERS),
+        ("fleet/src/change.rs", "MOST_NAMES", change::MOST_NAMES),
+        ("fleet/src/settings.rs", "MOST_SETTINGS", settings::MOST_SETTINGS),
+        ("ledger/src/warm.rs", "MAX_SERVERS", madderloom_ledger::MAX_SERVERS),
+    ];
+    assert!(lists.iter().all(|(.., of)| *of >= 1_024));
+    assert!(madderloom_timeline::Settings::default().servers >= 1_024);
+    let mut bounds: Vec<_> = lists.iter().map(|(place, name, of)| count(place, name, *of)).collect();
+    bounds.extend([
+        bytes("sidecar/src/list_reader.rs", "LONGEST", list_reader::LONGEST),
+        bytes("roster/src/lib.rs", "MOST_TEXT", madderloom_roster::MOST_TEXT),
+        bytes("roster/src/lib.rs", "ALWAYS_TAKEN", madderloom_roster::ALWAYS_TAKEN),
+        count("roster/src/lib.rs", "MOST_LISTS", madderloom_roster::MOST_LISTS),
+        bytes("fleet/src/protocol.rs", "LARGEST_FROM_INSTANCE", protocol::LARGEST_FROM_INSTANCE),
+        bytes("fleet/src/protocol.rs", "LARGEST_ORDER", protocol::LARGEST_ORDER),
+        count("sidecar/src/common.rs", "Totals", common::MOST_CONNECTIONS),
+        bytes("sidecar/src/upload.rs", "KEPT", upload::KEPT),
+        bytes("sidecar/src/lib.rs", "LONGEST_BODY", super::LONGEST_BODY),
+        bytes("sidecar/src/lib.rs", "BODY", super::BODY),
+        count("sidecar/src/listener.rs", "BACKLOG", listener::BACKLOG as usize),
+        count("sidecar/src/connections.rs", "OPENING", connections::OPENING),
+        count("sidecar/src/counts.rs", "CLASSES", counts::CLASSES),
+    ]);
+    for (place, value) in bounds {
+        let row = page.lines().find(|line| line.contains(&place));
+        let cell = row.and_then(|row| row.split('|').nth(3)).unwrap_or_default();
+        assert!(cell.contains(&value), "{place} is {value}, and the page says {cell:?}");
+    }
+    assert!(page.contains(&format!("{} lines, {} KiB", grouped(feed::LINES), feed::BYTES >> 10)));
+}
