Give fleet, agent, roster and quota error types with their sources in place of strings

fleet: Error for names, settings, undos and durable records; agent: Error for its start, storage, audit log and state (its client still returns texts); roster: Error for what is ignored of a report; quota: Denied is an error. Value::check stays as the text of Value::validate, and the agent's error converts into its text, while other crates take texts. thiserror was in the lock file already.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,6 +1,7 @@
 //! The fleet's machine, driven: one task that takes what is asked in turn, makes what came of it last, and only then
 //! answers and sends. What is asked while it writes is taken together and written together.
 
+use crate::Error;
 use crate::clock::Clock;
 use crate::storage::{Saves, Storage};
 use crate::view;
@@ -107,7 +108,7 @@
     above: u64,
     storage: Box<dyn Storage>,
     seed: u128,
-) -> Result<Core, String> {
+) -> Result<Core, Error> {
     let (sender, asked) = mpsc::channel(WAITING);
     let mut driver = Driver {
         clock,
@@ -264,27 +265,27 @@
         }
     }
 
-    async fn commit(&mut self, saves: Saves) -> Result<(), String> {
-        let mut storage = self.storage.take().ok_or("the storage is gone")?;
+    async fn commit(&mut self, saves: Saves) -> Result<(), Error> {
+        let mut storage = self.storage.take().ok_or(Error::StorageLost)?;
         let task = tokio::task::spawn_blocking(move || {
             let done = storage.commit(saves);
             (storage, done)
         });
-        let (storage, done) = task.await.map_err(|e| format!("the storage is gone: {e}"))?;
+        let (storage, done) = task.await.map_err(Error::StorageThread)?;
         self.storage = Some(storage);
         done
     }
 
-    async fn restore(&mut self) -> Result<(), String> {
-        let mut storage = self.storage.take().ok_or("the storage is gone")?;
+    async fn restore(&mut self) -> Result<(), Error> {
+        let mut storage = self.storage.take().ok_or(Error::StorageLost)?;
         let task = tokio::task::spawn_blocking(move || {
             let records = storage.load();
             (storage, records)
         });
-        let (storage, records) = task.await.map_err(|e| format!("the storage is gone: {e}"))?;
+        let (storage, records) = task.await.map_err(Error::StorageThread)?;
         self.storage = Some(storage);
         let (mut fleet, mut out) = Fleet::restore(self.rules, self.clock.time(), self.above, records?)
-            .map_err(|unsound| format!("the state makes no sense: {unsound}"))?;
+            .map_err(Error::InvalidState)?;
         let leases = fleet.serve_fleet_limits(self.clock.time(), self.lending.clone(), self.rng.rand_u64());
         out.saves.extend(leases.saves);
         self.commit(out.saves).await?;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod config;
 mod core;
+mod error;
 mod link;
 mod server;
 mod storage;
@@ -19,6 +20,7 @@
 
 pub use client::{Answer, Client, Failed};
 pub use config::Config;
+pub use error::Error;
 pub use link::{Link, Settings, Taking};
 pub use server::Agent;
 pub use storage::{Lasting, Memory, Saves, Storage};
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,5 +1,6 @@
 //! The agent's listener: who asks, whether they may, and what they get.
 
+use crate::Error;
 use crate::audit::Audit;
 use crate::clock::{Clock, wall};
 use crate::config::Config;
@@ -58,22 +59,19 @@
     ///
     /// # Errors
     /// What is wrong with the files, the state or the address.
-    pub async fn start(config: &Config, storage: Box<dyn Storage>) -> Result<Self, String> {
-        let keyring = Keyring::load(config.keys.clone())?;
+    pub async fn start(config: &Config, storage: Box<dyn Storage>) -> Result<Self, Error> {
+        let keyring = Keyring::load(config.keys.clone()).map_err(Error::Keys)?;
+        let certificate = || config.keys.certificate.clone();
         match keyring.own() {
             Some(own) if own.role == Role::Agent => {}
             Some(own) => {
-                return Err(format!(
-                    "{}: is for {}, not for an agent",
-                    config.keys.certificate.display(),
-                    own.role
-                ));
+                return Err(Error::WrongRole { certificate: certificate(), role: own.role });
             }
-            None => return Err(format!("{}: holds no role", config.keys.certificate.display())),
+            None => return Err(Error::NoRole { certificate: certificate() }),
         }
         let audit = Audit::open(&config.audit)?;
         let listener = TcpListener::bind(config.listen).await;
-        let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
+        let listener = listener.map_err(|source| Error::Listen { address: config.listen, source })?;
         let seed = u128::from(wall()) << 32 | u128::from(std::process::id());
         let core =
             core::start(Clock::new(), config.rules, config.lending.clone(), config.term_above, storage, seed)
@@ -350,7 +348,7 @@
 ) -> Response<Body> {
     if let Err(problem) = shared.audit.write(peer, asked, about, "asked") {
         // What can't be put on record is not done.
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, problem);
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, problem.to_string());
     }
     let by = By { who: peer.name.clone(), at: wall() };
     let done = shared.core.ask(|reply| ask(by, reply)).await;
--- a/crates/agent/src/storage.rs
+++ b/crates/agent/src/storage.rs
@@ -1,5 +1,6 @@
 //! Where the agent keeps what must last.
 
+use crate::Error;
 use madderloom_fleet::Record;
 use madderloom_store::{Batch, Durability, Options, RealDisk, Store};
 use std::collections::BTreeMap;
@@ -15,13 +16,13 @@
     ///
     /// # Errors
     /// Why they can't be read.
-    fn load(&mut self) -> Result<Vec<(String, Record)>, String>;
+    fn load(&mut self) -> Result<Vec<(String, Record)>, Error>;
 
     /// Makes all of these last, or none; on `Ok` they outlive a loss of power.
     ///
     /// # Errors
     /// Why they may not have; which of the two happened shows at the next [`Storage::load`].
-    fn commit(&mut self, saves: Saves) -> Result<(), String>;
+    fn commit(&mut self, saves: Saves) -> Result<(), Error>;
 }
 
 /// Keeps records for as long as the process lives.
@@ -29,11 +30,11 @@
 pub struct Memory(BTreeMap<String, Record>);
 
 impl Storage for Memory {
-    fn load(&mut self) -> Result<Vec<(String, Record)>, String> {
+    fn load(&mut self) -> Result<Vec<(String, Record)>, Error> {
         Ok(self.0.iter().map(|(key, record)| (key.clone(), record.clone())).collect())
     }
 
-    fn commit(&mut self, saves: Saves) -> Result<(), String> {
+    fn commit(&mut self, saves: Saves) -> Result<(), Error> {
         for (key, record) in saves {
             match record {
                 Some(record) => self.0.insert(key, record),
@@ -56,45 +57,53 @@
         Lasting { directory: directory.to_path_buf(), store: None }
     }
 
-    fn told(&self, problem: impl std::fmt::Display) -> String {
-        format!("{}: {problem}", self.directory.display())
+    fn store_error(&self, source: madderloom_store::Error) -> Error {
+        Error::Store { directory: self.directory.clone(), source }
+    }
+
+    fn record_error(&self, key: &str, source: serde_json::Error) -> Error {
+        Error::Record { directory: self.directory.clone(), key: key.to_string(), source }
     }
 }
 
 impl Storage for Lasting {
-    fn load(&mut self) -> Result<Vec<(String, Record)>, String> {
+    fn load(&mut self) -> Result<Vec<(String, Record)>, Error> {
         // The lock of the former one must go first. What a failed write left in doubt is settled by reading the log.
         self.store = None;
-        let disk = RealDisk::create(&self.directory).map_err(|e| self.told(e))?;
-        let store = Store::open(disk, Options::default()).map_err(|e| self.told(e))?;
+        let disk = RealDisk::create(&self.directory)
+            .map_err(|source| Error::OpenDirectory { directory: self.directory.clone(), source })?;
+        let store = Store::open(disk, Options::default()).map_err(|error| self.store_error(error))?;
         let mut records = Vec::new();
         for found in store.snapshot().scan(b"", 0) {
-            let (key, value) = found.map_err(|e| self.told(e))?;
+            let (key, value) = found.map_err(|error| self.store_error(error))?;
             let key = String::from_utf8_lossy(key).into_owned();
-            let record = serde_json::from_slice(&value).map_err(|e| self.told(format!("{key}: {e}")))?;
+            let record = serde_json::from_slice(&value).map_err(|error| self.record_error(&key, error))?;
             records.push((key, record));
         }
         self.store = Some(store);
         Ok(records)
     }
 
-    fn commit(&mut self, saves: Saves) -> Result<(), String> {
+    fn commit(&mut self, saves: Saves) -> Result<(), Error> {
         let mut batch = Batch::new();
         for (key, record) in saves {
             match record {
                 Some(record) => {
-                    let value = serde_json::to_vec(&record).map_err(|e| self.told(format!("{key}: {e}")))?;
+                    let value =
+                        serde_json::to_vec(&record).map_err(|error| self.record_error(&key, error))?;
                     batch.put(key, value);
                 }
                 None => drop(batch.delete(key)),
             }
         }
-        let Some(store) = &mut self.store else { return Err(self.told("is not open")) };
+        let Some(store) = &mut self.store else {
+            return Err(Error::StoreNotOpen { directory: self.directory.clone() });
+        };
         let mut done = store.write(&batch, Durability::Durable).map(|_| ());
         if done.is_ok() && store.is_compaction_due(0) {
             done = store.compact(0);
         }
-        done.map_err(|e| self.told(e))
+        done.map_err(|error| self.store_error(error))
     }
 }
 
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -3,7 +3,7 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
-use madderloom_agent::{Agent, Client, Config, Link, Saves, Settings, Storage, Taking, view};
+use madderloom_agent::{Agent, Client, Config, Error, Link, Saves, Settings, Storage, Taking, view};
 use madderloom_config::Problem;
 use madderloom_fleet::change::{Change, Policy, Selector, Share, Then, Traits, What};
 use madderloom_fleet::gate::Counts;
@@ -42,14 +42,14 @@
 }
 
 impl Storage for Disk {
-    fn load(&mut self) -> Result<Vec<(String, Record)>, String> {
+    fn load(&mut self) -> Result<Vec<(String, Record)>, Error> {
         Ok(self.0.lock().expect("not poisoned").kept.clone().into_iter().collect())
     }
 
-    fn commit(&mut self, saves: Saves) -> Result<(), String> {
+    fn commit(&mut self, saves: Saves) -> Result<(), Error> {
         let mut disk = self.0.lock().expect("not poisoned");
         if disk.full {
-            return Err("no space left on device".into());
+            return Err(Error::Storage("no space left on device".into()));
         }
         disk.commits += 1;
         for (key, record) in saves {
--- a/crates/cli/src/fleet/push.rs
+++ b/crates/cli/src/fleet/push.rs
@@ -12,7 +12,7 @@
 use madderloom_fleet::membership::Presence;
 use madderloom_fleet::rollout::Rollout as FleetRollout;
 use madderloom_fleet::settings::{Edits, Key, Value};
-use madderloom_fleet::{Accepted, By};
+use madderloom_fleet::{Accepted, By, Error};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -138,7 +138,7 @@
 
 impl Drain {
     pub(crate) fn run(self) -> Result<ExitCode, String> {
-        let key: Key = format!("drain/{}", self.server).parse()?;
+        let key: Key = format!("drain/{}", self.server).parse().map_err(|error: Error| error.to_string())?;
         self.connection.run(async |client| {
             let status: Status = get(&client, "/v1/status").await?;
             let verb = if self.lift { "lift" } else { "drain" };
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -2,7 +2,7 @@
 
 use crate::gate::GateRule;
 use crate::settings::{Edits, Fingerprint, Key, Overlay, check_edits, check_name};
-use crate::{Micros, Problem};
+use crate::{Error, Micros, Problem};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -33,7 +33,7 @@
     pub fn check(&self) -> Result<(), Problem> {
         let problem = |field: &str, problem: String| Problem { field: field.into(), problem };
         if !self.zone.is_empty() {
-            check_name(&self.zone).map_err(|e| problem("zone", e))?;
+            check_name(&self.zone).map_err(|error| problem("zone", error.to_string()))?;
         }
         if self.labels.len() > MOST_PATTERNS {
             return Err(problem(
@@ -42,7 +42,9 @@
             ));
         }
         for (label, value) in &self.labels {
-            check_name(label).and_then(|()| check_name(value)).map_err(|e| problem("labels", e))?;
+            check_name(label)
+                .and_then(|()| check_name(value))
+                .map_err(|error| problem("labels", error.to_string()))?;
         }
         if self.build.len() > crate::settings::LONGEST_NAME {
             return Err(problem("build", "is too long".into()));
@@ -92,21 +94,21 @@
         }
         for (at, pattern) in self.names.iter().enumerate() {
             let begin = pattern.strip_suffix('*').unwrap_or(pattern);
-            if let Err(problem) = check_name(begin) {
+            if let Err(error) = check_name(begin) {
                 // A lone star matches all, as an empty list does.
                 if pattern != "*" {
-                    add(format!("select.names[{at}]"), problem);
+                    add(format!("select.names[{at}]"), error.to_string());
                 }
             }
         }
         for (at, zone) in self.zones.iter().enumerate() {
-            if let Err(problem) = check_name(zone) {
-                add(format!("select.zones[{at}]"), problem);
+            if let Err(error) = check_name(zone) {
+                add(format!("select.zones[{at}]"), error.to_string());
             }
         }
         for (label, value) in &self.labels {
-            if let Err(problem) = check_name(label).and_then(|()| check_name(value)) {
-                add(format!("select.labels.{label}"), problem);
+            if let Err(error) = check_name(label).and_then(|()| check_name(value)) {
+                add(format!("select.labels.{label}"), error.to_string());
             }
         }
     }
@@ -202,7 +204,7 @@
             require(sound, &format!("waves[{at}]"), "must be at least 1, and in percent at most 100");
         }
         if let Some(gate) = &self.gate {
-            for (field, problem) in gate.check() {
+            for Problem { field, problem } in gate.check() {
                 require(false, &format!("gate.{field}"), &problem);
             }
         }
@@ -244,8 +246,8 @@
     /// All problems of the change, each with its field.
     pub fn check(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
-        if let Err(problem) = check_name(&self.id) {
-            problems.push(Problem { field: "id".into(), problem });
+        if let Err(error) = check_name(&self.id) {
+            problems.push(Problem { field: "id".into(), problem: error.to_string() });
         }
         if self.note.len() > LONGEST_NOTE {
             let problem = format!("has {} bytes; there are {LONGEST_NOTE} at most", self.note.len());
@@ -267,8 +269,8 @@
                 }
             }
             What::Undo(id) => {
-                if let Err(problem) = check_name(id) {
-                    problems.push(Problem { field: "undo".into(), problem });
+                if let Err(error) = check_name(id) {
+                    problems.push(Problem { field: "undo".into(), problem: error.to_string() });
                 }
             }
         }
@@ -339,13 +341,11 @@
     ///
     /// # Errors
     /// Why it cannot be undone.
-    pub fn undoable(&self, id: &str) -> Result<&Layer, String> {
+    pub fn undoable(&self, id: &str) -> Result<&Layer, Error> {
         let place = self.0.iter().position(|layer| layer.id == id);
         match place {
-            None => Err(format!("no change {id} is in effect")),
-            Some(place) if self.0.len() - place > UNDOABLE => Err(format!(
-                "{id} is older than the last {UNDOABLE} changes; push one that sets anew what it set"
-            )),
+            None => Err(Error::NotInEffect { id: id.to_string() }),
+            Some(place) if self.0.len() - place > UNDOABLE => Err(Error::TooOldToUndo { id: id.to_string() }),
             Some(place) => Ok(&self.0[place]),
         }
     }
--- a/crates/fleet/src/file.rs
+++ b/crates/fleet/src/file.rs
@@ -30,6 +30,7 @@
 //!
 //! A value of `"file"` goes back to what each instance's own file says.
 
+use crate::Error;
 use crate::change::{Change, Policy, Selector, Share, Then, What};
 use crate::gate::GateRule;
 use crate::settings::{Edits, Key, LogLevel, Value};
@@ -189,27 +190,27 @@
     }
 }
 
-fn value(key: &Key, plain: &Plain) -> Result<Option<Value>, String> {
+fn value(key: &Key, plain: &Plain) -> Result<Option<Value>, Error> {
     let weight = |weight: f64| {
         if (0.0..=100.0).contains(&weight) {
             Ok(Some(Value::Weight((weight * 1e3).round() as u32)))
         } else {
-            Err("must be a weight from 0 to 100".to_string())
+            Err(Error::NotAWeight)
         }
     };
     match (key, plain) {
         (_, Plain::Text(text)) if text == "file" => Ok(None),
         (Key::Weight(_), Plain::Whole(whole)) => weight(*whole as f64),
         (Key::Weight(_), Plain::Real(real)) => weight(*real),
-        (Key::Weight(_), _) => Err("must be a weight from 0 to 100".into()),
+        (Key::Weight(_), _) => Err(Error::NotAWeight),
         (Key::Drain(_), Plain::Flag(drained)) => Ok(Some(Value::Drained(*drained))),
-        (Key::Drain(_), _) => Err("must be true or false".into()),
+        (Key::Drain(_), _) => Err(Error::NotABoolean),
         (Key::Limit { .. } | Key::Fleet { .. }, Plain::Whole(limit)) => {
-            u64::try_from(*limit).map(|limit| Some(Value::Limit(limit))).map_err(|_| "is not negative".into())
+            u64::try_from(*limit).map(|limit| Some(Value::Limit(limit))).map_err(|_| Error::NegativeNumber)
         }
-        (Key::Limit { .. } | Key::Fleet { .. }, _) => Err("must be a whole number".into()),
+        (Key::Limit { .. } | Key::Fleet { .. }, _) => Err(Error::NotAWholeNumber),
         (Key::Route(_), Plain::Text(text)) => Ok(Some(Value::Route(text.clone()))),
-        (Key::Route(_), _) => Err("must be the text of a route".into()),
+        (Key::Route(_), _) => Err(Error::NotARoute),
         (Key::LogLevel, Plain::Text(text)) => {
             let level = match text.as_str() {
                 "off" => LogLevel::Off,
@@ -218,10 +219,10 @@
                 "info" => LogLevel::Info,
                 "debug" => LogLevel::Debug,
                 "trace" => LogLevel::Trace,
-                _ => return Err("must be off, error, warn, info, debug or trace".into()),
+                _ => return Err(Error::NotALogLevel),
             };
             Ok(Some(Value::Level(level)))
         }
-        (Key::LogLevel, _) => Err("must be off, error, warn, info, debug or trace".into()),
+        (Key::LogLevel, _) => Err(Error::NotALogLevel),
     }
 }
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -15,15 +15,15 @@
 pub use declined::{Accepted, Declined, Since, StandDown, difference};
 pub use note::Note;
 pub use orders::InstanceState;
-pub use record::{By, Entry, InvalidRecord, Record};
+pub use record::{By, Entry, Record};
 
-use crate::Micros;
 use crate::change::Layers;
 use crate::fleet_limits::FleetLimits;
 use crate::membership::{Leases, Membership};
 use crate::protocol::{ToAgent, ToInstance};
 use crate::rollout::{Phase, Rollout, Target};
 use crate::spread::{Pace, Spread};
+use crate::{Error, Micros};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The number of ended changes that are remembered.
@@ -104,7 +104,7 @@
         time: Time,
         above: u64,
         records: impl IntoIterator<Item = (String, Record)>,
-    ) -> Result<(Self, Output), InvalidRecord> {
+    ) -> Result<(Self, Output), Error> {
         let membership = Membership::new(rules.leases);
         let spread = Spread::new(rules.pace);
         let mut fleet = Fleet {
@@ -126,7 +126,6 @@
         };
         let mut entries = BTreeMap::new();
         for (key, record) in records {
-            let invalid = |problem: &str| InvalidRecord { key: key.clone(), problem: problem.to_string() };
             match record {
                 Record::Term(term) => fleet.term = term,
                 Record::LeaseDuration(duration) => fleet.outstanding_duration = duration,
@@ -134,12 +133,17 @@
                 Record::Rollout(rollout) => fleet.rollout = Some(*rollout),
                 Record::Target(target) => {
                     let place = key.strip_prefix("target/").and_then(|rest| rest.split_once('/'));
-                    let (revision, name) = place.ok_or_else(|| invalid("is no key of a target"))?;
-                    let revision = revision.parse().map_err(|_| invalid("holds no revision"))?;
+                    let (revision, name) =
+                        place.ok_or_else(|| Error::InvalidTargetKey { key: key.clone() })?;
+                    let revision = revision
+                        .parse()
+                        .map_err(|source| Error::InvalidRevision { key: key.clone(), source })?;
                     fleet.results.entry(revision).or_default().insert(name.to_string(), target);
                 }
                 Record::Member(member) => {
-                    let name = key.strip_prefix("member/").ok_or_else(|| invalid("is no key of a member"))?;
+                    let name = key
+                        .strip_prefix("member/")
+                        .ok_or_else(|| Error::InvalidMemberKey { key: key.clone() })?;
                     fleet.membership.restore(time.now, name.to_string(), member);
                 }
                 Record::Entry(entry) => {
--- a/crates/fleet/src/fleet/operator.rs
+++ b/crates/fleet/src/fleet/operator.rs
@@ -3,13 +3,17 @@
 use super::declined::{Accepted, Declined, Since, StandDown, difference};
 use super::record::{By, Record};
 use super::{Fleet, Output, Time};
-use crate::Problem;
 use crate::change::{Change, MOST_LAYERS, Policy, Selector, Then, What};
 use crate::membership::Presence;
 use crate::rollout::{End, Rollout};
 use crate::settings::{Key, MOST_SETTINGS};
+use crate::{Error, Problem};
 use std::collections::BTreeMap;
 
+fn impossible(error: Error) -> Declined {
+    Declined::Impossible(error.to_string())
+}
+
 impl Fleet {
     /// Pushes a change. Its id names it permanently, and it must have been made on the newest revision.
     ///
@@ -81,7 +85,7 @@
         }
         let select = match &change.what {
             What::Set(_) => &change.select,
-            What::Undo(id) => &self.layers.undoable(id).map_err(Declined::Impossible)?.select,
+            What::Undo(id) => &self.layers.undoable(id).map_err(impossible)?.select,
         };
         let (mut chosen, mut others) = (BTreeMap::new(), BTreeMap::new());
         for (name, member) in self.membership.iter().filter(|(_, member)| member.presence != Presence::Gone) {
@@ -177,7 +181,7 @@
             let revision = entry.back_revision.unwrap_or(entry.revision);
             return Ok(Accepted { id: entry.change.id.clone(), revision, repeat: true });
         }
-        self.layers.undoable(id).map_err(Declined::Impossible)?;
+        self.layers.undoable(id).map_err(impossible)?;
         let policy = Policy {
             waves: Vec::new(),
             at_once: u32::MAX,
--- a/crates/fleet/src/fleet/record.rs
+++ b/crates/fleet/src/fleet/record.rs
@@ -5,7 +5,6 @@
 use crate::membership::PersistedMember;
 use crate::rollout::{End, Rollout, Target};
 use serde::{Deserialize, Serialize};
-use std::fmt;
 
 /// Who did something, and when by the wall clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -55,18 +54,3 @@
     #[serde(rename = "lending")]
     LeaseDuration(Micros),
 }
-
-/// A record that this program cannot have written.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InvalidRecord {
-    /// Its key.
-    pub key: String,
-    /// What is wrong with it.
-    pub problem: String,
-}
-
-impl fmt::Display for InvalidRecord {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.key, self.problem)
-    }
-}
--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -7,7 +7,7 @@
 //! instance are not independent of each other, so the error of the estimate is taken both from the counts, as if
 //! they were (binomial), and from the spread between instances (Welch), and the greater one counts.
 
-use crate::Micros;
+use crate::{Micros, Problem};
 use serde::{Deserialize, Serialize};
 
 /// Requests of a window, as an instance counts them itself.
@@ -64,17 +64,19 @@
 }
 
 impl GateRule {
-    pub(crate) fn check(&self) -> Vec<(&'static str, String)> {
+    /// All problems of the rule, by its own fields.
+    pub(crate) fn check(&self) -> Vec<Problem> {
         let mut problems = Vec::new();
-        if self.worse > 1_000 {
-            problems.push(("worse", "must be 1000 thousandths at most".into()));
-        }
-        if !(50..=1_000).contains(&self.sure) {
-            problems.push(("sure", "must be from 50 to 1000 hundredths of a standard error".into()));
-        }
-        if self.patience > crate::change::LONGEST_WAIT {
-            problems.push(("patience", "must be a day at most".into()));
-        }
+        let mut require = |holds: bool, field: &str, problem: &str| {
+            if !holds {
+                problems.push(Problem { field: field.into(), problem: problem.into() });
+            }
+        };
+        require(self.worse <= 1_000, "worse", "must be 1000 thousandths at most");
+        let is_sure = (50..=1_000).contains(&self.sure);
+        require(is_sure, "sure", "must be from 50 to 1000 hundredths of a standard error");
+        let has_patience = self.patience <= crate::change::LONGEST_WAIT;
+        require(has_patience, "patience", "must be a day at most");
         problems
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! repeats and crashes of small fleets.
 
 pub mod change;
+mod error;
 pub mod file;
 mod fleet;
 pub mod fleet_limits;
@@ -26,9 +27,10 @@
 #[cfg(any(test, feature = "explore"))]
 pub mod explore;
 
+pub use error::Error;
 pub use fleet::{
-    Accepted, By, Declined, Entry, Fleet, InstanceState, InvalidRecord, Note, Output, Record, Rules, Since,
-    StandDown, Time, difference,
+    Accepted, By, Declined, Entry, Fleet, InstanceState, Note, Output, Record, Rules, Since, StandDown, Time,
+    difference,
 };
 // The former name, for code that still uses it.
 pub use fleet::InstanceState as Line;
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -49,7 +49,7 @@
     /// # Errors
     /// The invalid field.
     pub fn check(&self) -> Result<(), Problem> {
-        check_name(&self.name).map_err(|problem| Problem { field: "name".into(), problem })
+        check_name(&self.name).map_err(|error| Problem { field: "name".into(), problem: error.to_string() })
     }
 }
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a change can set, and what of it is in effect on an instance.
 
-use crate::Problem;
+use crate::{Error, Problem};
 use serde::de::{self, Deserializer};
 use serde::{Deserialize, Serialize, Serializer};
 use sha2::{Digest, Sha256};
@@ -21,14 +21,14 @@
 ///
 /// # Errors
 /// What is wrong with it.
-pub fn check_name(text: &str) -> Result<(), String> {
+pub fn check_name(text: &str) -> Result<(), Error> {
     let odd = |c: char| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | ':' | '-'));
     if text.is_empty() {
-        Err("is empty".into())
+        Err(Error::EmptyName)
     } else if text.len() > LONGEST_NAME {
-        Err(format!("has {} bytes; a name has {LONGEST_NAME} at most", text.len()))
-    } else if let Some(odd) = text.chars().find(|c| odd(*c)) {
-        Err(format!("holds {odd:?}; a name has letters, digits and . _ : - alone"))
+        Err(Error::NameTooLong { length: text.len() })
+    } else if let Some(character) = text.chars().find(|c| odd(*c)) {
+        Err(Error::InvalidCharacter { character })
     } else {
         Ok(())
     }
@@ -102,14 +102,18 @@
 }
 
 impl FromStr for Key {
-    type Err = String;
+    type Err = Error;
 
-    fn from_str(text: &str) -> Result<Self, String> {
+    fn from_str(text: &str) -> Result<Self, Error> {
         let mut parts = text.split('/');
         let kind = parts.next().unwrap_or_default();
         let rest: Vec<&str> = parts.collect();
         for name in &rest {
-            check_name(name).map_err(|e| format!("{text:?}: {name:?} {e}"))?;
+            check_name(name).map_err(|error| Error::InvalidKeyPart {
+                key: text.to_string(),
+                part: name.to_string(),
+                source: Box::new(error),
+            })?;
         }
         match (kind, rest.as_slice()) {
             ("weight", [server]) => Ok(Key::Weight(server.to_string())),
@@ -121,17 +125,13 @@
             ("log_level", []) => Ok(Key::LogLevel),
             ("fleet", [limit, figure]) => {
                 let known = FleetFigure::ALL.iter().find(|(_, name)| name == figure);
-                let (figure, _) = known.ok_or_else(|| {
-                    format!(
-                        "{text:?}: a fleet limit has requests_per_second, burst and open, and no {figure:?}"
-                    )
+                let (figure, _) = known.ok_or_else(|| Error::UnknownFigure {
+                    key: text.to_string(),
+                    figure: figure.to_string(),
                 })?;
                 Ok(Key::Fleet { limit: limit.to_string(), figure: *figure })
             }
-            _ => Err(format!(
-                "{text:?} is no setting; there are weight/SERVER, drain/SERVER, limit/SERVICE/LIMIT, route/NAME, \
-                 log_level, fleet/LIMIT/FIGURE"
-            )),
+            _ => Err(Error::UnknownSetting { key: text.to_string() }),
         }
     }
 }
@@ -190,28 +190,34 @@
 }
 
 impl Value {
-    /// Whether a key can be set to this.
+    /// The text of [`Value::validate`]'s error, for code that still uses it.
     ///
     /// # Errors
-    /// What is wrong with it.
+    /// Why the value is invalid.
     pub fn check(&self, key: &Key) -> Result<(), String> {
+        self.validate(key).map_err(|error| error.to_string())
+    }
+
+    /// Checks whether a setting can have this value.
+    ///
+    /// # Errors
+    /// Why the value is invalid.
+    pub fn validate(&self, key: &Key) -> Result<(), Error> {
         match (key, self) {
-            (Key::Weight(_), Value::Weight(w)) if *w > GREATEST_WEIGHT => {
-                Err("a weight is from 0 to 100".into())
-            }
+            (Key::Weight(_), Value::Weight(w)) if *w > GREATEST_WEIGHT => Err(Error::WeightOutOfRange),
             (Key::Route(_), Value::Route(text)) if text.len() > LONGEST_ROUTE => {
-                Err(format!("has {} bytes; a route has {LONGEST_ROUTE} at most", text.len()))
+                Err(Error::RouteTooLong { length: text.len() })
             }
             (Key::Weight(_), Value::Weight(_))
             | (Key::Drain(_), Value::Drained(_))
             | (Key::Limit { .. } | Key::Fleet { .. }, Value::Limit(_))
             | (Key::Route(_), Value::Route(_))
             | (Key::LogLevel, Value::Level(_)) => Ok(()),
-            (Key::Weight(_), _) => Err("must be a weight from 0 to 100".into()),
-            (Key::Drain(_), _) => Err("must be true or false".into()),
-            (Key::Limit { .. } | Key::Fleet { .. }, _) => Err("must be a whole number".into()),
-            (Key::Route(_), _) => Err("must be the text of a route".into()),
-            (Key::LogLevel, _) => Err("must be off, error, warn, info, debug or trace".into()),
+            (Key::Weight(_), _) => Err(Error::NotAWeight),
+            (Key::Drain(_), _) => Err(Error::NotABoolean),
+            (Key::Limit { .. } | Key::Fleet { .. }, _) => Err(Error::NotAWholeNumber),
+            (Key::Route(_), _) => Err(Error::NotARoute),
+            (Key::LogLevel, _) => Err(Error::NotALogLevel),
         }
     }
 }
@@ -226,8 +232,8 @@
         problems.push(Problem { field: "set".into(), problem });
     }
     for (key, value) in edits {
-        if let Err(problem) = value.as_ref().map_or(Ok(()), |value| value.check(key)) {
-            problems.push(Problem { field: format!("set.{key}"), problem });
+        if let Err(error) = value.as_ref().map_or(Ok(()), |value| value.validate(key)) {
+            problems.push(Problem { field: format!("set.{key}"), problem: error.to_string() });
         }
     }
 }
--- a/crates/quota/src/lease_holder.rs
+++ b/crates/quota/src/lease_holder.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why a request is not admitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the fleet-wide limit has no room{}", if *.unleased { ": the instance holds no lease" } else { "" })]
 pub struct Denied {
     /// The delay after which the request will be admitted if nothing changes, in microseconds. `None` where that
     /// depends on open requests.
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -18,9 +18,11 @@
 //!
 //! Clocks may run apart by one part in [`DRIFT`]; ages are counted as that much longer.
 
+mod error;
 mod relay;
 mod share;
 
+pub use error::Error;
 pub use relay::{Note, Relay, SharedList};
 pub use share::{Heard, Offer, Share};
 
--- a/crates/roster/src/relay.rs
+++ b/crates/roster/src/relay.rs
@@ -1,7 +1,8 @@
 //! The agent's side: the newest list of each name, and who holds which.
 
 use crate::{
-    LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, WATCHERS, aged,
+    Error, LONGEST_NAME, Line, Lists, MOST_LISTS, MOST_TEXT, Micros, Stamp, Tell, Tells, Version, WATCHERS,
+    aged,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -33,12 +34,12 @@
         /// Whom it came from.
         from: String,
     },
-    /// An instance says what makes no sense; that line is passed over and its others are kept.
+    /// An instance reports an invalid list. The entry is ignored; the others of the report are kept.
     Odd {
-        /// Whom it came from.
+        /// The instance.
         from: String,
         /// What is wrong.
-        problem: &'static str,
+        problem: Error,
     },
 }
 
@@ -167,18 +168,18 @@
             Said::Nothing
         };
         if tell.list.is_empty() || tell.list.len() > LONGEST_NAME {
-            return odd("a list without a name, or with one that is too long");
+            return odd(Error::InvalidName);
         }
         if let Some(text) = &tell.text {
             if text.len() > MOST_TEXT {
-                return odd("a list that is too long");
+                return odd(Error::TextTooLong);
             }
             if Version::of(version.index, text) != version {
-                return odd("a list that is not the one that it says");
+                return odd(Error::WrongChecksum);
             }
         }
         if !self.lists.contains_key(&tell.list) && self.lists.len() >= MOST_LISTS {
-            return odd("more lists than an agent keeps");
+            return odd(Error::TooManyLists);
         }
         // What this agent said to it, and when, is known; all that came after is counted as its clock says, at worst.
         let known = tells.stamp.filter(|stamp| (stamp.term, stamp.id) == (self.term, self.id));
--- a/crates/sidecar/src/agent_link/apply.rs
+++ b/crates/sidecar/src/agent_link/apply.rs
@@ -20,9 +20,9 @@
         if overlay.0.len() > MOST_SETTINGS {
             return refused("set", &format!("holds more than {MOST_SETTINGS} settings"));
         }
-        let fault = overlay.0.iter().find_map(|(key, value)| Some((key, value.check(key).err()?)));
-        if let Some((key, problem)) = fault {
-            return refused(&format!("set.{key}"), &problem);
+        let fault = overlay.0.iter().find_map(|(key, value)| Some((key, value.validate(key).err()?)));
+        if let Some((key, error)) = fault {
+            return refused(&format!("set.{key}"), &error.to_string());
         }
         let former = self.agent_link.memory.borrow().overlay.clone();
         let source = self.agent_link.file.borrow().as_ref().map(|file| Arc::clone(&file.source));
