Say in plain words what the sidecar's link to its agent does

Doc comments in subject-verb-object sentences, and names of private items in the field's words: ConfiguredAgent, ActiveLink, LinkHost, apply_overlay, persist, sample. Log lines, the admin endpoint's fields and the file of the state stay.

--- a/crates/sidecar/src/agent_link/apply.rs
+++ b/crates/sidecar/src/agent_link/apply.rs
@@ -1,4 +1,4 @@
-//! An overlay of the agent, in effect whole or not at all.
+//! Application of the agent's overlays.
 
 use super::overlay::{same_in_file, steering};
 use crate::pool;
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 
 impl Sidecar {
-    /// Has all of an overlay in effect, or nothing of it.
-    pub(super) async fn meet(self: Rc<Self>, overlay: Overlay) -> Outcome {
+    /// Applies an overlay in full, or refuses it and changes nothing.
+    pub(super) async fn apply_overlay(self: Rc<Self>, overlay: Overlay) -> Outcome {
         let _turn = self.agent_link.turn.lock().await;
         let refused = |field: &str, problem: &str| {
             Outcome::Refused(Problem { field: field.to_string(), problem: problem.to_string() })
@@ -31,7 +31,7 @@
         let operator = if same_in_file(&former, &overlay) {
             None
         } else {
-            // A long file takes a good part of a second, in which requests go on.
+            // The check of a long file takes a good part of a second, during which requests are served.
             match aside(move || source.with(&edited)).await {
                 Ok(Ok(operator)) => Some(operator),
                 Ok(Err(problem)) => return Outcome::Refused(problem),
@@ -41,18 +41,18 @@
         if self.common.is_stopping() {
             return refused("set", "the instance is stopping");
         }
-        // From here on nothing waits, so that nothing sees a half of it.
+        // There is no await from here on, so that no request sees a part of the change.
         self.common.steering.replace(steering(&overlay));
         if let Some(operator) = operator {
             match self.apply(operator) {
-                Ok(told) => tracing::info!("control: {told}"),
+                Ok(summary) => tracing::info!("control: {summary}"),
                 Err(problem) => {
                     self.common.steering.replace(steering(&former));
                     return refused("set", &problem);
                 }
             }
         }
-        self.steer(&former, &overlay);
+        self.apply_steering(&former, &overlay);
         self.agent_link.set_log_level(&overlay);
         for line in former.diff(&overlay) {
             tracing::info!("control: {line}");
@@ -61,7 +61,7 @@
         Outcome::Applied
     }
 
-    pub(super) fn steer(&self, former: &Overlay, overlay: &Overlay) {
+    pub(super) fn apply_steering(&self, former: &Overlay, overlay: &Overlay) {
         let (former, present) = (steering(former), steering(overlay));
         for service in self.common.services.borrow().iter() {
             pool::steer(service, &former, &present);
--- a/crates/sidecar/src/agent_link/connection.rs
+++ b/crates/sidecar/src/agent_link/connection.rs
@@ -1,4 +1,4 @@
-//! The connection to the agent: made once the keys can be read, and kept while the file names that agent.
+//! The connection to the agent: opened once the keys can be read, and kept while the file names that agent.
 
 use super::window::Window;
 use crate::pool;
@@ -10,7 +10,7 @@
 use madderloom_fleet::settings::Overlay;
 use madderloom_fleet::{Instance, Memory};
 use madderloom_keys::{Files, Keyring, Role};
-use madderloom_quota::{Asks, Lent};
+use madderloom_quota::{Grant, LeaseRequests};
 use madderloom_roster::{Lists, Offer, Tells};
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Weak;
@@ -19,10 +19,10 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// How often the files of the keys are looked at.
-const LOOK: Duration = Duration::from_secs(5);
+/// How often the files of the keys are checked for changes.
+const KEY_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-/// The keys, and a client for reports and one for the watch.
+/// Loads the keys, and makes a client for reports and one for the watch.
 fn clients(agent: &str, files: &Files) -> Result<(Arc<Keyring>, Client, Client), String> {
     let keyring = Keyring::load(files.clone())?;
     let client = || Client::with(agent, &keyring);
@@ -30,7 +30,7 @@
     Ok((keyring, reports, watch))
 }
 
-/// Keeps the link to one agent.
+/// Keeps the link to one agent for as long as it is polled.
 pub(super) async fn keep_link(
     sidecar: Weak<Sidecar>,
     control: madderloom_operator::Control,
@@ -52,7 +52,7 @@
                 last = Some(problem);
             }
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(KEY_CHECK_INTERVAL).await;
     };
     if keyring.own().is_none_or(|own| own.role != Role::Instance) {
         tracing::warn!(
@@ -69,21 +69,21 @@
     };
     let memory = own.agent_link.memory.borrow().clone();
     let machine = Instance::new(0, who, traits.borrow().clone(), memory.clone());
-    // Kept before it is used, so that no two starts go by one incarnation.
-    own.agent_link.keep(&Memory { incarnation: machine.who().incarnation, ..memory });
+    // Persisted before it is used, so that no two starts have the same incarnation.
+    own.agent_link.persist(&Memory { incarnation: machine.who().incarnation, ..memory });
     tracing::info!("control: {} registers with the agent at {}", control.name, control.agent);
     let seed = u128::from(RandomState::new().hash_one(0));
-    let news = own.common.shared_lists.news();
+    let report_now = own.common.shared_lists.news();
     drop(own);
-    let settings = Own { sidecar, window: Window::default() };
-    let link = Link::new(machine, settings, reports, watch, seed).following(traits).told_by(news);
+    let settings = LinkHost { sidecar, window: Window::default() };
+    let link = Link::new(machine, settings, reports, watch, seed).following(traits).told_by(report_now);
     tokio::select! {
         () = link.run() => {}
         () = follow_files(&keyring, &files) => {}
     }
 }
 
-/// Takes up renewed keys. They are read only where a file is another than it was.
+/// Loads renewed keys. They are read only where a file has changed.
 async fn follow_files(keyring: &Keyring, files: &Files) {
     let stamp = || {
         let all = [&files.authority, &files.certificate, &files.key];
@@ -91,7 +91,7 @@
     };
     let mut former = stamp();
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(KEY_CHECK_INTERVAL).await;
         let present = stamp();
         if present == former {
             continue;
@@ -105,18 +105,18 @@
     }
 }
 
-/// What the link asks of its sidecar.
-struct Own {
+/// The sidecar as the link sees it.
+struct LinkHost {
     sidecar: Weak<Sidecar>,
     window: Window,
 }
 
-impl Settings for Own {
+impl Settings for LinkHost {
     fn take(&mut self, overlay: &Overlay) -> Taking {
         let (sidecar, overlay) = (self.sidecar.upgrade(), overlay.clone());
         Box::pin(async move {
             match sidecar {
-                Some(sidecar) => sidecar.meet(overlay).await,
+                Some(sidecar) => sidecar.apply_overlay(overlay).await,
                 None => std::future::pending().await,
             }
         })
@@ -124,15 +124,15 @@
 
     fn counts(&mut self) -> Counts {
         let Some(sidecar) = self.sidecar.upgrade() else { return Counts::default() };
-        self.window.look(Instant::now(), &sidecar.common)
+        self.window.sample(Instant::now(), &sidecar.common)
     }
 
-    fn asks(&mut self, term: u64) -> Option<Asks> {
+    fn asks(&mut self, term: u64) -> Option<LeaseRequests> {
         self.sidecar.upgrade()?.common.fleet_limits.ask(term)
     }
 
-    fn lent(&mut self, lent: &Lent) -> bool {
-        self.sidecar.upgrade().is_some_and(|sidecar| sidecar.common.fleet_limits.take(lent))
+    fn lent(&mut self, grant: &Grant) -> bool {
+        self.sidecar.upgrade().is_some_and(|sidecar| sidecar.common.fleet_limits.take(grant))
     }
 
     fn tells(&mut self) -> Option<Tells> {
@@ -157,7 +157,7 @@
 
     fn keep(&mut self, memory: &Memory) {
         if let Some(sidecar) = self.sidecar.upgrade() {
-            sidecar.agent_link.keep(memory);
+            sidecar.agent_link.persist(memory);
         }
     }
 }
--- a/crates/sidecar/src/agent_link/mod.rs
+++ b/crates/sidecar/src/agent_link/mod.rs
@@ -1,11 +1,11 @@
-//! The instance's side of the control protocol: it registers with the agent that the operator file names, and takes
-//! changes, each whole or not at all. Without such an agent nothing of this is made.
+//! The instance's side of the control protocol. The sidecar registers with the agent that the operator file names,
+//! and applies the agent's changes, each in full or not at all. Where the file names no agent, nothing of this
+//! exists.
 //!
-//! It goes on beside what serves, on the same thread, and what serves never waits for it. What it costs: two
-//! connections; a message of less than 1 KB out for each report and one for each order; the text of the operator file
-//! and of two overlays in memory; and, for a change of limits or routes, the check of the whole file on a thread of
-//! its own. Of what the agent says, 8 MiB at most are read at once, and of what it does not answer three requests at
-//! most wait.
+//! The link runs on the same thread as the data path, which never waits for it. The cost is two connections, a
+//! message of less than 1 KB for each report and one for each order, the text of the operator file and two overlays
+//! in memory, and, for a change of limits or routes, a check of the whole file on a thread of its own. At most 8 MiB
+//! of a message of the agent are read, and at most three requests wait for an answer.
 mod apply;
 mod connection;
 mod overlay;
@@ -20,8 +20,8 @@
 use madderloom_fleet::change::Traits;
 use madderloom_fleet::settings::{Key, LogLevel, Overlay, Value};
 use madderloom_operator::{Operator, Source};
-use overlay::{sets_file, steering};
-use persisted::{kept, write};
+use overlay::{changes_file, steering};
+use persisted::{load, write};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::path::{Path, PathBuf};
@@ -30,53 +30,53 @@
 use tokio::sync::{Mutex, watch};
 use tokio::task::AbortHandle;
 
-/// What is set from outside, and by whom it may be.
+/// The settings of the agent, and the link to it.
 #[derive(Default)]
 pub(super) struct AgentLink {
-    /// One at a time makes the process what a file or an order says.
+    /// Held while a file or an order is applied, so that one is applied at a time.
     pub(super) turn: Mutex<()>,
-    file: RefCell<Option<Named>>,
-    /// What it kept last, and what is in effect beside the file.
+    file: RefCell<Option<ConfiguredAgent>>,
+    /// The persisted state, with the overlay in effect.
     memory: RefCell<Memory>,
-    link: RefCell<Option<Running>>,
+    link: RefCell<Option<ActiveLink>>,
     log: RefCell<Option<LogHook>>,
-    /// Nothing could be kept, and that was told.
-    deaf: Cell<bool>,
+    /// Whether the log has been told that the state cannot be persisted.
+    warned: Cell<bool>,
 }
 
 type LogHook = Box<dyn Fn(Option<LogLevel>)>;
 
 /// The agent that the operator file names, and that file.
-struct Named {
+struct ConfiguredAgent {
     control: madderloom_operator::Control,
     source: Arc<Source>,
 }
 
-/// A link at work; it ends when this is dropped.
-struct Running {
+/// A running link; it ends when this is dropped.
+struct ActiveLink {
     control: madderloom_operator::Control,
     traits: watch::Sender<Traits>,
     task: AbortHandle,
 }
 
-impl Drop for Running {
+impl Drop for ActiveLink {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-/// An operator file with what is set beside it.
+/// An operator file with the overlay applied to it.
 pub(super) struct Read {
     pub(super) operator: Operator,
-    /// None where the file names no agent: then nothing is set beside it.
+    /// `None` where the file names no agent: then there is no overlay.
     pub(super) source: Option<Arc<Source>>,
 }
 
 impl AgentLink {
-    /// What the admin view shows; nothing where no agent is named.
+    /// The link as the admin endpoint shows it; null where no agent is named.
     pub(super) fn view(&self) -> serde_json::Value {
         let file = self.file.borrow();
-        let Some(Named { control, .. }) = file.as_ref() else { return serde_json::Value::Null };
+        let Some(ConfiguredAgent { control, .. }) = file.as_ref() else { return serde_json::Value::Null };
         let memory = self.memory.borrow();
         json!({
             "agent": control.agent,
@@ -89,7 +89,7 @@
         })
     }
 
-    /// Has a file read, with what is set beside it where that file still names an agent.
+    /// Reads a file, and applies the overlay to it where the file names an agent.
     pub(super) async fn read(&self, file: PathBuf) -> Result<Read, String> {
         let overlay = self.memory.borrow().overlay.clone();
         aside(move || {
@@ -97,7 +97,7 @@
             if operator.control.is_none() {
                 return Ok(Read { operator, source: None });
             }
-            let operator = if sets_file(&overlay) {
+            let operator = if changes_file(&overlay) {
                 source.with(&overlay).map_err(|e| format!("{}: beside it is set: {e}", file.display()))?
             } else {
                 operator
@@ -109,7 +109,7 @@
 
     fn traits(&self) -> Option<Traits> {
         let file = self.file.borrow();
-        let Named { control, source } = file.as_ref()?;
+        let ConfiguredAgent { control, source } = file.as_ref()?;
         Some(Traits {
             zone: control.zone.clone(),
             labels: control.labels.clone(),
@@ -128,15 +128,15 @@
         }
     }
 
-    /// Keeps this for the next start. What is written survives the process; a file system that loses it costs what
-    /// a lost state does: the agent brings the instance in line again.
-    fn keep(&self, memory: &Memory) {
+    /// Persists the state for the next start. The file survives the process. A file system that loses it in a power
+    /// failure costs what a lost state does: the agent orders the settings again.
+    fn persist(&self, memory: &Memory) {
         self.memory.replace(memory.clone());
         let file = self.file.borrow();
         let Some(directory) = file.as_ref().and_then(|file| file.control.state.as_ref()) else { return };
         match write(directory, memory) {
-            Ok(()) => self.deaf.set(false),
-            Err(problem) if !self.deaf.replace(true) => {
+            Ok(()) => self.warned.set(false),
+            Err(problem) if !self.warned.replace(true) => {
                 tracing::warn!("control: not kept for the next start: {}: {problem}", directory.display());
             }
             Err(_) => {}
@@ -145,13 +145,13 @@
 }
 
 impl Sidecar {
-    /// What a level of the log that is set from outside is given to; `None` is the program's own.
+    /// Sets the hook that receives the log level of the overlay; `None` stands for the program's own level.
     pub fn set_log(&self, hook: impl Fn(Option<LogLevel>) + 'static) {
         self.agent_link.log.replace(Some(Box::new(hook)));
         self.agent_link.set_log_level(&self.agent_link.memory.borrow().overlay);
     }
 
-    /// At the start: what the last start had in effect beside the file is so again, where it still makes sense.
+    /// Restores the overlay of the last start, where it is still valid for the file.
     pub(super) fn begin_control(&self, file: &Path, operator: Operator) -> Operator {
         let Some(control) = operator.control.clone() else { return operator };
         let source = match Source::load(file) {
@@ -161,8 +161,8 @@
                 return operator;
             }
         };
-        let mut memory = kept(control.state.as_deref());
-        let operator = match sets_file(&memory.overlay).then(|| source.with(&memory.overlay)) {
+        let mut memory = load(control.state.as_deref());
+        let operator = match changes_file(&memory.overlay).then(|| source.with(&memory.overlay)) {
             None => operator,
             Some(Ok(with)) => with,
             Some(Err(problem)) => {
@@ -173,37 +173,37 @@
         };
         self.common.steering.replace(steering(&memory.overlay));
         self.agent_link.memory.replace(memory);
-        self.agent_link.file.replace(Some(Named { control, source: Arc::new(source) }));
+        self.agent_link.file.replace(Some(ConfiguredAgent { control, source: Arc::new(source) }));
         operator
     }
 
-    /// A file has taken effect.
-    pub(super) fn followed(
+    /// Follows a file that has taken effect.
+    pub(super) fn file_applied(
         self: &Rc<Self>,
         read: (Option<madderloom_operator::Control>, Option<Arc<Source>>),
     ) {
         let named = match read {
-            (Some(control), Some(source)) => Some(Named { control, source }),
+            (Some(control), Some(source)) => Some(ConfiguredAgent { control, source }),
             _ => None,
         };
         let former = self.agent_link.file.replace(named);
         if self.agent_link.file.borrow().is_none() {
             let steered = std::mem::take(&mut self.agent_link.memory.borrow_mut().overlay);
             if former.is_some() {
-                self.steer(&steered, &Overlay::default());
+                self.apply_steering(&steered, &Overlay::default());
                 self.agent_link.set_log_level(&Overlay::default());
             }
         } else if former.is_none() {
-            // What an earlier start kept is the agent's to bring back.
+            // The agent orders again what an earlier start had in effect.
             let directory =
                 self.agent_link.file.borrow().as_ref().and_then(|file| file.control.state.clone());
-            let memory = kept(directory.as_deref());
+            let memory = load(directory.as_deref());
             self.agent_link.memory.replace(Memory { overlay: Overlay::default(), revision: 0, ..memory });
         }
         self.follow_agent();
     }
 
-    /// Keeps a link to the agent that the file names, and to no other.
+    /// Keeps a link to the agent that the file names, and ends every other one.
     pub(super) fn follow_agent(self: &Rc<Self>) {
         let control = self.agent_link.file.borrow().as_ref().map(|file| file.control.clone());
         let (Some(control), Some(traits)) = (control, self.agent_link.traits()) else {
@@ -228,7 +228,7 @@
                 || sidecar.upgrade().map(|_| keep_link(sidecar.clone(), own.clone(), receiver.clone()));
             keep_going("the agent's link", begin).await;
         });
-        *link = Some(Running { control, traits: sender, task: task.abort_handle() });
+        *link = Some(ActiveLink { control, traits: sender, task: task.abort_handle() });
     }
 
     pub(super) fn end_control(&self) {
--- a/crates/sidecar/src/agent_link/overlay.rs
+++ b/crates/sidecar/src/agent_link/overlay.rs
@@ -1,20 +1,20 @@
-//! What of an overlay is for the operator file, and what for the servers of the pools.
+//! The parts of an overlay: those that change the operator file, and those that steer servers.
 
 use crate::pool::Steering;
 use madderloom_fleet::settings::{Key, Overlay, Value};
 
-/// Whether a part of an overlay is a part of the file.
-pub(super) fn sets_file(overlay: &Overlay) -> bool {
-    overlay.0.keys().any(is_of_file)
+/// Whether an overlay changes a part of the operator file.
+pub(super) fn changes_file(overlay: &Overlay) -> bool {
+    overlay.0.keys().any(is_in_file)
 }
 
-fn is_of_file(key: &Key) -> bool {
+fn is_in_file(key: &Key) -> bool {
     matches!(key, Key::Limit { .. } | Key::Route(_))
 }
 
 pub(super) fn same_in_file(one: &Overlay, other: &Overlay) -> bool {
     fn of_file(overlay: &Overlay) -> impl Iterator<Item = (&Key, &Value)> {
-        overlay.0.iter().filter(|(key, _)| is_of_file(key))
+        overlay.0.iter().filter(|(key, _)| is_in_file(key))
     }
     of_file(one).eq(of_file(other))
 }
--- a/crates/sidecar/src/agent_link/persisted.rs
+++ b/crates/sidecar/src/agent_link/persisted.rs
@@ -1,9 +1,9 @@
-//! What outlives the process: a file in the directory that the operator file names.
+//! The persisted state of the instance: a file in the directory that the operator file names.
 
 use madderloom_fleet::Memory;
 use std::path::Path;
 
-/// The file of what outlives the process, in the directory that the operator file names.
+/// The name of the file.
 const KEPT: &str = "instance.json";
 
 pub(super) fn write(directory: &Path, memory: &Memory) -> std::io::Result<()> {
@@ -13,8 +13,8 @@
     std::fs::rename(next, directory.join(KEPT))
 }
 
-/// What the last start kept; nothing where it kept nothing that can be read.
-pub(super) fn kept(directory: Option<&Path>) -> Memory {
+/// Loads the state that the last start persisted; the default where there is none that can be read.
+pub(super) fn load(directory: Option<&Path>) -> Memory {
     let Some(file) = directory.map(|directory| directory.join(KEPT)) else { return Memory::default() };
     let read = match std::fs::read(&file) {
         Ok(text) => serde_json::from_slice(&text).map_err(|e| e.to_string()),
--- a/crates/sidecar/src/agent_link/window.rs
+++ b/crates/sidecar/src/agent_link/window.rs
@@ -1,4 +1,4 @@
-//! The requests that ended of late, over all services.
+//! The request counts of the last window, over all services.
 
 use crate::common::Common;
 use crate::service::Service;
@@ -8,21 +8,21 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The window of the requests that are reported, and the shortest gap between two looks at the counters.
+/// The window of the reported counts, and the shortest time between two samples of the counters.
 const WINDOW: Duration = Duration::from_secs(10);
-const GAP: Duration = Duration::from_millis(500);
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The requests that ended of late, over all services.
+/// The request counts of the last window, over all services.
 #[derive(Default)]
 pub(super) struct Window {
     all: Counts,
-    /// What each service had counted at the last look.
+    /// The counts of each service at the last sample.
     services: Vec<(Weak<Service>, Counts)>,
-    looks: VecDeque<(Instant, Counts)>,
+    samples: VecDeque<(Instant, Counts)>,
 }
 
 impl Window {
-    pub(super) fn look(&mut self, now: Instant, common: &Common) -> Counts {
+    pub(super) fn sample(&mut self, now: Instant, common: &Common) -> Counts {
         self.services.retain(|(service, _)| service.strong_count() > 0);
         for service in common.services.borrow().iter() {
             let counts = service.counts.sum();
@@ -43,13 +43,13 @@
     }
 
     fn since(&mut self, now: Instant) -> Counts {
-        // The last look before the window stands for its beginning.
-        while self.looks.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= WINDOW) {
-            self.looks.pop_front();
+        // The last sample before the window stands for its beginning.
+        while self.samples.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= WINDOW) {
+            self.samples.pop_front();
         }
-        let first = self.looks.front().map_or(Counts::default(), |(_, counts)| *counts);
-        if self.looks.back().is_none_or(|(at, _)| now.duration_since(*at) >= GAP) {
-            self.looks.push_back((now, self.all));
+        let first = self.samples.front().map_or(Counts::default(), |(_, counts)| *counts);
+        if self.samples.back().is_none_or(|(at, _)| now.duration_since(*at) >= SHORTEST_INTERVAL) {
+            self.samples.push_back((now, self.all));
         }
         Counts { ended: self.all.ended - first.ended, bad: self.all.bad - first.bad }
     }
@@ -68,7 +68,7 @@
             window.all.bad += u64::from(tenth < 300);
             let counts = window.since(begin + Duration::from_millis(100 * tenth));
             assert!(counts.ended <= 106 && (tenth < 106 || counts.ended >= 100), "{tenth}: {counts:?}");
-            assert!(window.looks.len() <= 22, "{}", window.looks.len());
+            assert!(window.samples.len() <= 22, "{}", window.samples.len());
             if tenth >= 410 {
                 assert_eq!(counts.bad, 0);
             }
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -58,7 +58,7 @@
         });
         match applied {
             Ok((told, named)) => {
-                self.followed(named);
+                self.file_applied(named);
                 tracing::info!("operator file read again: {told}");
             }
             Err(problem) => tracing::warn!("operator file not read again: {problem}"),
