Add madderloom-lab scale: hollow instances around a real agent, counted at both sides

What an agent costs was known from an example with instances at rest, without limits and lists, and with bytes counted at one instance. Counted at both sides: bytes, messages, processor time, memory, connections, descriptors; times from push to in force and from cut or restart to healed.

The agent counts its connections, bytes and messages (`traffic` in /v1/status, passed over by older sides). A client can be given another way to open its stream, which the rig counts and holds. Links tell what they send and receive.

--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -1,5 +1,6 @@
 //! Speaking to an agent.
 
+use crate::dial::{ByteStream, Dial};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -29,6 +30,8 @@
     connector: TlsConnector,
     address: String,
     host: ServerName<'static>,
+    /// What opens the stream below TLS; none for a plain TCP connection.
+    dial: Option<Arc<dyn Dial>>,
     /// One request at a time: a second connection beside a slow answer would make the agent slower still.
     open: Mutex<Option<SendRequest<Full<Bytes>>>>,
 }
@@ -82,14 +85,31 @@
         let host = ServerName::try_from(host.to_string())
             .map_err(|_| format!("{address:?}: {host:?} is no host"))?;
         let connector = TlsConnector::from(keyring.client()?);
-        Ok(Client { connector, address: address.to_string(), host, open: Mutex::new(None) })
+        Ok(Client { connector, address: address.to_string(), host, dial: None, open: Mutex::new(None) })
+    }
+
+    /// Opens the streams below TLS in another way than by a plain TCP connection, such as one that counts bytes.
+    pub fn dialled_by(mut self, dial: Arc<dyn Dial>) -> Self {
+        self.dial = Some(dial);
+        self
+    }
+
+    /// Opens the stream below TLS.
+    async fn dial(&self) -> std::io::Result<Box<dyn ByteStream>> {
+        match &self.dial {
+            Some(dial) => dial.dial(&self.address).await,
+            None => {
+                let stream = TcpStream::connect(&self.address).await?;
+                let _ = stream.set_nodelay(true);
+                Ok(Box::new(stream))
+            }
+        }
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, String> {
         let address = &self.address;
         let connecting = async {
-            let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-            let _ = stream.set_nodelay(true);
+            let stream = self.dial().await.map_err(|e| e.to_string())?;
             let stream = self.connector.connect(self.host.clone(), stream).await;
             let stream = stream.map_err(|problem| {
                 let rustls = problem.get_ref().and_then(|e| e.downcast_ref::<rustls::Error>());
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::storage::{Saves, Storage};
+use crate::traffic::Traffic;
 use crate::view;
 use madderloom_fleet::change::Change;
 use madderloom_fleet::lending::Lending;
@@ -319,6 +320,6 @@
     Box::new(move |lasting| drop(reply.send(lasting.map(|()| answer))))
 }
 
-pub(crate) async fn status(core: &Core) -> Result<Vec<u8>, Unable> {
-    core.see_all(view::status).await
+pub(crate) async fn status(core: &Core, traffic: Traffic) -> Result<Vec<u8>, Unable> {
+    core.see_all(move |fleet, relay, now| view::Status { traffic, ..view::status(fleet, relay, now) }).await
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`Config`] is the agent's file, [`Agent`] the program: it listens, keeps what must last through a [`Storage`],
 //!   and writes every attempt to change something into an audit log.
 //! - [`Client`] speaks to an agent; [`view`] holds what it can be asked for.
+//! - [`traffic`] counts what passes over its connections.
 //! - [`Link`] is an instance's side: it drives the instance's machine over a client, and never makes it wait.
 //!
 //! `docs/control-protocol.md` tells what goes over the wire.
@@ -12,13 +13,16 @@
 mod clock;
 mod config;
 mod core;
+mod dial;
 mod link;
 mod server;
 mod storage;
+pub mod traffic;
 pub mod view;
 
 pub use client::{Answer, Client, Failed};
 pub use config::Config;
+pub use dial::{ByteStream, Dial, Dialling};
 pub use link::{Link, Settings, Taking};
 pub use server::Agent;
 pub use storage::{Lasting, Memory, Saves, Storage};
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -43,6 +43,10 @@
     fn tells(&mut self) -> Option<Tells> {
         None
     }
+    /// This goes to the agent now; for those who count.
+    fn sent(&mut self, _message: &ToAgent) {}
+    /// This has come from the agent; for those who count.
+    fn received(&mut self, _message: &ToInstance) {}
     /// This is what the fleet goes by. Gives whether the agent wants a report at once.
     fn lists(&mut self, _lists: &Lists) -> bool {
         false
@@ -115,6 +119,7 @@
                 came = came.recv() => match came {
                     Some(Came::Messages(messages)) => {
                         for message in &messages {
+                            self.settings.received(message);
                             self.handle(Event::Message(message), &sender);
                         }
                     }
@@ -166,11 +171,12 @@
         }
     }
 
-    fn send(&self, message: ToAgent, sender: mpsc::Sender<Came>) {
+    fn send(&mut self, message: ToAgent, sender: mpsc::Sender<Came>) {
         // An agent that is there and does not answer must not make them pile up.
         if Rc::strong_count(&self.under_way) > UNDER_WAY {
             return;
         }
+        self.settings.sent(&message);
         let under_way = Rc::clone(&self.under_way);
         let client = Rc::clone(&self.reports);
         let (name, what) = match &message {
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::core::{self, Ask, Core, Unable};
 use crate::storage::Storage;
+use crate::traffic::{Counted, Counters};
 use crate::view;
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
@@ -50,6 +51,7 @@
     keyring: Arc<Keyring>,
     core: Core,
     audit: Audit,
+    counters: Arc<Counters>,
 }
 
 impl Agent {
@@ -78,7 +80,7 @@
         let core =
             core::start(Clock::new(), config.rules, config.lending.clone(), config.term_above, storage, seed)
                 .await?;
-        let shared = Rc::new(Shared { keyring, core, audit });
+        let shared = Rc::new(Shared { keyring, core, audit, counters: Arc::default() });
         Ok(Agent { listener, shared, connections: config.connections })
     }
 
@@ -154,6 +156,7 @@
 async fn serve_connection(stream: TcpStream, acceptor: TlsAcceptor, shared: Rc<Shared>) {
     let from = stream.peer_addr().map(|from| from.to_string()).unwrap_or_default();
     let _ = stream.set_nodelay(true);
+    let stream = Counted::new(stream, Arc::clone(&shared.counters));
     let stream = match timeout(PATIENCE, acceptor.accept(stream)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(problem)) => {
@@ -235,7 +238,7 @@
     }
     let core = &shared.core;
     match (request.method(), parts.as_slice()) {
-        (&Method::GET, ["v1", "status"]) => seen(core::status(core).await),
+        (&Method::GET, ["v1", "status"]) => seen(core::status(core, shared.counters.read()).await),
         (&Method::GET, ["v1", "instances"]) => seen(core.see(view::instances).await),
         (&Method::GET, ["v1", "instances", name]) => {
             let name = name.to_string();
@@ -263,7 +266,7 @@
         (&Method::POST, ["v1", "instances", name, "register" | "report"]) => {
             match read::<ToAgent>(request, LARGEST_FROM_INSTANCE).await {
                 Err(refusal) => refusal,
-                Ok(message) => from_instance(core, name, message).await,
+                Ok(message) => from_instance(&shared, name, message).await,
             }
         }
         (&Method::GET, ["v1", "instances", name, "orders"]) => {
@@ -294,7 +297,7 @@
     serde_json::from_slice(&body).map_err(|problem| refuse(StatusCode::BAD_REQUEST, problem))
 }
 
-async fn from_instance(core: &Core, name: &str, message: ToAgent) -> Response<Body> {
+async fn from_instance(shared: &Shared, name: &str, message: ToAgent) -> Response<Body> {
     let who = match &message {
         ToAgent::Register(wish) => &wish.who,
         ToAgent::Report(report) => &report.who,
@@ -302,8 +305,12 @@
     if who.name != name {
         return refuse(StatusCode::BAD_REQUEST, format!("name: is {:?}, and {name:?} in the path", who.name));
     }
-    match core.ask(|reply| Ask::Instance(Box::new(message), reply)).await {
-        Ok(messages) => json(StatusCode::OK, serde_json::to_vec(&messages).unwrap_or_default()),
+    shared.counters.messages_came(1);
+    match shared.core.ask(|reply| Ask::Instance(Box::new(message), reply)).await {
+        Ok(messages) => {
+            shared.counters.messages_went(messages.len());
+            json(StatusCode::OK, serde_json::to_vec(&messages).unwrap_or_default())
+        }
         Err(Unable(why)) => refuse(StatusCode::SERVICE_UNAVAILABLE, why),
     }
 }
@@ -312,7 +319,7 @@
 async fn orders(shared: &Rc<Shared>, shown: Rc<Shown>, name: &str, start: u64) -> Response<Body> {
     let mut messages: mpsc::Receiver<ToInstance> = shared.core.watch(name.to_string(), start).await;
     let (mut sender, body) = Channel::<Bytes, Infallible>::new(1);
-    let keyring = Arc::clone(&shared.keyring);
+    let (keyring, counters) = (Arc::clone(&shared.keyring), Arc::clone(&shared.counters));
     tokio::task::spawn_local(async move {
         let mut beat = interval(BEAT);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -330,9 +337,11 @@
                 return;
             }
             let line = Bytes::from([line.as_slice(), b"\n"].concat());
+            let messages = usize::from(line.len() > 1);
             if sender.send_data(line).await.is_err() {
                 return;
             }
+            counters.messages_went(messages);
         }
     });
     let mut response = Response::new(BodyExt::boxed(body));
--- /dev/null
+++ b/crates/agent/src/traffic.rs
@@ -0,0 +1,141 @@
+//! Counts of what passes over an agent's connections.
+
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// What has passed since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Traffic {
+    /// Connections that are open now, those of operators included.
+    pub connections: u64,
+    /// Connections that were opened, likewise.
+    pub opened: u64,
+    /// Bytes read from them, TLS included.
+    pub bytes_in: u64,
+    /// Bytes written to them, TLS included.
+    pub bytes_out: u64,
+    /// Messages from instances: registrations and reports.
+    pub messages_in: u64,
+    /// Messages to instances, in answers and over watches.
+    pub messages_out: u64,
+}
+
+/// The counters behind [`Traffic`].
+#[derive(Debug, Default)]
+pub struct Counters {
+    open: AtomicU64,
+    opened: AtomicU64,
+    bytes_in: AtomicU64,
+    bytes_out: AtomicU64,
+    messages_in: AtomicU64,
+    messages_out: AtomicU64,
+}
+
+impl Counters {
+    /// The counts by now.
+    pub fn read(&self) -> Traffic {
+        let value = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Traffic {
+            connections: value(&self.open),
+            opened: value(&self.opened),
+            bytes_in: value(&self.bytes_in),
+            bytes_out: value(&self.bytes_out),
+            messages_in: value(&self.messages_in),
+            messages_out: value(&self.messages_out),
+        }
+    }
+
+    /// So many messages came from instances.
+    pub fn messages_came(&self, count: usize) {
+        self.messages_in.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    /// So many messages went to instances.
+    pub fn messages_went(&self, count: usize) {
+        self.messages_out.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
+/// A stream whose bytes are counted. It counts as an open connection until it is dropped.
+#[derive(Debug)]
+pub struct Counted<S> {
+    stream: S,
+    counters: Arc<Counters>,
+}
+
+impl<S> Counted<S> {
+    /// Counts this stream from now on.
+    pub fn new(stream: S, counters: Arc<Counters>) -> Self {
+        counters.open.fetch_add(1, Ordering::Relaxed);
+        counters.opened.fetch_add(1, Ordering::Relaxed);
+        Counted { stream, counters }
+    }
+}
+
+impl<S> Drop for Counted<S> {
+    fn drop(&mut self) {
+        self.counters.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        self.counters.bytes_in.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> Counted<S> {
+    fn wrote(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(written)) = polled {
+            self.counters.bytes_out.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.wrote(&polled);
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.wrote(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -1,5 +1,6 @@
 //! What the agent can be asked for.
 
+use crate::traffic::Traffic;
 use madderloom_fleet::gate::Counts;
 use madderloom_fleet::membership::{Presence, SEEN};
 use madderloom_fleet::protocol::Outcome;
@@ -34,6 +35,9 @@
     /// The lists that the fleet shares, by name.
     #[serde(default)]
     pub shared_lists: BTreeMap<String, SharedList>,
+    /// What has passed over its connections since it started.
+    #[serde(default)]
+    pub traffic: Traffic,
 }
 
 /// Figures of a fleet-wide limit: all of it, or a part.
@@ -207,6 +211,8 @@
         fleet_limits: fleet.lender().map(|lender| shares(lender.views(now))).unwrap_or_default(),
         lends_all: fleet.lender().map(|lender| lender.has_learned(now)),
         shared_lists: relay.views(now).collect(),
+        // The machine knows nothing of connections: whoever holds them fills this in.
+        traffic: Traffic::default(),
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod report;
 pub mod results;
 pub mod rivals;
+pub mod scale;
 pub mod schedule;
 pub mod seeds;
 pub mod shipped;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use madderloom_lab::cli::{Check, Compare, Count, List, Report, Run};
 use madderloom_lab::hop::{Hop, PassThrough};
+use madderloom_lab::scale::{Scale, ScaleChild, ScaleWorker};
 use madderloom_lab::sockets::itself::AsSidecar;
 use madderloom_lab::up::Up;
 use std::io::Write;
@@ -37,6 +38,12 @@
     Up(Up),
     /// Measures what a hop costs: CPU a request, beside a bare pass-through
     Hop(Hop),
+    /// Measures what thousands of instances cost an agent, and what they cost themselves
+    Scale(Box<Scale>),
+    #[command(hide = true)]
+    ScaleChild(ScaleChild),
+    #[command(hide = true)]
+    ScaleWorker(ScaleWorker),
     #[command(hide = true)]
     Sidecar(AsSidecar),
     #[command(hide = true)]
@@ -55,6 +62,9 @@
         Command::Report(report) => report.run(),
         Command::Up(up) => up.run(),
         Command::Hop(hop) => hop.run().map(|()| ExitCode::SUCCESS),
+        Command::Scale(scale) => scale.run(),
+        Command::ScaleChild(child) => child.run().map(|()| ExitCode::SUCCESS),
+        Command::ScaleWorker(worker) => worker.run().map(|()| ExitCode::SUCCESS),
         Command::Sidecar(sidecar) => sidecar.run().map(|()| ExitCode::SUCCESS),
         Command::PassThrough(bare) => bare.run().map(|()| ExitCode::SUCCESS),
         Command::OneRun => madderloom_lab::schedule::one_run().map(|()| ExitCode::SUCCESS),
--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,25 @@
+//! What many instances cost: thousands of hollow ones around a real agent, counted at both sides.
+//!
+//! [`hollow`] is an instance without a data path, [`worker`] a process of many, [`conductor`] takes an agent and its
+//! instances through [`steps`], [`record`] holds what came of it.
+
+pub mod agent;
+mod child;
+mod command;
+pub mod conductor;
+pub mod hollow;
+pub mod limits;
+mod lists;
+pub mod places;
+pub mod protocol;
+pub mod record;
+pub mod steps;
+mod switch;
+mod tables;
+pub mod usage;
+mod worker;
+mod workers;
+
+pub use child::ScaleChild;
+pub use command::Scale;
+pub use worker::ScaleWorker;
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -185,7 +185,7 @@
 }
 
 /// This program's file. A test finds it beside its own.
-fn own_program() -> std::io::Result<std::path::PathBuf> {
+pub(crate) fn own_program() -> std::io::Result<std::path::PathBuf> {
     let own = std::env::current_exe()?;
     if own.file_stem().is_some_and(|stem| stem == "madderloom-lab") {
         return Ok(own);
