--- a/crates/lab/src/scale/agent.rs
+++ b/crates/lab/src/scale/agent.rs
@@ -28,6 +28,8 @@
 pub struct AgentSettings {
     /// How often instances report, in milliseconds.
     pub report_ms: u64,
+    /// How long a lease lasts, in milliseconds.
+    pub lease_ms: u64,
     /// Registrations a second.
     pub registrations: u32,
     /// Instances that may be known.
@@ -39,15 +41,13 @@
 impl AgentSettings {
     /// The agent's file. `above` is a term that its own must be greater than.
     fn file(&self, listen: &str, above: u64) -> String {
-        let AgentSettings { report_ms, registrations, instances, limits } = self;
+        let AgentSettings { report_ms, lease_ms, registrations, instances, limits } = self;
         let connections = 2 * instances + 64;
-        // The usual lease where the usual report allows for it.
-        let lease = (10_000).max(3 * report_ms);
         let mut text = format!(
             "version = 1\nlisten = \"{listen}\"\nstate = \"state\"\naudit = \"audit.log\"\nterm_above = {above}\n\
              connections = {connections}\n[keys]\nauthority = \"keys/authority.pem\"\ncertificate = \"agent.pem\"\n\
              key = \"agent.key\"\nrevoked = \"keys/revoked.pem\"\n[leases]\nreport = \"{report_ms}ms\"\n\
-             lease = \"{lease}ms\"\ninstances = {}\n[registrations]\nrate = {registrations}\n",
+             lease = \"{lease_ms}ms\"\ninstances = {}\n[registrations]\nrate = {registrations}\n",
             instances.max(&16)
         );
         for limit in 0..*limits {
@@ -129,7 +129,12 @@
     /// It does not answer.
     pub async fn totals(&self) -> Result<Totals, String> {
         let usage = self.process.as_ref().map_or_else(Default::default, |process| usage::of(process.id()));
-        Ok(Totals { traffic: self.status().await?.traffic, usage })
+        let traffic = self.status().await?.traffic;
+        if traffic.opened == 0 {
+            // An answer came over a connection.
+            return Err("this agent counts no traffic: it is of an older build".into());
+        }
+        Ok(Totals { traffic, usage })
     }
 
     /// Pushes a change.
--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -2,7 +2,8 @@
 
 use super::conductor::{Rig, RigSettings};
 use super::protocol::Manner;
-use super::record::{self, FORMAT, RunRecord, StepRecord};
+use super::real::{self, Difference};
+use super::record::{self, FORMAT, RunRecord, StepRecord, write_json};
 use super::steps::Step;
 use super::usage::Allowed;
 use super::{limits, tables};
@@ -20,6 +21,10 @@
 const RESULTS: &str = "lab-results";
 /// The exit code where it was broken off.
 const BROKEN_OFF: u8 = 130;
+/// The usual lease, where reports are frequent enough for it.
+const LEASE: Duration = Duration::from_secs(10);
+/// Restarts of instances within the step of that name.
+const RESTARTS: usize = 10;
 /// The shortest and the longest stretch that a step may be told to last.
 const STRETCHES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(600));
 
@@ -40,6 +45,9 @@
     /// These steps alone, in the order of this list; all instances are started before
     #[arg(long, value_delimiter = ',', value_enum, value_name = "STEP,STEP")]
     steps: Vec<Step>,
+    /// Compare hollow instances with as many real sidecars, processes each, in place of runs
+    #[arg(long, conflicts_with_all = ["runs", "steps"])]
+    check_against_real: bool,
     /// How long a calm stretch lasts
     #[arg(long, default_value = "20s", value_name = "TIME")]
     calm: Span,
@@ -93,6 +101,9 @@
             say("this is a debug build: its figures say nothing of a release");
         }
         let binary = self.binary.clone().or_else(beside);
+        if self.check_against_real {
+            return self.compare(binary);
+        }
         let folder = self.folder.clone().unwrap_or_else(|| Folder::free_name(Path::new(RESULTS), "scale"));
         let records = on_one_thread(async {
             let stop = told_to_stop()?;
@@ -116,6 +127,33 @@
         Ok(if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS })
     }
 
+    /// Compares hollow instances with real ones; the file is written where `-o` says.
+    fn compare(&self, binary: Option<PathBuf>) -> Result<ExitCode, String> {
+        let instances = self.instances.first().copied().unwrap_or(1) as usize;
+        say(&format!("{instances} real sidecars, then {instances} hollow instances"));
+        let settings = self.settings(instances, binary);
+        let comparison = on_one_thread(async {
+            let stop = told_to_stop()?;
+            tokio::select! {
+                comparison = real::compare(&settings) => comparison.map(Some),
+                () = stop => Ok(None),
+            }
+        })?;
+        let Some(comparison) = comparison else {
+            say("broken off");
+            return Ok(ExitCode::from(BROKEN_OFF));
+        };
+        if let Some(file) = &self.folder {
+            write_json(file, &comparison)?;
+        }
+        match self.output {
+            Output::Json => tell_json(&comparison)?,
+            Output::Text => tell(&tables::comparison(&comparison)),
+        }
+        let same = comparison.differences().iter().all(Difference::is_small);
+        Ok(if same { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    }
+
     async fn measure(&self, binary: Option<PathBuf>, folder: &Path) -> Result<Vec<RunRecord>, String> {
         if folder.exists() {
             return Err(format!("{}: exists, and results are never overwritten", folder.display()));
@@ -142,10 +180,12 @@
             instances,
             manner,
             report_ms: self.report.micros() / 1_000,
+            lease: LEASE.max(duration(self.report) * 3),
             registrations: self.registrations,
             binary,
             calm: duration(self.calm),
             cut: duration(self.cut),
+            restarts: RESTARTS,
         }
     }
 
--- a/crates/lab/src/scale/conductor.rs
+++ b/crates/lab/src/scale/conductor.rs
@@ -22,12 +22,10 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// How long the agent is away when it is restarted.
 const AWAY: Duration = Duration::from_secs(3);
-/// How long a lost zone or rack is without power: the agent finds out within it.
-const WITHOUT_POWER: Duration = Duration::from_secs(12);
-/// Restarts of one step, one a second.
-const RESTARTS: usize = 10;
-/// An instance that does not answer a change for so long counts as unreachable, in microseconds.
-const SILENCE: u64 = 15_000_000;
+/// A lost zone or rack is without power for so many leases: the agent finds out within that time.
+const WITHOUT_POWER: f64 = 1.2;
+/// An instance that does not answer a change for so many leases counts as unreachable.
+const SILENCE: f64 = 1.5;
 
 /// What a rig is made of, and how long its steps last.
 #[derive(Clone, Debug)]
@@ -38,6 +36,8 @@
     pub manner: Manner,
     /// How often they report, in milliseconds.
     pub report_ms: u64,
+    /// How long a lease lasts.
+    pub lease: Duration,
     /// Registrations a second.
     pub registrations: u32,
     /// The `madderloom` that is the agent; none for the one that is built into the lab.
@@ -46,13 +46,21 @@
     pub calm: Duration,
     /// How long a region is cut.
     pub cut: Duration,
+    /// Restarts of instances within the step of that name, one a second.
+    pub restarts: usize,
 }
 
 impl RigSettings {
+    /// How long an instance may take to answer a change.
+    pub fn silence(&self) -> Duration {
+        self.lease.mul_f64(SILENCE)
+    }
+
     /// The agent's settings.
     pub fn agent(&self) -> AgentSettings {
         AgentSettings {
             report_ms: self.report_ms,
+            lease_ms: u64::try_from(self.lease.as_millis()).unwrap_or(u64::MAX),
             registrations: self.registrations,
             instances: self.instances,
             limits: self.manner.limits,
@@ -212,7 +220,7 @@
     async fn push(&mut self, group: Group) -> Result<(String, u64), String> {
         self.marker += 1;
         let base = self.agent.status().await?.revision;
-        let change = change(self.marker, base, group)?;
+        let change = change(self.marker, base, group, self.settings.silence())?;
         let begin = now();
         let accepted = self.agent.push(&change).await?;
         Ok((accepted.id, begin))
@@ -247,7 +255,7 @@
         let wanted = group.count(self.settings.instances);
         self.workers.tell(&Command::Hold(group))?;
         self.workers.tell(&Command::Stop(group))?;
-        tokio::time::sleep(WITHOUT_POWER).await;
+        tokio::time::sleep(self.settings.lease.mul_f64(WITHOUT_POWER)).await;
         let presences = self.agent.status().await?.instances;
         let alive = presences.get("alive").copied().unwrap_or(0);
         self.workers.tell(&Command::Mark)?;
@@ -287,7 +295,7 @@
     }
 
     async fn restart_some(&mut self) -> Result<Outcome, String> {
-        let count = RESTARTS.min(self.settings.instances);
+        let count = self.settings.restarts.min(self.settings.instances);
         let mut took = Vec::new();
         for number in 0..count {
             let next = Instant::now() + Duration::from_secs(1);
@@ -320,17 +328,18 @@
     counts.iter().fold(outcome, |outcome, (name, count)| outcome.count(name, *count as u64))
 }
 
-/// Sets the marker of all instances of a group to this number, at once.
+/// Sets the marker of all instances of a group to this number, at once. One that does not answer for `silence` counts as
+/// unreachable.
 ///
 /// # Errors
 /// Nothing tells these instances apart from others.
-pub fn change(marker: u32, base: u64, group: Group) -> Result<Change, String> {
+pub fn change(marker: u32, base: u64, group: Group, silence: Duration) -> Result<Change, String> {
     let select = group.selector().ok_or_else(|| format!("no label selects {group:?}"))?;
     let rollout = Policy {
         waves: vec![],
         at_once: u32::MAX,
         pause: 0,
-        silence: SILENCE,
+        silence: u64::try_from(silence.as_micros()).unwrap_or(u64::MAX),
         failures: u32::MAX,
         then: Then::Stop,
         gate: None,
--- a/crates/lab/src/scale/record.rs
+++ b/crates/lab/src/scale/record.rs
@@ -157,9 +157,7 @@
     /// # Errors
     /// The file can't be written.
     pub fn write(&self, file: &Path) -> Result<(), String> {
-        let mut text = serde_json::to_vec_pretty(self).map_err(|e| e.to_string())?;
-        text.push(b'\n');
-        write_whole(file, &text)
+        write_json(file, self)
     }
 
     /// Reads a file.
@@ -177,6 +175,16 @@
     }
 }
 
+/// Writes something to a file in JSON, whole or not at all.
+///
+/// # Errors
+/// The file can't be written.
+pub fn write_json(file: &Path, value: &impl Serialize) -> Result<(), String> {
+    let mut text = serde_json::to_vec_pretty(value).map_err(|e| e.to_string())?;
+    text.push(b'\n');
+    write_whole(file, &text)
+}
+
 /// The hash of the program that runs, and how it was built.
 ///
 /// # Errors
--- a/crates/lab/src/scale/tables.rs
+++ b/crates/lab/src/scale/tables.rs
@@ -1,6 +1,8 @@
 //! What a rig found, as tables for people.
 
+use super::real::Comparison;
 use super::record::{RunRecord, StepRecord, Work};
+use super::usage::Usage;
 use crate::cli::table;
 
 /// A table of one run: a line for each step.
@@ -63,3 +65,26 @@
     };
     step.times.iter().map(told).collect::<Vec<_>>().join("; ")
 }
+
+/// Real and hollow instances beside each other.
+pub fn comparison(comparison: &Comparison) -> String {
+    let Comparison { instances, calm_seconds, real, hollow, .. } = comparison;
+    let mut table = table(&["figure, at the agent", "real", "hollow", "difference"]);
+    for difference in comparison.differences() {
+        table.add_row([
+            difference.figure.to_string(),
+            difference.real.to_string(),
+            difference.hollow.to_string(),
+            format!("{:+.1}%", 100.0 * difference.part()),
+        ]);
+    }
+    let own = |usage: &Usage| {
+        let each = *instances as f64;
+        format!(
+            "{:.2} ms of processor time a second and {:.2} MB each",
+            usage.cpu_seconds * 1e3 / calm_seconds / each,
+            usage.memory as f64 / 1e6 / each
+        )
+    };
+    format!("{table}\nreal: {}; hollow: {}\n", own(&real.own), own(&hollow.own))
+}
