--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -1,12 +1,14 @@
 //! `madderloom-lab scale`.
 
 use super::conductor::{Rig, RigSettings};
+use super::measured::Measured;
 use super::protocol::Manner;
 use super::real::{self, Difference};
 use super::record::{self, FORMAT, RunRecord, StepRecord, write_json};
+use super::size::SizeFile;
 use super::steps::Step;
 use super::usage::Allowed;
-use super::{limits, tables};
+use super::{capacity, limits, markdown, tables};
 use crate::cli::{Output, tell, tell_json};
 use crate::results::Folder;
 use crate::sockets::child::own_program;
@@ -48,6 +50,15 @@
     /// Compare hollow instances with as many real sidecars, processes each, in place of runs
     #[arg(long, conflicts_with_all = ["runs", "steps"])]
     check_against_real: bool,
+    /// Print the slopes of runs that were measured before (`--measured`), in place of runs
+    #[arg(long, conflicts_with_all = ["runs", "steps", "check_against_real"])]
+    slopes: bool,
+    /// Print what a fleet of this size needs, by runs that were measured before (`--measured`), in place of runs
+    #[arg(long, value_name = "SIZE.toml", conflicts_with_all = ["runs", "steps", "check_against_real", "slopes"])]
+    capacity: Option<PathBuf>,
+    /// The folder of runs that were measured before
+    #[arg(long, value_name = "DIR", default_value = "docs/capacity")]
+    measured: PathBuf,
     /// How long a calm stretch lasts
     #[arg(long, default_value = "20s", value_name = "TIME")]
     calm: Span,
@@ -89,6 +100,9 @@
     /// # Errors
     /// The machine does not bear it, something does not start, or results can't be written.
     pub fn run(self) -> Result<ExitCode, String> {
+        if self.slopes || self.capacity.is_some() {
+            return self.reckon().map(|()| ExitCode::SUCCESS);
+        }
         for (option, span) in [("--calm", self.calm), ("--cut", self.cut)] {
             if !(STRETCHES.0..=STRETCHES.1).contains(&duration(span)) {
                 return Err(format!("{option} {span}: must lie in 100ms..=10m"));
@@ -127,6 +141,34 @@
         Ok(if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS })
     }
 
+    /// Tells what was measured before.
+    fn reckon(&self) -> Result<(), String> {
+        let measured = Measured::read(&self.measured)?;
+        let Some(place) = &self.capacity else {
+            return match self.output {
+                Output::Json => tell_json(&measured.lines()),
+                Output::Text => {
+                    tell(&markdown::slopes(&measured));
+                    Ok(())
+                }
+            };
+        };
+        let name = place.display();
+        let text = std::fs::read_to_string(place).map_err(|e| format!("{name}: {e}"))?;
+        let size = SizeFile::read(&text).map_err(|problems| {
+            let lines: Vec<String> = problems.iter().map(|problem| format!("{name}:{problem}")).collect();
+            lines.join("\n")
+        })?;
+        let rows = capacity::rows(&size, &measured);
+        match self.output {
+            Output::Json => tell_json(&rows),
+            Output::Text => {
+                tell(&markdown::capacity(&rows));
+                Ok(())
+            }
+        }
+    }
+
     /// Compares hollow instances with real ones; the file is written where `-o` says.
     fn compare(&self, binary: Option<PathBuf>) -> Result<ExitCode, String> {
         let instances = self.instances.first().copied().unwrap_or(1) as usize;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,16 +4,22 @@
 //! instances through [`steps`], [`record`] holds what came of it.
 
 pub mod agent;
+pub mod capacity;
 mod child;
 mod command;
 pub mod conductor;
+pub mod figures;
 mod hollow;
 pub mod limits;
+pub mod line;
 mod lists;
+pub mod markdown;
+pub mod measured;
 pub mod places;
 pub mod protocol;
 pub mod real;
 pub mod record;
+pub mod size;
 pub mod steps;
 mod switch;
 mod tables;
