Have the client of a stopped upload close its side as clients do

The test's client kept its connection open behind the end of it, so that the process waited out its lingering close of a second, and at a load of 31 with three copies of the tests at once ended 3.9 to 4.5 s behind SIGTERM in 4 of 60 cases. The bound stays 3.7 s.

--- a/crates/cli/tests/acceptance/uploads.rs
+++ b/crates/cli/tests/acceptance/uploads.rs
@@ -90,6 +90,8 @@
     let answer = client.read().expect("an answer");
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert!(client.read().is_none(), "more than one answer came");
+    // As clients do behind the end; the process would wait a second for it.
+    drop(client);
     assert_eq!(sidecar.child.wait().expect("it ends").code(), Some(0));
     assert!(told.elapsed() < KILLED_AFTER, "it ended {:?} behind SIGTERM", told.elapsed());
     let arrived = server.join().expect("the server had one request");
