Close the first connection in the test of open requests under new settings

The test failed now and then with "nobody connects" after 20 s. The fault is the test's: it left the connection of its first request open, and the sidecar rightly keeps it. Where more than 20 ms go by before the next request, that goes over the kept connection, while the test waits for a new one.

The test now closes that connection once its answer is read.

--- a/crates/cli/tests/operations/retune.rs
+++ b/crates/cli/tests/operations/retune.rs
@@ -33,6 +33,9 @@
     // Came under the rule that it must not run twice.
     conn.answer("500 Oops", "");
     assert_eq!(open.read().expect("an answer").status(), 502);
+    // The sidecar keeps this connection, and once it has been idle for 20 ms the next request would go over it: here only
+    // new connections are waited for.
+    drop(conn);
     // Came under the new one.
     for class in ["submit-check", "late"] {
         let mut client = sidecar.ask(class, 5000);
