Lay a line through the agent's processor time while all instances come back

At the usual pace the registrations take as long as they take: whether the agent's one core has the time for them is another figure.

--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -249,11 +249,25 @@
             ),
             row("push to one zone: last in force", Figure::PushZoneLast, 1e-3, Some(within), "s", rollout),
         ];
+        rows.push(self.restart_processor());
         rows.push(self.one_after_the_other());
         rows.push(self.machines());
         rows
     }
 
+    /// What the agent's one core has to do while all come back, beside the time that they take at the usual pace.
+    fn restart_processor(&self) -> Row {
+        self.row(Wanted {
+            role: "agent",
+            what: "restarted with its state: processor time while all come back, beside that time",
+            figure: Figure::RestartProcessor,
+            factor: 1.0,
+            budget: Some(self.sidecars / f64::from(Pace::default().rate)),
+            unit: "s",
+            carried_by: "`agent/src/core.rs` `Driver`, one thread",
+        })
+    }
+
     /// Changes are rolled out one at a time: whether one is through before the next comes.
     fn one_after_the_other(&self) -> Row {
         let gap = DAY / self.file.size.changes_per_day;
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -34,6 +34,8 @@
     StartLast,
     /// From the agent's restart with its state until the last instance is back.
     RestartLast,
+    /// Processor time of the agent from its restart with its state until the last instance is back.
+    RestartProcessor,
     /// From the agent's restart without its state until the last instance is back.
     RestartWithoutStateLast,
     /// From a zone's return until its last instance is back.
@@ -50,7 +52,7 @@
 
 impl Figure {
     /// All of them, in the order in which they are told.
-    pub const ALL: [Figure; 19] = [
+    pub const ALL: [Figure; 20] = [
         Figure::AgentMemory,
         Figure::AgentProcessor,
         Figure::Bytes,
@@ -64,6 +66,7 @@
         Figure::PushAllBytes,
         Figure::StartLast,
         Figure::RestartLast,
+        Figure::RestartProcessor,
         Figure::RestartWithoutStateLast,
         Figure::ZoneLast,
         Figure::RackLast,
@@ -88,6 +91,7 @@
             Figure::PushAllBytes => "push to all: both directions beyond calm [KB]",
             Figure::StartLast => "start of all at once: last registered [s]",
             Figure::RestartLast => "agent restarted with its state: last back [s]",
+            Figure::RestartProcessor => "agent restarted with its state: its processor time until then [s]",
             Figure::RestartWithoutStateLast => "agent restarted without its state: last back [s]",
             Figure::ZoneLast => "zone back: its last instance back [s]",
             Figure::RackLast => "rack back: its last instance back [s]",
@@ -118,6 +122,7 @@
             Figure::PushAllBytes => beyond_calm(run, both),
             Figure::StartLast => seconds(run, Step::Start, "registered"),
             Figure::RestartLast => seconds(run, Step::RestartWithState, "healed"),
+            Figure::RestartProcessor => run.step(Step::RestartWithState).map(|step| step.agent.cpu_seconds),
             Figure::RestartWithoutStateLast => seconds(run, Step::RestartWithoutState, "healed"),
             Figure::ZoneLast => seconds(run, Step::ZoneLost, "healed"),
             Figure::RackLast => seconds(run, Step::RackLost, "healed"),
