Count an instance as back by an answer to a report that it made after the cut

The answer counts now where the report was made since, and the time has another name, so that the former figure is not read as this one.

--- a/crates/lab/src/scale/conductor.rs
+++ b/crates/lab/src/scale/conductor.rs
@@ -283,13 +283,13 @@
         self.workers.tell(&Command::Mark)?;
         let back = now();
         self.workers.tell(&Command::Release(Group::Region))?;
-        let healed = self.renewed(Group::Region, back).await?;
+        let back_again = self.renewed(Group::Region, back).await?;
         self.until(Command::CountInForce(Group::Region, marker), wanted, PATIENCE).await?;
         let times = self.workers.times(&Command::InForce(Group::Region, marker))?;
         let outcome = Outcome::about(wanted)
             .time("in_force_elsewhere", others)
             .time("rollout_ended", ended)
-            .time("healed", healed)
+            .time("back", back_again)
             .time("in_force_after_heal", Times::since(back, times, wanted));
         Ok(count_results(outcome, &rollout.counts))
     }
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -126,7 +126,7 @@
             Figure::RestartWithoutStateLast => seconds(run, Step::RestartWithoutState, "healed"),
             Figure::ZoneLast => seconds(run, Step::ZoneLost, "healed"),
             Figure::RackLast => seconds(run, Step::RackLost, "healed"),
-            Figure::RegionLast => seconds(run, Step::RegionCut, "healed"),
+            Figure::RegionLast => seconds(run, Step::RegionCut, "back"),
             Figure::RegionInForce => seconds(run, Step::RegionCut, "in_force_after_heal"),
             Figure::RegionRollout => seconds(run, Step::RegionCut, "rollout_ended"),
         }
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -51,6 +51,8 @@
 struct Seen {
     memory: RefCell<Memory>,
     in_force: Cell<Option<(u32, u64)>>,
+    /// A report was made since the mark. An answer to one that was made before says nothing of its session.
+    reported: Cell<bool>,
     renewed: Cell<Option<u64>>,
 }
 
@@ -114,10 +116,11 @@
 
     /// Forgets when its lease was last renewed.
     pub fn mark(&self) {
+        self.seen.reported.set(false);
         self.seen.renewed.set(None);
     }
 
-    /// When its lease was first renewed since the mark.
+    /// When its lease was first renewed by a report that it made since the mark.
     pub fn renewed(&self) -> Option<u64> {
         self.seen.renewed.get()
     }
@@ -230,13 +233,17 @@
         self.lists.hear(lists)
     }
 
-    fn sent(&mut self, _message: &ToAgent) {
+    fn sent(&mut self, message: &ToAgent) {
         self.counters.messages_went(1);
+        if matches!(message, ToAgent::Report(_)) {
+            self.seen.reported.set(true);
+        }
     }
 
     fn received(&mut self, message: &ToInstance) {
         self.counters.messages_came(1);
-        if matches!(message, ToInstance::Renewed { .. }) && self.seen.renewed.get().is_none() {
+        let is_renewed = matches!(message, ToInstance::Renewed { .. }) && self.seen.reported.get();
+        if is_renewed && self.seen.renewed.get().is_none() {
             self.seen.renewed.set(Some(usage::now()));
         }
     }
