--- /dev/null
+++ b/crates/lab/src/scale/bounds.rs
@@ -0,0 +1,162 @@
+//! Lines of a capacity that no measurement is needed for, or that there is none of: arithmetic of the size, bounds that stand
+//! in the code, and what was not measured.
+
+use super::capacity::{CONNECTIONS, DAY, Reckoner, Row, reckoned};
+use madderloom_fleet::change::MOST_LAYERS;
+use madderloom_fleet::membership::Leases;
+use madderloom_fleet::settings::MOST_SETTINGS;
+use madderloom_fleet::spread::Pace;
+use madderloom_roster::MOST_LISTS;
+
+/// The usual bound on an agent's connections, `connections` in its file.
+const USUAL_CONNECTIONS: f64 = 10_000.0;
+
+impl Reckoner<'_> {
+    /// What follows from the size alone.
+    pub(super) fn arithmetic(&self) -> Vec<Row> {
+        let size = &self.file.size;
+        let row = |role, what: &str, value: f64, budget, unit, from, carried_by| {
+            reckoned(role, what.into(), (value, budget), unit, from, carried_by)
+        };
+        vec![
+            row(
+                "sidecar",
+                "calls through each",
+                size.calls_per_second / self.sidecars,
+                None,
+                "/s",
+                "size: calls / sidecars; what they cost was not measured here",
+                "`sidecar/src/transaction.rs`",
+            ),
+            row(
+                "agent",
+                "restarts of a day: registrations",
+                size.restarts_per_day / DAY,
+                Some(f64::from(Pace::default().rate)),
+                "/s",
+                "size: restarts / day, beside the usual pace",
+                "`fleet/src/spread.rs` `Pace`",
+            ),
+            row(
+                "agent",
+                "its machine is one of those that fail: every so many days",
+                self.sidecars / size.machines_failing_per_day.max(f64::MIN_POSITIVE),
+                None,
+                "days",
+                "size: sidecars / machines failing a day, all machines alike",
+                "one process, `agent/src/server.rs` `Agent`",
+            ),
+        ]
+    }
+
+    /// What was not measured, and is not filled in.
+    pub(super) fn others(&self) -> Vec<Row> {
+        let budget = &self.file.budget;
+        let row = |role, what: &str, budget, unit, carried_by| Row {
+            role,
+            what: what.into(),
+            value: None,
+            budget,
+            unit,
+            from: "not measured".into(),
+            carried_by,
+        };
+        vec![
+            row(
+                "sidecar",
+                "added to a call, 99 in 100, ten deep",
+                Some(budget.added_to_call_ms),
+                "ms",
+                "`sidecar/src/transaction.rs`",
+            ),
+            row(
+                "sidecar",
+                "memory with lists of many services",
+                Some(budget.sidecar_memory_mb),
+                "MB",
+                "`sidecar/src/pool.rs`",
+            ),
+            row(
+                "sidecar",
+                "processor time of `tune` by servers",
+                Some(budget.sidecar_core_percent),
+                "% of a core",
+                "`balancer/src/decide.rs`",
+            ),
+            row(
+                "discovery",
+                "calls and watches as lists are shared",
+                None,
+                "",
+                "`roster/src/relay.rs` `Relay`",
+            ),
+            row(
+                "command line",
+                "`instances`, `top` and `history` at this size",
+                None,
+                "",
+                "`agent/src/view.rs`",
+            ),
+        ]
+    }
+
+    /// Bounds that stand in the code or are usual in its files, beside what the size needs of them.
+    pub(super) fn bounds(&self) -> Vec<Row> {
+        let services = f64::from(self.file.size.services);
+        let connections = CONNECTIONS * self.sidecars;
+        let rate = f64::from(Pace::default().rate);
+        let bound = |what: &str, needs: f64, budget: f64, unit, from, carried_by| {
+            reckoned("bound in code", what.into(), (needs, Some(budget)), unit, from, carried_by)
+        };
+        vec![
+            bound(
+                "settings of one overlay, with one for each service",
+                services,
+                MOST_SETTINGS as f64,
+                "",
+                "code: fixed",
+                "`fleet/src/settings.rs` `MOST_SETTINGS`",
+            ),
+            bound(
+                "layers in effect, with one for each service",
+                services,
+                MOST_LAYERS as f64,
+                "",
+                "code: fixed",
+                "`fleet/src/change.rs` `MOST_LAYERS`",
+            ),
+            bound(
+                "lists that the fleet shares, with one for each service",
+                services,
+                MOST_LISTS as f64,
+                "",
+                "code: fixed",
+                "`roster/src/lib.rs` `MOST_LISTS`",
+            ),
+            bound(
+                "names known to an agent",
+                self.sidecars,
+                Leases::default().most as f64,
+                "",
+                "code: usual; `leases.instances` goes to 65,536",
+                "`fleet/src/membership.rs` `Leases`",
+            ),
+            bound(
+                "connections of an agent",
+                connections,
+                USUAL_CONNECTIONS,
+                "",
+                "code: usual; `connections` has no upper bound but the system's descriptors",
+                "`agent/src/config.rs` `Config`",
+            ),
+            bound(
+                "all register at the usual pace",
+                self.sidecars / rate,
+                self.file.budget.change_seconds(),
+                "s",
+                "code: usual; sidecars / `registrations.rate`",
+                "`fleet/src/spread.rs` `Pace`",
+            ),
+        ]
+    }
+}
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -4,21 +4,15 @@
 use super::line::{Foretold, Line};
 use super::measured::{BASE, Measured};
 use super::size::SizeFile;
-use madderloom_fleet::change::MOST_LAYERS;
-use madderloom_fleet::membership::Leases;
-use madderloom_fleet::settings::MOST_SETTINGS;
 use madderloom_fleet::spread::Pace;
-use madderloom_roster::MOST_LISTS;
 use serde::Serialize;
 
 /// Seconds of a day.
-const DAY: f64 = 86_400.0;
+pub(super) const DAY: f64 = 86_400.0;
 /// Of the one core that an agent can use, so much is planned with: the rest is for the minutes after a fault.
 const PLANNED_PERCENT: f64 = 50.0;
-/// The usual bound on an agent's connections, `connections` in its file.
-const USUAL_CONNECTIONS: f64 = 10_000.0;
 /// Connections of one sidecar to its agent: one for reports, one for the watch.
-const CONNECTIONS: f64 = 2.0;
+pub(super) const CONNECTIONS: f64 = 2.0;
 
 /// Whether something fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -74,10 +68,10 @@
 }
 
 /// Reckons rows for one size.
-struct Reckoner<'a> {
-    file: &'a SizeFile,
+pub(super) struct Reckoner<'a> {
+    pub(super) file: &'a SizeFile,
     measured: &'a Measured,
-    sidecars: f64,
+    pub(super) sidecars: f64,
 }
 
 /// What one line of the table asks for.
@@ -98,6 +92,7 @@
     let mut rows = reckoner.sidecar();
     rows.extend(reckoner.agent());
     rows.extend(reckoner.faults());
+    rows.extend(reckoner.arithmetic());
     rows.extend(reckoner.others());
     rows.extend(reckoner.bounds());
     rows
@@ -249,23 +244,33 @@
             ),
             row("push to one zone: last in force", Figure::PushZoneLast, 1e-3, Some(within), "s", rollout),
         ];
-        rows.push(self.restart_processor());
+        rows.extend(self.return_processor());
         rows.push(self.one_after_the_other());
         rows.push(self.machines());
         rows
     }
 
     /// What the agent's one core has to do while all come back, beside the time that they take at the usual pace.
-    fn restart_processor(&self) -> Row {
-        self.row(Wanted {
-            role: "agent",
-            what: "restarted with its state: processor time while all come back, beside that time",
-            figure: Figure::RestartProcessor,
-            factor: 1.0,
-            budget: Some(self.sidecars / f64::from(Pace::default().rate)),
-            unit: "s",
-            carried_by: "`agent/src/core.rs` `Driver`, one thread",
-        })
+    fn return_processor(&self) -> [Row; 2] {
+        let at_the_pace = self.sidecars / f64::from(Pace::default().rate);
+        let row = |what, figure| {
+            self.row(Wanted {
+                role: "agent",
+                what,
+                figure,
+                factor: 1.0,
+                budget: Some(at_the_pace),
+                unit: "s",
+                carried_by: "`agent/src/core.rs` `Driver`, one thread",
+            })
+        };
+        [
+            row(
+                "start of all at once: processor time, beside the time at the usual pace",
+                Figure::StartProcessor,
+            ),
+            row("restarted: processor time until all are back, beside that time", Figure::RestartProcessor),
+        ]
     }
 
     /// Changes are rolled out one at a time: whether one is through before the next comes.
@@ -328,121 +333,10 @@
             ),
         ]
     }
-
-    /// What was not measured, and is not filled in.
-    fn others(&self) -> Vec<Row> {
-        let budget = &self.file.budget;
-        let row = |role, what: &str, budget, unit, carried_by| Row {
-            role,
-            what: what.into(),
-            value: None,
-            budget,
-            unit,
-            from: "not measured".into(),
-            carried_by,
-        };
-        vec![
-            row(
-                "sidecar",
-                "added to a call, 99 in 100, ten deep",
-                Some(budget.added_to_call_ms),
-                "ms",
-                "`sidecar/src/transaction.rs`",
-            ),
-            row(
-                "sidecar",
-                "memory with lists of many services",
-                Some(budget.sidecar_memory_mb),
-                "MB",
-                "`sidecar/src/pool.rs`",
-            ),
-            row(
-                "sidecar",
-                "processor time of `tune` by servers",
-                Some(budget.sidecar_core_percent),
-                "% of a core",
-                "`balancer/src/decide.rs`",
-            ),
-            row(
-                "discovery",
-                "calls and watches as lists are shared",
-                None,
-                "",
-                "`roster/src/relay.rs` `Relay`",
-            ),
-            row(
-                "command line",
-                "`instances`, `top` and `history` at this size",
-                None,
-                "",
-                "`agent/src/view.rs`",
-            ),
-        ]
-    }
-
-    /// Bounds that stand in the code or are usual in its files, beside what the size needs of them.
-    fn bounds(&self) -> Vec<Row> {
-        let services = f64::from(self.file.size.services);
-        let connections = CONNECTIONS * self.sidecars;
-        let rate = f64::from(Pace::default().rate);
-        let bound = |what: &str, needs: f64, budget: f64, unit, from, carried_by| {
-            reckoned("bound in code", what.into(), (needs, Some(budget)), unit, from, carried_by)
-        };
-        vec![
-            bound(
-                "settings of one overlay, with one for each service",
-                services,
-                MOST_SETTINGS as f64,
-                "",
-                "code: fixed",
-                "`fleet/src/settings.rs` `MOST_SETTINGS`",
-            ),
-            bound(
-                "layers in effect, with one for each service",
-                services,
-                MOST_LAYERS as f64,
-                "",
-                "code: fixed",
-                "`fleet/src/change.rs` `MOST_LAYERS`",
-            ),
-            bound(
-                "lists that the fleet shares, with one for each service",
-                services,
-                MOST_LISTS as f64,
-                "",
-                "code: fixed",
-                "`roster/src/lib.rs` `MOST_LISTS`",
-            ),
-            bound(
-                "names known to an agent",
-                self.sidecars,
-                Leases::default().most as f64,
-                "",
-                "code: usual; `leases.instances` goes to 65,536",
-                "`fleet/src/membership.rs` `Leases`",
-            ),
-            bound(
-                "connections of an agent",
-                connections,
-                USUAL_CONNECTIONS,
-                "",
-                "code: usual; `connections` has no upper bound but the system's descriptors",
-                "`agent/src/config.rs` `Config`",
-            ),
-            bound(
-                "all register at the usual pace",
-                self.sidecars / rate,
-                self.file.budget.change_seconds(),
-                "s",
-                "code: usual; sidecars / `registrations.rate`",
-                "`fleet/src/spread.rs` `Pace`",
-            ),
-        ]
-    }
 }
 
 /// A row of a value that needs no measurement.
-fn reckoned(
+pub(super) fn reckoned(
     role: &'static str,
     what: String,
     (value, budget): (f64, Option<f64>),
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -32,6 +32,8 @@
     PushAllBytes,
     /// From the start of all at once until the last one is registered.
     StartLast,
+    /// Processor time of the agent from the start of all at once until the last one is registered.
+    StartProcessor,
     /// From the agent's restart with its state until the last instance is back.
     RestartLast,
     /// Processor time of the agent from its restart with its state until the last instance is back.
@@ -52,7 +54,7 @@
 
 impl Figure {
     /// All of them, in the order in which they are told.
-    pub const ALL: [Figure; 20] = [
+    pub const ALL: [Figure; 21] = [
         Figure::AgentMemory,
         Figure::AgentProcessor,
         Figure::Bytes,
@@ -65,6 +67,7 @@
         Figure::PushAllProcessor,
         Figure::PushAllBytes,
         Figure::StartLast,
+        Figure::StartProcessor,
         Figure::RestartLast,
         Figure::RestartProcessor,
         Figure::RestartWithoutStateLast,
@@ -90,6 +93,7 @@
             Figure::PushAllProcessor => "push to all: agent's processor time beyond calm [ms]",
             Figure::PushAllBytes => "push to all: both directions beyond calm [KB]",
             Figure::StartLast => "start of all at once: last registered [s]",
+            Figure::StartProcessor => "start of all at once: the agent's processor time until then [s]",
             Figure::RestartLast => "agent restarted with its state: last back [s]",
             Figure::RestartProcessor => "agent restarted with its state: its processor time until then [s]",
             Figure::RestartWithoutStateLast => "agent restarted without its state: last back [s]",
@@ -121,6 +125,7 @@
             Figure::PushAllProcessor => beyond_calm(run, |work| 1e3 * work.cpu_seconds),
             Figure::PushAllBytes => beyond_calm(run, both),
             Figure::StartLast => seconds(run, Step::Start, "registered"),
+            Figure::StartProcessor => run.step(Step::Start).map(|step| step.agent.cpu_seconds),
             Figure::RestartLast => seconds(run, Step::RestartWithState, "healed"),
             Figure::RestartProcessor => run.step(Step::RestartWithState).map(|step| step.agent.cpu_seconds),
             Figure::RestartWithoutStateLast => seconds(run, Step::RestartWithoutState, "healed"),
--- a/crates/lab/src/scale/line.rs
+++ b/crates/lab/src/scale/line.rs
@@ -29,6 +29,8 @@
     mean_x: f64,
     spread_x: f64,
     deviation: f64,
+    /// The greatest place and the mean there.
+    last: (f64, f64),
 }
 
 /// A value that a line foretells.
@@ -36,7 +38,7 @@
 pub struct Foretold {
     /// The value.
     pub value: f64,
-    /// The interval's ends: of a single further run.
+    /// The interval's ends: of a single further run. No cost is below 0.
     pub low: f64,
     /// See `low`.
     pub high: f64,
@@ -74,15 +76,23 @@
             mean_x,
             spread_x,
             deviation,
+            last: means.last().copied().unwrap_or_default(),
         })
     }
 
-    /// What a further run at `x` would come to.
+    /// What a further run at `x` would come to. Beyond the greatest place of a line that bends upwards, the interval reaches
+    /// up to where the line's last piece leads.
     pub fn at(&self, x: f64) -> Foretold {
         let value = self.fixed + self.slope * x;
         let away = (x - self.mean_x).powi(2) / self.spread_x;
         let half = quantile(self.points) * self.deviation * (1.0 + 1.0 / self.points as f64 + away).sqrt();
-        Foretold { value, low: value - half, high: value + half }
+        let high = (value + half).max(self.last_piece_at(x).unwrap_or(f64::NEG_INFINITY));
+        Foretold { value, low: (value - half).max(0.0), high }
+    }
+
+    fn last_piece_at(&self, x: f64) -> Option<f64> {
+        let (first, last) = self.ends.filter(|_| self.bends())?;
+        (last > first && x > self.last.0).then_some(self.last.1 + last * (x - self.last.0))
     }
 
     /// Whether the cost grows faster or slower at the end than at the beginning.
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 //! instances through [`steps`], [`record`] holds what came of it.
 
 pub mod agent;
+mod bounds;
 pub mod capacity;
 mod child;
 mod command;
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -109,6 +109,9 @@
     let square: Vec<(f64, f64)> = (1..=5).map(|x| (f64::from(x), f64::from(x * x))).collect();
     let line = Line::through(&square).expect("a line");
     assert!(line.bends() && line.ends == Some((3.0, 9.0)), "{line:?}");
+    // The last piece, 9 a unit from 25 at 5, goes beyond the line and its interval.
+    let foretold = line.at(50.0);
+    assert!((foretold.high - (25.0 + 9.0 * 45.0)).abs() < 1e-9, "{foretold:?}");
 }
 
 #[test]
