--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -32,8 +32,12 @@
     PushAllBytes,
     /// From the start of all at once until the last one is registered.
     StartLast,
+    /// Processor time of the agent from the start of all at once until the last one is registered.
+    StartProcessor,
     /// From the agent's restart with its state until the last instance is back.
     RestartLast,
+    /// Processor time of the agent from its restart with its state until the last instance is back.
+    RestartProcessor,
     /// From the agent's restart without its state until the last instance is back.
     RestartWithoutStateLast,
     /// From a zone's return until its last instance is back.
@@ -50,7 +54,7 @@
 
 impl Figure {
     /// All of them, in the order in which they are told.
-    pub const ALL: [Figure; 19] = [
+    pub const ALL: [Figure; 21] = [
         Figure::AgentMemory,
         Figure::AgentProcessor,
         Figure::Bytes,
@@ -63,7 +67,9 @@
         Figure::PushAllProcessor,
         Figure::PushAllBytes,
         Figure::StartLast,
+        Figure::StartProcessor,
         Figure::RestartLast,
+        Figure::RestartProcessor,
         Figure::RestartWithoutStateLast,
         Figure::ZoneLast,
         Figure::RackLast,
@@ -87,7 +93,9 @@
             Figure::PushAllProcessor => "push to all: agent's processor time beyond calm [ms]",
             Figure::PushAllBytes => "push to all: both directions beyond calm [KB]",
             Figure::StartLast => "start of all at once: last registered [s]",
+            Figure::StartProcessor => "start of all at once: the agent's processor time until then [s]",
             Figure::RestartLast => "agent restarted with its state: last back [s]",
+            Figure::RestartProcessor => "agent restarted with its state: its processor time until then [s]",
             Figure::RestartWithoutStateLast => "agent restarted without its state: last back [s]",
             Figure::ZoneLast => "zone back: its last instance back [s]",
             Figure::RackLast => "rack back: its last instance back [s]",
@@ -117,11 +125,13 @@
             Figure::PushAllProcessor => beyond_calm(run, |work| 1e3 * work.cpu_seconds),
             Figure::PushAllBytes => beyond_calm(run, both),
             Figure::StartLast => seconds(run, Step::Start, "registered"),
+            Figure::StartProcessor => run.step(Step::Start).map(|step| step.agent.cpu_seconds),
             Figure::RestartLast => seconds(run, Step::RestartWithState, "healed"),
+            Figure::RestartProcessor => run.step(Step::RestartWithState).map(|step| step.agent.cpu_seconds),
             Figure::RestartWithoutStateLast => seconds(run, Step::RestartWithoutState, "healed"),
             Figure::ZoneLast => seconds(run, Step::ZoneLost, "healed"),
             Figure::RackLast => seconds(run, Step::RackLost, "healed"),
-            Figure::RegionLast => seconds(run, Step::RegionCut, "healed"),
+            Figure::RegionLast => seconds(run, Step::RegionCut, "back"),
             Figure::RegionInForce => seconds(run, Step::RegionCut, "in_force_after_heal"),
             Figure::RegionRollout => seconds(run, Step::RegionCut, "rollout_ended"),
         }
