Count a request at the stand-in server also where its connection ends behind it

The stand-in server counted a request when its answer was first worked at. hyper drops a request unworked where it meets the end of the connection together with it, so a request that a sidecar had written whole and then gave up could be missing from the counts by which tests judge that nothing runs twice.

It is counted as it comes now, and the time of each arrival is kept.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -100,7 +100,8 @@
 #[derive(Default)]
 struct Seen {
     open: Vec<(Instant, Instant)>,
-    ids: BTreeMap<String, u32>,
+    /// When each request came, by its id.
+    came: BTreeMap<String, Vec<Instant>>,
     /// When requests came while it was cold, for as far back as it falls by.
     cold: VecDeque<Instant>,
     fell: Option<Instant>,
@@ -251,7 +252,12 @@
 
     /// How often each request was seen, by its `X-Trace-Id`.
     pub fn seen(&self) -> BTreeMap<String, u32> {
-        lock(&self.seen).ids.clone()
+        lock(&self.seen).came.iter().map(|(id, came)| (id.clone(), came.len() as u32)).collect()
+    }
+
+    /// Each time at which this request came, by its `X-Trace-Id`.
+    pub fn came(&self, id: &str) -> Vec<Instant> {
+        lock(&self.seen).came.get(id).cloned().unwrap_or_default()
     }
 }
 
@@ -261,21 +267,33 @@
     }
 }
 
-async fn answer(
+/// A request is counted as it comes and not once its answer is first worked at: `hyper` does not begin with that where the
+/// connection has ended meanwhile.
+fn answer(
     seen: Arc<Mutex<Seen>>,
     works: Arc<Works>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> impl Future<Output = Result<Response<Full<Bytes>>, Infallible>> {
     let came = Instant::now();
     let id = request.headers().get("x-trace-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
     {
         let mut seen = lock(&seen);
-        *seen.ids.entry(id.to_string()).or_default() += 1;
+        seen.came.entry(id.to_string()).or_default().push(came);
         if works.is_pushed_over(&mut seen, came) {
             seen.fell.get_or_insert(came);
             works.fell.send_replace(true);
         }
     }
+    work(seen, works, request, came)
+}
+
+/// Does a request's work and answers it.
+async fn work(
+    seen: Arc<Mutex<Seen>>,
+    works: Arc<Works>,
+    request: Request<Incoming>,
+    came: Instant,
+) -> Result<Response<Full<Bytes>>, Infallible> {
     // One that breaks off is answered like any other: it arrived.
     let _ = request.into_body().collect().await;
     let time = works.warmth(came).map_or(works.time, |(_, warmth)| works.time.div_f64(warmth));
