Write no request whose time is over when its connection comes up

An attempt was given up at the end of its time only after it had been looked at once more. Where the process stood still while a connection came up, and went on behind the end of the request's time, the request was still written whole and given up in the same turn: it may have run, for a client that was answered 502.

Its time is looked at before its first byte. Nothing has run then, and the client is answered 503.

--- a/crates/cli/tests/acceptance/repeats.rs
+++ b/crates/cli/tests/acceptance/repeats.rs
@@ -2,7 +2,7 @@
 
 use crate::rig::{Node, Options, Sidecar, accept_any, listing, serve_all, until};
 use crate::{Asked, late_connections};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// An idempotency window of 700 ms, and connections that may take three seconds to come up.
 fn short_window(config: &mut serde_json::Value) {
@@ -32,6 +32,28 @@
     assert_eq!(asked.all(), 0, "the repeat was written behind its window");
 }
 
+/// The process stands still while a connection comes up, and goes on when the time of the request is over. Written now, it
+/// might run with nobody there for its answer.
+#[test]
+fn a_request_whose_time_is_over_when_its_connection_is_up_is_never_written() {
+    const LEFT: Duration = Duration::from_millis(1_500);
+    let late = Node::new();
+    let options = Options { edit: late_connections, ..Options::default() };
+    let sidecar = Sidecar::with(&[late.address()], options);
+    let held = late.hold_connections();
+    let asked_at = Instant::now();
+    let mut client = sidecar.ask("submit-check", LEFT.as_millis() as u64);
+    until("a connection is tried", || late.is_tried());
+    sidecar.signal("STOP");
+    drop(held);
+    // It comes up when the system tries it again, a second after the first time.
+    until("its time is over", || asked_at.elapsed() > LEFT);
+    let asked = Asked::by(late);
+    sidecar.signal("CONT");
+    assert_eq!(client.read().expect("an answer").status(), 503, "it ran nowhere");
+    assert_eq!(asked.all(), 0, "it was written when its time was over");
+}
+
 /// A server is chosen, and its connection does not come up. Meanwhile it is listed as draining; then the connection is
 /// there.
 #[test]
--- a/crates/sidecar/src/flow.rs
+++ b/crates/sidecar/src/flow.rs
@@ -112,6 +112,13 @@
 }
 
 impl Attempt {
+    /// Whether its request's time is over before anything of it was written, as where the process stood still while the
+    /// connection came up. It is not written then: nothing has run, and its client can be told so. The time of a body that
+    /// is passed on begins with its last byte.
+    fn is_out_of_time(&self, onward: &Onward) -> bool {
+        onward.body.passing().is_none() && self.service.common.clock.now() >= self.timeout_at
+    }
+
     fn close(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.closed, true) {
             return;
@@ -227,6 +234,10 @@
             return (Outcome::Moot, None);
         }
         onward.while_asked_for().await;
+        if attempt.is_out_of_time(onward) {
+            service.connections.keep(lease);
+            return (Outcome::Moot, None);
+        }
         let hold = held.then(|| service.common.alarm_in(HOLD));
         let send = exchange::send(&lease.stream, &message, hold, progress);
         let Some(mut sent) = service.common.before(attempt.write_by, send).await else {
