--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -207,7 +207,7 @@
         let driver = "`agent/src/core.rs` `Driver`, one thread";
         let rollout = "`fleet/src/rollout.rs` `Rollout`";
         let mut rows = vec![
-            row("ordinary day: memory", Figure::AgentMemory, 1.0, None, "MB", "`fleet/src/fleet.rs` `Fleet`"),
+            row("ordinary day: memory", Figure::AgentMemory, 1.0, None, "MB", "`fleet/src/fleet/mod.rs` `Fleet`"),
             row(
                 "ordinary day: processor time",
                 Figure::AgentProcessor,
@@ -283,7 +283,7 @@
             factor: 1e-3,
             budget: Some(gap),
             unit: "s",
-            carried_by: "`fleet/src/fleet.rs` `Declined::Busy`",
+            carried_by: "`fleet/src/fleet/mod.rs` `Declined::Busy`",
         })
     }
 
@@ -323,7 +323,7 @@
                 "agent",
                 "region's cut over: change made meanwhile in force at its last",
                 Figure::RegionInForce,
-                "`fleet/src/fleet.rs` `Fleet::bring`",
+                "`fleet/src/fleet/mod.rs` `Fleet::bring`",
             ),
             row(
                 "command line",
