Known red: first calls after a restart come too late for what was missed

Ruled out: watches that stall, calls that fail (no such line in any log) and indented lists.

Not mended: a shorter span has 300 instances that start together call a discovery that 100 already overrun in the tests of asks.rs and starts; the way is likely to call sooner where a listed server refuses a connection before discovery has spoken, which wants measuring first.

--- a/crates/balancer/tests/asks.rs
+++ b/crates/balancer/tests/asks.rs
@@ -207,3 +207,23 @@
         );
     }
 }
+
+/// A zone that is lost is gone for this long, and its instances start again when it returns.
+const DOWN: Micros = 5 * S;
+
+/// The watch of an instance ends when its process is killed. What changes from then on counts as told 6 s later, whether or
+/// not another process has taken its place meanwhile, and that one has nothing but the list of its configuration.
+#[test]
+fn an_instance_that_starts_again_asks_in_time_for_what_it_missed() {
+    for group_size in [1, 60, 300] {
+        let settings = Settings { group_size, ..settings(&[Effect::Safe]) };
+        let allowed = Rules::TOLD + settings.rules.drain_grace - DOWN;
+        for seed in 0..40 {
+            let first = waits(&settings, seed, 0)[0];
+            assert!(
+                first + Rules::ANSWERED <= allowed,
+                "{group_size} instances: the first call {first} us behind a start"
+            );
+        }
+    }
+}
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -207,7 +207,14 @@
         let driver = "`agent/src/core.rs` `Driver`, one thread";
         let rollout = "`fleet/src/rollout.rs` `Rollout`";
         let mut rows = vec![
-            row("ordinary day: memory", Figure::AgentMemory, 1.0, None, "MB", "`fleet/src/fleet/mod.rs` `Fleet`"),
+            row(
+                "ordinary day: memory",
+                Figure::AgentMemory,
+                1.0,
+                None,
+                "MB",
+                "`fleet/src/fleet/mod.rs` `Fleet`",
+            ),
             row(
                 "ordinary day: processor time",
                 Figure::AgentProcessor,
