Keep the capacity page's size beside its measured files, and not among experiments

A test holds the folder of experiments to those that are shipped, and failed with the size in it: it is none.

--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -19,7 +19,7 @@
 }
 
 fn shipped_size() -> SizeFile {
-    let text = std::fs::read_to_string(root("experiments/capacity-11000.toml")).expect("it is there");
+    let text = std::fs::read_to_string(root("docs/capacity/size-11000.toml")).expect("it is there");
     SizeFile::read(&text).expect("it makes sense")
 }
 
@@ -184,7 +184,7 @@
 
 #[test]
 fn a_size_that_makes_no_sense_is_told_with_its_field() {
-    let text = std::fs::read_to_string(root("experiments/capacity-11000.toml")).expect("it is there");
+    let text = std::fs::read_to_string(root("docs/capacity/size-11000.toml")).expect("it is there");
     let wrong = text.replace("sidecars = 11000", "sidecars = 0").replace("services = 1100", "servces = 1100");
     let problems = SizeFile::read(&wrong).expect_err("problems");
     let told: Vec<String> = problems.iter().map(ToString::to_string).collect();
--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -17,7 +17,7 @@
 #[test]
 fn the_page_shows_the_program_s_tables() {
     let page = read("docs/CAPACITY.md");
-    let size = SizeFile::read(&read("experiments/capacity-11000.toml")).expect("it makes sense");
+    let size = SizeFile::read(&read("docs/capacity/size-11000.toml")).expect("it makes sense");
     let measured = Measured::read(&root("docs/capacity")).expect("measured files");
     assert!(measured.real.is_some() && measured.series.contains_key("base"));
     let capacity = markdown::capacity(&rows(&size, &measured));
