Write both warnings of the watchdog in one place

The warning of a turn that has ended and that of one that goes on had the same fields, written twice. The text of both is as it was.

Measured: the watchdog's 9 tests and the 3 of operations::long_turns pass; clippy of the crate is clean.

--- a/crates/watchdog/src/report.rs
+++ b/crates/watchdog/src/report.rs
@@ -1,6 +1,7 @@
 //! What is said of a long turn, and which of the two kinds it is.
 
 use crate::{LONG_TURN, Task};
+use std::fmt;
 use std::time::Duration;
 
 /// Processor time from which on a long turn counts as busy.
@@ -24,6 +25,13 @@
     pub(crate) processor: Duration,
 }
 
+impl Spent {
+    /// Both in seconds.
+    fn seconds(&self) -> (f64, f64) {
+        (self.elapsed.as_secs_f64(), self.processor.as_secs_f64())
+    }
+}
+
 impl Cause {
     /// By the processor time that the process used in a long turn.
     pub fn of(processor: Duration) -> Self {
@@ -41,29 +49,31 @@
 /// Warns of a turn that has ended.
 #[cold]
 pub(crate) fn ended(task: Task, spent: Spent) {
-    let cause = Cause::of(spent.processor);
-    let (seconds, used) = (spent.elapsed.as_secs_f64(), spent.processor.as_secs_f64());
-    tracing::warn!(
-        %task,
-        ?cause,
-        elapsed_ms = millis(spent.elapsed),
-        processor_ms = millis(spent.processor),
-        "event loop: a turn of {task} took {seconds:.3} s (processor time {used:.3} s): {}",
-        cause.explained(),
-    );
+    let (seconds, used) = spent.seconds();
+    warn(task, spent, format_args!("a turn of {task} took {seconds:.3} s (processor time {used:.3} s)"));
 }
 
 /// Warns of a turn that goes on.
 #[cold]
 pub(crate) fn running(task: Task, spent: Spent) {
+    let (seconds, used) = spent.seconds();
+    warn(
+        task,
+        spent,
+        format_args!(
+            "held by {task} for {seconds:.3} s so far (processor time {used:.3} s), nothing else is served"
+        ),
+    );
+}
+
+fn warn(task: Task, spent: Spent, event: fmt::Arguments<'_>) {
     let cause = Cause::of(spent.processor);
-    let (seconds, used) = (spent.elapsed.as_secs_f64(), spent.processor.as_secs_f64());
     tracing::warn!(
         %task,
         ?cause,
         elapsed_ms = millis(spent.elapsed),
         processor_ms = millis(spent.processor),
-        "event loop: held by {task} for {seconds:.3} s so far (processor time {used:.3} s), nothing else is served: {}",
+        "event loop: {event}: {}",
         cause.explained(),
     );
 }
