Give each listener of a test process an address that no other had before

The case "gone" of a_pool_whose_discovery_is_lost_leaves_the_others_alone closes its discovery's listener at 127.0.0.1, its sidecar goes on calling that address, and the system gives the port to the next listener of any test in the process: the stand-in server counted "GET /v1/endpoints".

Change: own_listener() of the rig binds on a loopback address of this test process alone and draws until the port is one that it never gave.

--- a/crates/cli/tests/graphql/servers.rs
+++ b/crates/cli/tests/graphql/servers.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -59,7 +59,7 @@
         let mut servers =
             Servers { addresses: Vec::new(), shared: Arc::default(), down: Vec::new(), over: Arc::default() };
         for _ in 0..count {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+            let listener = madderloom_rig::own_listener();
             servers.addresses.push(listener.local_addr().expect("it is bound"));
             let (shared, over, down) =
                 (Arc::clone(&servers.shared), Arc::clone(&servers.over), Arc::default());
--- a/crates/cli/tests/services/stand_ins.rs
+++ b/crates/cli/tests/services/stand_ins.rs
@@ -3,7 +3,7 @@
 use crate::rig::{Conn, Message, PATIENCE};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -47,7 +47,7 @@
 
 impl StandIn {
     pub fn new(name: &str, manner: Manner) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = madderloom_rig::own_listener();
         let address = listener.local_addr().expect("it is bound");
         let (name, manner) = (name.to_string(), Arc::new(Mutex::new(manner)));
         let server = StandIn { name, address, seen: Arc::default(), manner, over: Arc::default() };
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -56,19 +56,31 @@
     }
 }
 
-/// An address for a process that listens there again after it was killed: on a loopback address of this test process
-/// alone, and never the same twice. A port of 127.0.0.1 may be taken meanwhile, by a connection of anybody; and the
-/// system gives a port that it gave a moment ago once more as long as nobody listens there yet.
+/// A listener on a loopback address of this test process alone, at a port that it never had before. The system gives a
+/// port of 127.0.0.1 again as soon as its listener is closed, and what still calls the closed one, another test's process,
+/// would then reach a stranger.
 ///
 /// # Panics
 /// No port is free there.
-pub fn own_address() -> SocketAddr {
+pub fn own_listener() -> TcpListener {
     static GIVEN: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
     let [.., a, b, c] = std::process::id().to_be_bytes();
     let own = Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250);
-    let draw =
-        || TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port is free");
-    std::iter::repeat_with(draw).find(|drawn| lock(&GIVEN).insert(*drawn)).expect("it goes on drawing")
+    loop {
+        let listener = TcpListener::bind((own, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        if lock(&GIVEN).insert(address) {
+            return listener;
+        }
+    }
+}
+
+/// An address for a process that listens there again after it was killed: see [`own_listener`].
+///
+/// # Panics
+/// No port is free there.
+pub fn own_address() -> SocketAddr {
+    own_listener().local_addr().expect("it is bound")
 }
 
 /// What carries links, servers and loads: one thread beside the test's own.
@@ -83,9 +95,10 @@
     &RUNTIME
 }
 
-/// What listens at a free port of 127.0.0.1, and where. It can be bound beside the runtime, which then has it [`taken`].
+/// What listens at an address of this process alone, and where. It can be bound beside the runtime, which then has it
+/// [`taken`].
 fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = own_listener();
     listener.set_nonblocking(true).expect("it can be");
     let address = listener.local_addr().expect("it is bound");
     (listener, address)
--- a/crates/rig/src/peer.rs
+++ b/crates/rig/src/peer.rs
@@ -20,12 +20,12 @@
 }
 
 impl Node {
-    /// One at a free port of 127.0.0.1.
+    /// One at an address that nothing else in this test process has or had.
     ///
     /// # Panics
     /// None is free.
     pub fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = crate::own_listener();
         listener.set_nonblocking(true).expect("it may not block");
         Node(listener)
     }
