Count what times out behind a silence as a part of that silence

The first answer cleared the silence; the other seven attempts had begun in it and timed out behind it, and story.rs counted them as losses of a server that is well.

Ruled out: losses counted while the silence was open (raise() covers these already).

Change: a server remembers when its last silence was over; attempts that began before and end as a time-out or a reset tell nothing new, and the counts of losses begin anew there.

--- a/crates/timeline/src/story.rs
+++ b/crates/timeline/src/story.rs
@@ -198,6 +198,8 @@
     over: Test,
     span: Block,
     doubted: u32,
+    /// When its last silence was over. The loss of an attempt that began before is a part of that silence.
+    silent_until: Micros,
     last: Micros,
     open: BTreeMap<Kind, Open>,
     raised: VecDeque<Micros>,
@@ -222,6 +224,7 @@
             over: Test::default(),
             span: Block::default(),
             doubted: 0,
+            silent_until: 0,
             last: 0,
             open: BTreeMap::new(),
             raised: VecDeque::new(),
@@ -424,8 +427,11 @@
         let Story { servers, classes, kinds, .. } = self;
         let Some(server) = servers.get_mut(&seen.server) else { return };
         server.line.attempt(now, seen.outcome, seen.elapsed);
+        let began = now.saturating_sub(seen.elapsed);
         let (lost, refused) = match seen.outcome {
             Outcome::Ok => (false, false),
+            // Known already, as a silence that is over.
+            Outcome::Timeout | Outcome::Reset if began < server.silent_until => return,
             Outcome::Error | Outcome::Reset | Outcome::Timeout => (true, false),
             Outcome::ConnectFailed | Outcome::Full => (false, true),
             // Called off or never sent: that tells nothing of the server.
@@ -652,9 +658,12 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         let Some(open) = server.open.remove(&kind) else { return };
         // What is over is evidence of nothing new.
-        if kind.fault == Fault::LosesAnswers {
+        if matches!(kind.fault, Fault::LosesAnswers | Fault::Silent) {
             (server.lost, server.lost_by_class) = (Default::default(), Default::default());
         }
+        if kind.fault == Fault::Silent {
+            server.silent_until = now;
+        }
         // What was never said is taken back in silence.
         if open.said {
             server.line.note(now, Happening::Cleared(open.told.number));
--- a/crates/timeline/tests/departures.rs
+++ b/crates/timeline/tests/departures.rs
@@ -249,6 +249,37 @@
     }
 }
 
+/// Attempts that began in a silence time out behind the first answer that ends it.
+#[test]
+fn what_times_out_behind_a_silence_is_no_other_departure() {
+    const ATTEMPTS: u64 = 8;
+    let mut pool = Pool::new(3, 9);
+    pool.play(300 * S, 20.0, |_, _, _, _, _| WELL);
+    let began = pool.now;
+    for second in 1..8 {
+        let now = began + second * S;
+        pool.story.waiting(now, ServerId(1), (0..ATTEMPTS).map(|_| (0, second * S)));
+        pool.said.extend(pool.story.step(now));
+    }
+    let ended = |outcome, elapsed| Observed { server: ServerId(1), class: 0, outcome, elapsed, size: 1.0 };
+    let end = began + 8 * S;
+    pool.story.attempt(end, 0, &ended(Outcome::Ok, S / 20));
+    for at in 1..ATTEMPTS {
+        pool.story.attempt(end + at, 0, &ended(Outcome::Timeout, 8 * S));
+    }
+    // What begins behind it counts as ever.
+    (1..4).for_each(|second| pool.said.extend(pool.story.step(end + second * S)));
+    let raised: Vec<Fault> = pool.raised().iter().map(|departure| departure.fault).collect();
+    assert_eq!(raised, [Fault::Silent]);
+    for at in 0..ATTEMPTS {
+        pool.story.attempt(end + (10 + at) * S, 0, &ended(Outcome::Timeout, 2 * S));
+        pool.said.extend(pool.story.step(end + (10 + at) * S));
+    }
+    (18..22).for_each(|second| pool.said.extend(pool.story.step(end + second * S)));
+    let raised: Vec<Fault> = pool.raised().iter().map(|departure| departure.fault).collect();
+    assert_eq!(raised, [Fault::Silent, Fault::LosesAnswers]);
+}
+
 #[test]
 fn a_report_that_does_not_fit_is_told() {
     let mut pool = Pool::new(3, 9);
