Refuse what must not run twice while it could still be answered

A request that must not run twice waits for room and is sent as soon as there is some, also with a few ms of its time left: it runs, its time is over, and its client is told that it failed, where a refusal would have been harmless.

Lines: may_resend and review in decide.rs asked only whether its time was over.

Change: Request::begin_by (state.rs). An attempt of such a request begins while a slow answer of its class (the 0.95 quantile) still fits into its time; no more than half of its time is kept back, so that none is refused as it comes, however slow answers are. What may be repeated is sent as before.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -341,7 +341,7 @@
         let harmless =
             now < request.write_by(self.settings.classes[request.class].effect, self.settings.tick);
         let more = request.attempts.len() < request.most_attempts;
-        harmless && more && now < request.give_up
+        harmless && more && now < self.over_at(request)
     }
 
     /// Sends the request's next attempt to the server that the interval gives, if any may take it.
@@ -489,12 +489,12 @@
     /// A look at one request: when it is held or waits for probes, and when nothing is to be had any more.
     fn review(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.settled) else { return };
-        if now >= request.give_up {
+        if now >= self.over_at(request) {
             return self.finish(now, id, actions);
         }
         let at = if request.live() == 0 && !self.send(now, id, actions) { now + LOOK } else { Micros::MAX };
         let Some(request) = self.requests.get(&id) else { return };
-        let at = at.min(request.give_up);
+        let at = at.min(self.over_at(request));
         if at < Micros::MAX {
             actions.push(Action::SetTimer { at, timer: Timer::Request(id) });
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -342,6 +342,15 @@
         self.attempts.iter().find(|a| a.may_have_run())
     }
 
+    /// Until when an attempt may begin. One that must not run twice and has less time than a slow answer takes may run and yet be
+    /// told as failed, whereas a refusal tells its client that another try does no harm. So that none is refused as it comes,
+    /// no more is kept back than half of its time.
+    fn begin_by(&self, effect: Effect, slow_answer: f64) -> Micros {
+        let whole = self.give_up.saturating_sub(self.came);
+        let kept_back = if effect == Effect::Unsafe { (slow_answer as Micros).min(whole / 2) } else { 0 };
+        self.give_up - kept_back
+    }
+
     /// Until when a further attempt does no harm. An idempotency window counts from the send of the first attempt that may
     /// have run. That is taken to be its choice, which comes before any of its bytes, and a tick is left to spare, so that
     /// what is written before this arrives within the window however late connections come up.
@@ -490,6 +499,17 @@
     }
 }
 
+impl Balancer {
+    /// When a request is over that has had no answer: with its time, or where no attempt is out, once none may begin.
+    pub(crate) fn over_at(&self, request: &Request) -> Micros {
+        let effect = self.settings.classes[request.class].effect;
+        match request.live() {
+            0 => request.begin_by(effect, self.classes[request.class].slow.at),
+            _ => request.give_up,
+        }
+    }
+}
+
 /// The span for a call for the list, and the longest one for those that discovery turns away. All instances ask one
 /// service, which works through what was given up long ago too: called by all at once it answers nobody from then on. But
 /// whoever asks too late is held to know of drains that it has not heard of: no fleet is so large that an instance may wait
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -48,6 +48,46 @@
     assert!(sent(&rig.timer(at, id)).is_some());
 }
 
+/// Held until some milliseconds of its time are left and sent then, it ran and its client was told that it failed.
+#[test]
+fn a_held_request_that_must_not_run_twice_is_refused_while_it_could_still_be_answered() {
+    for (effect, left, is_sent) in [
+        (Effect::Unsafe, 800 * MS, true),
+        (Effect::Unsafe, 100 * MS, false),
+        (Effect::Unsafe, 10 * MS, false),
+        (Effect::Safe, 100 * MS, true),
+        (Effect::Safe, 10 * MS, true),
+    ] {
+        let mut settings = settings(&[effect]);
+        settings.classes[0].late_worth = 1.0; // or else nothing waits past the aim
+        let mut rig = Rig::new(settings, &[]);
+        let (id, mut actions) = rig.request(0);
+        let over = rig.now + 1_200 * MS;
+        while let Some(at) = timer_at(&actions).filter(|at| *at < over - left) {
+            actions = rig.timer(at, id);
+        }
+        let refused = actions.iter().any(|action| matches!(action, Action::Refuse { .. }));
+        rig.now = over - left;
+        rig.event(Event::Members(Members::Full(&fleet(4))));
+        let then = rig.timer(over - left, id);
+        assert_eq!(
+            (sent(&then).is_some(), refused),
+            (is_sent, !is_sent),
+            "{effect:?} with {left} us left: {then:?}"
+        );
+    }
+}
+
+/// A slow answer is taken for half of the aim at first, which is more than all the time of these requests.
+#[test]
+fn a_request_is_never_refused_as_it_comes_for_answers_that_are_slow() {
+    let mut settings = settings(&[Effect::Unsafe]);
+    (settings.classes[0].aim, settings.classes[0].deadline) = (6 * S, 8 * S);
+    let mut rig = Rig::new(settings, &fleet(4));
+    let (_, actions) = rig.request(0);
+    assert!(sent(&actions).is_some(), "{actions:?}");
+}
+
 #[test]
 fn a_client_that_left_is_owed_nothing() {
     let mut rig = Rig::new(settings(&[Effect::Safe]), &fleet(4));
