Let links and the rig's servers listen at 127.0.0.1, which certificates of agents name

Seen: with 23 of 30 tests of the fleet target fail: links listened at an address of the test process, and an agent behind one could not be told by its certificate, which names 127.0.0.1.

Change: links and the rig's servers listen at fresh ports of 127.0.0.1, that is at none that this process gave before; scripted peers and stand-in servers stay on addresses of the process alone.

Measured, debug: fleet 30 passed, rig 11 passed.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -63,11 +63,15 @@
 /// # Panics
 /// No port is free there.
 pub fn own_listener() -> TcpListener {
-    static GIVEN: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
     let [.., a, b, c] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250);
+    fresh_listener(Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250))
+}
+
+/// A listener at a port of this loopback address that this test process never had there.
+fn fresh_listener(ip: Ipv4Addr) -> TcpListener {
+    static GIVEN: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
     loop {
-        let listener = TcpListener::bind((own, 0)).expect("a port is free");
+        let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
         if lock(&GIVEN).insert(address) {
             return listener;
@@ -95,10 +99,10 @@
     &RUNTIME
 }
 
-/// What listens at an address of this process alone, and where. It can be bound beside the runtime, which then has it
-/// [`taken`].
+/// What listens at a fresh port of 127.0.0.1, which certificates of agents name, and where. It can be bound beside the
+/// runtime, which then has it [`taken`].
 fn listen() -> (TcpListener, SocketAddr) {
-    let listener = own_listener();
+    let listener = fresh_listener(Ipv4Addr::LOCALHOST);
     listener.set_nonblocking(true).expect("it can be");
     let address = listener.local_addr().expect("it is bound");
     (listener, address)
