Index the deadlines of members, and bound the work of allocations for new lease holders

Two parts of that grow with the square of the size: Membership::tick and Membership::next look at every member for each batch of messages, and LeaseServer::handle_report allocates all limits anew up to 50 times a second for as long as new holders arrive.

Change: membership keeps its deadlines in order (BTreeSet of deadline and name), so that a batch costs nothing for members that are not due. Allocations for new holders are 20 us apart for each known holder, 20 ms at least and the usual interval at most: 50,000 holders a second are looked at, whatever arrives. A new holder that has to wait keeps to its safe amount, for a quarter of the report interval at most. Up to 1,000 holders nothing changes.

What it saves is not measured yet.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -16,7 +16,7 @@
 use crate::protocol::{Register, Who};
 use crate::{InjectedBug, Micros, is_injected};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Durations and bounds of membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -136,12 +136,14 @@
 pub struct Membership {
     leases: Leases,
     members: BTreeMap<String, Member>,
+    /// The deadline of each member with its name, so that a tick costs nothing for members that are not due.
+    deadlines: BTreeSet<(Micros, String)>,
 }
 
 impl Membership {
     /// Creates an empty membership.
     pub fn new(leases: Leases) -> Self {
-        Membership { leases, members: BTreeMap::new() }
+        Membership { leases, ..Membership::default() }
     }
 
     /// Adds a member that was known before the agent started. It is suspect until it reports.
@@ -150,10 +152,37 @@
         let until = now.saturating_add(self.leases.lease).saturating_add(self.leases.grace);
         if self.members.len() < self.leases.most {
             let presence = Presence::Suspect;
-            self.members.insert(name, Member { start, incarnation, traits, presence, until, rival: None });
+            self.insert(name, Member { start, incarnation, traits, presence, until, rival: None });
         }
     }
 
+    /// Adds a member or replaces the one of this name.
+    fn insert(&mut self, name: String, member: Member) {
+        self.deadlines.insert((member.until, name.clone()));
+        if let Some(former) = self.members.get(&name).filter(|former| former.until != member.until) {
+            self.deadlines.remove(&(former.until, name.clone()));
+        }
+        self.members.insert(name, member);
+    }
+
+    /// Puts a member into a state that ends at `until`.
+    fn set_presence(&mut self, name: &str, presence: Presence, until: Micros) {
+        let Some(member) = self.members.get_mut(name) else { return };
+        let former = std::mem::replace(&mut member.until, until);
+        member.presence = presence;
+        if former != until {
+            self.deadlines.remove(&(former, name.to_string()));
+            self.deadlines.insert((until, name.to_string()));
+        }
+    }
+
+    /// Forgets a member. Returns whether it was known.
+    fn remove(&mut self, name: &str) -> bool {
+        let Some(member) = self.members.remove(name) else { return false };
+        self.deadlines.remove(&(member.until, name.to_string()));
+        true
+    }
+
     /// Registers a start under its name. The name must have been checked.
     pub fn register(&mut self, now: Micros, registration: &Register) -> Registered {
         let Who { name, start, incarnation } = &registration.who;
@@ -166,21 +195,20 @@
             if same && member.presence != Presence::Gone {
                 // It registers again, because it did not receive the answer or lost the connection.
                 member.traits = registration.traits.clone();
-                member.presence = Presence::Joining;
-                member.until = until;
-                return Registered::Welcome { incarnation: member.incarnation, new: false };
+                let incarnation = member.incarnation;
+                self.set_presence(name, Presence::Joining, until);
+                return Registered::Welcome { incarnation, new: false };
             }
             // Two starts with the same incarnation would be taken for one.
             let above = member.incarnation.saturating_add(1);
             let granted = if same { member.incarnation } else { above.max(*incarnation) };
-            *member = Member::joining(*start, granted, registration.traits.clone(), until);
+            self.insert(name.clone(), Member::joining(*start, granted, registration.traits.clone(), until));
             return Registered::Welcome { incarnation: granted, new: !same };
         }
         if self.members.len() >= self.leases.most && !self.forget_longest_gone() {
             return Registered::Full;
         }
-        self.members
-            .insert(name.clone(), Member::joining(*start, *incarnation, registration.traits.clone(), until));
+        self.insert(name.clone(), Member::joining(*start, *incarnation, registration.traits.clone(), until));
         Registered::Welcome { incarnation: *incarnation, new: true }
     }
 
@@ -202,38 +230,41 @@
         {
             return Renewed::Unknown;
         }
-        member.presence = Presence::Alive;
-        member.until = now.saturating_add(self.leases.lease);
+        self.set_presence(&who.name, Presence::Alive, now.saturating_add(self.leases.lease));
         Renewed::Renewed(was)
     }
 
-    /// Returns the members whose state has changed by now. A member that is forgotten appears as gone once more.
+    /// Returns the members whose state has changed by now, ordered by name. A member that is forgotten appears as gone once
+    /// more.
     pub fn tick(&mut self, now: Micros) -> Vec<(String, Presence)> {
-        let mut changed = Vec::new();
-        let leases = self.leases;
-        self.members.retain(|name, member| {
-            if member.until > now {
-                return true;
-            }
-            let (next, wait) = match member.presence {
-                Presence::Joining | Presence::Alive => (Presence::Suspect, leases.grace),
-                Presence::Suspect => (Presence::Gone, leases.memory),
-                Presence::Gone => {
-                    changed.push((name.clone(), Presence::Gone));
-                    return false;
-                }
-            };
-            member.presence = next;
-            member.until = now.saturating_add(wait);
-            changed.push((name.clone(), next));
-            true
-        });
+        let later = self.deadlines.split_off(&(now.saturating_add(1), String::new()));
+        let due = std::mem::replace(&mut self.deadlines, later);
+        let mut changed: Vec<(String, Presence)> =
+            due.into_iter().map(|(_, name)| (name.clone(), self.expire(now, name))).collect();
+        changed.sort_unstable();
         changed
     }
 
+    /// Puts a member whose deadline has passed, and is no longer indexed, into its next state.
+    fn expire(&mut self, now: Micros, name: String) -> Presence {
+        let Some(member) = self.members.get_mut(&name) else { return Presence::Gone };
+        let (next, wait) = match member.presence {
+            Presence::Joining | Presence::Alive => (Presence::Suspect, self.leases.grace),
+            Presence::Suspect => (Presence::Gone, self.leases.memory),
+            Presence::Gone => {
+                self.members.remove(&name);
+                return Presence::Gone;
+            }
+        };
+        member.presence = next;
+        member.until = now.saturating_add(wait);
+        self.deadlines.insert((member.until, name));
+        next
+    }
+
     /// When [`Membership::tick`] is due next.
     pub fn next(&self) -> Option<Micros> {
-        self.members.values().map(|member| member.until).min()
+        self.deadlines.first().map(|(until, _)| *until)
     }
 
     /// The holder of a name.
@@ -260,12 +291,14 @@
     fn forget_longest_gone(&mut self) -> bool {
         let gone = self.members.iter().filter(|(_, member)| member.presence == Presence::Gone);
         let longest = gone.min_by_key(|(_, member)| member.until).map(|(name, _)| name.clone());
-        longest.is_some_and(|name| self.members.remove(&name).is_some())
+        longest.is_some_and(|name| self.remove(&name))
     }
 
     #[cfg(any(test, feature = "explore"))]
     pub(crate) fn rebase(&mut self, by: Micros) {
         self.members.values_mut().for_each(|member| member.until = member.until.saturating_sub(by));
+        let deadlines = self.members.iter().map(|(name, member)| (member.until, name.clone()));
+        self.deadlines = deadlines.collect();
     }
 }
 
--- a/crates/fleet/tests/one_name_is_one_instance.rs
+++ b/crates/fleet/tests/one_name_is_one_instance.rs
@@ -120,4 +120,28 @@
             }
         }
     }
+
+    /// The index of deadlines tells what a look at all members would.
+    #[test]
+    fn exactly_the_members_whose_time_is_over_change(steps in proptest::collection::vec(
+        (0usize..5, 0u64..3, 0u8..3, 0u64..25), 0..80)) {
+        let leases = Leases { most: 3, memory: 40 * S, ..Leases::default() };
+        let mut members = Membership::new(leases);
+        let mut now = 0;
+        for (name, start, what, pass) in steps {
+            let who = who(["a", "b", "c", "d", "e"][name], start, start);
+            match what {
+                0 => drop(members.register(now, &Register { who, traits: Traits::default(), term: 0 })),
+                1 => drop(members.renew(now, &who)),
+                _ => {
+                    now += pass * S;
+                    let due = members.iter().filter(|(_, member)| member.until <= now);
+                    let due: Vec<String> = due.map(|(name, _)| name.clone()).collect();
+                    let changed: Vec<String> = members.tick(now).into_iter().map(|(name, _)| name).collect();
+                    prop_assert_eq!(changed, due);
+                }
+            }
+            prop_assert_eq!(members.next(), members.iter().map(|(_, member)| member.until).min());
+        }
+    }
 }
--- a/crates/quota/src/lease_server/mod.rs
+++ b/crates/quota/src/lease_server/mod.rs
@@ -26,6 +26,8 @@
 const NOTABLE: u64 = 8;
 /// The shortest time between two allocations where a holder is new, in microseconds.
 const SHORTEST_INTERVAL: Micros = 20_000;
+/// And for each known holder, so that allocations for new ones look at 50,000 holders a second at most, however many arrive.
+const INTERVAL_PER_HOLDER: Micros = 20;
 
 /// An event for the log.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -160,7 +162,7 @@
             holder.requests.insert(request.limit.clone(), LeaseRequest { wanted, ..request.clone() });
         }
         self.add_to_totals(start, now);
-        let interval = if is_new { SHORTEST_INTERVAL } else { self.allocation_interval() };
+        let interval = if is_new { self.interval_for_new_holders() } else { self.allocation_interval() };
         if now.saturating_sub(self.last_allocation) >= interval {
             self.reallocate(now);
         }
@@ -215,6 +217,13 @@
         self.report_interval / 4
     }
 
+    /// The shortest time between two allocations where a holder is new. A new holder that has to wait keeps to its safe
+    /// amount until then.
+    fn interval_for_new_holders(&self) -> Micros {
+        let for_all = INTERVAL_PER_HOLDER.saturating_mul(self.holders.len() as Micros);
+        for_all.max(SHORTEST_INTERVAL).min(self.allocation_interval().max(SHORTEST_INTERVAL))
+    }
+
     /// Whether a holder has reported within the last lease duration.
     fn is_active(&self, holder: &HolderRecord, now: Micros) -> bool {
         holder.last_report.saturating_add(self.duration) > now
