Wait for the flood of broken answers in the log's test, and not for the machine's pace

The flood was ended as soon as the log had the two lines that are looked for, and only then over a hundred broken answers were asked for: how many there are by then is up to the machine. No log line was missing.

Change: the test waits, up to its usual patience, until over a hundred answers have broken off, and makes the second server slow only then. The condition is as strict as before.

--- a/crates/cli/tests/alone/log.rs
+++ b/crates/cli/tests/alone/log.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::process::{ChildStderr, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -119,24 +119,25 @@
     let address = sidecar.address;
     let over = Arc::new(AtomicBool::new(false));
     let is_over = Arc::clone(&over);
+    let broken = Arc::new(AtomicU64::new(0));
+    let counts_broken = Arc::clone(&broken);
     let flood = std::thread::spawn(move || {
-        let mut broken = 0u64;
         while !is_over.load(Ordering::Relaxed) {
             let mut client = Conn::new(TcpStream::connect(address).expect("it accepts"));
             client.write(request("recheck", 5_000, ""));
-            broken += u64::from(client.read().is_none());
+            counts_broken.fetch_add(u64::from(client.read().is_none()), Ordering::Relaxed);
         }
-        broken
     });
     let counted = comes(&told, " more lines like those of madderloom_sidecar::passing");
     let written = |line: &str| line.split(' ').nth(1).and_then(|count| count.parse::<u64>().ok());
     assert!(written(&counted).is_some_and(|left_out| left_out > 10), "{counted}");
+    // How many answers break off within a second is up to the machine; that over a hundred do is a flood.
+    until("over a hundred answers broke off", || broken.load(Ordering::Relaxed) > 100);
     // The flood goes on, and the server that was well becomes slow.
     slow.store(true, Ordering::Relaxed);
     let moved = comes(&told, "regions moved: ");
     assert!(moved.contains("% to ") && moved.contains(" over time "), "{moved}");
     comes(&told, "n0 from ");
     over.store(true, Ordering::Relaxed);
-    let broken = flood.join().expect("it ends");
-    assert!(broken > 100, "{broken} answers broke off");
+    flood.join().expect("it ends");
 }
