Add the state machine of a relay between instances and the agent, and explore it

Change: fleet::relay::Relay, free of I/O: it passes the messages of the protocol on in batches, answers reports while the parent is away, and sends the last reports, or the registrations where the parent lost its state, once the parent is back. Fleet::receive_batch takes a batch, admits its registrations without the agent's pace and advances a rollout once for all of its reports.

Found by the explorer on the way: an order of a new term over a child's watch overtook the answer under the former term on the other connection, and that answer ended the child's session. Such a message is dropped now, and the next report brings it again.

Three injected bugs are found.

--- a/crates/fleet/src/explore/mod.rs
+++ b/crates/fleet/src/explore/mod.rs
@@ -10,13 +10,19 @@
 //!   lead to a state at rest, and not into a cycle.
 
 mod lease_model;
+mod relay_model;
+#[cfg(test)]
+mod relay_tests;
 mod rollout_model;
 #[cfg(test)]
 mod tests;
 
 pub use lease_model::{LeaseModel, larger_lease_models, lease_models};
+pub use relay_model::{RelayModel, larger_relay_models, relay_models};
 pub use rollout_model::{RolloutModel, larger_rollout_models, rollout_models};
 
+pub(crate) use rollout_model::hash_of;
+
 use crate::InjectedBug;
 use std::cell::Cell;
 use std::collections::HashMap;
--- a/crates/fleet/src/explore/rollout_model/bounds.rs
+++ b/crates/fleet/src/explore/rollout_model/bounds.rs
@@ -10,7 +10,7 @@
 use std::sync::OnceLock;
 
 /// The unit of all durations in the model. Its real length does not matter.
-pub(super) const UNIT: Micros = 10_000_000;
+pub(in crate::explore) const UNIT: Micros = 10_000_000;
 
 /// The bounds of a model.
 #[derive(Clone, Debug)]
@@ -81,7 +81,7 @@
     }
 }
 
-pub(super) fn rules() -> Rules {
+pub(in crate::explore) fn rules() -> Rules {
     Rules {
         leases: Leases { lease: 2 * UNIT, grace: UNIT, memory: 1_000 * UNIT, most: 8 },
         pace: Pace { rate: u32::MAX, burst: u32::MAX, horizon: UNIT },
@@ -89,7 +89,7 @@
     }
 }
 
-pub(super) fn now() -> Time {
+pub(in crate::explore) fn now() -> Time {
     Time::default()
 }
 
--- a/crates/fleet/src/explore/rollout_model/hashed.rs
+++ b/crates/fleet/src/explore/rollout_model/hashed.rs
@@ -18,7 +18,7 @@
     }
 }
 
-pub(super) fn hash_of(value: impl Hash) -> u64 {
+pub(crate) fn hash_of(value: impl Hash) -> u64 {
     FixedState::with_seed(1).hash_one(value)
 }
 
--- a/crates/fleet/src/explore/rollout_model/mod.rs
+++ b/crates/fleet/src/explore/rollout_model/mod.rs
@@ -44,9 +44,10 @@
 
 use super::Model;
 use crate::{By, Event, Fleet, InjectedBug, Memory, is_injected};
-use bounds::{UNIT, now, rules};
+pub(super) use bounds::{UNIT, now, rules};
 use foldhash::quality::FixedState;
-use hashed::{Hashed, hash_of};
+use hashed::Hashed;
+pub(crate) use hashed::hash_of;
 use packet::{Packet, PacketShown};
 use state::{Agent, Process, Remaining};
 use std::collections::BTreeMap;
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 use crate::rollout::{Phase, Rollout, Target};
 use crate::spread::{Pace, Spread};
 use crate::{Error, Micros};
+use registry::Admission;
 use std::collections::{BTreeMap, VecDeque};
 
 /// The number of ended changes that are remembered.
@@ -166,9 +167,34 @@
     pub fn receive(&mut self, time: Time, message: &ToAgent, jitter: u64) -> Output {
         let mut out = Output::default();
         match message {
-            ToAgent::Register(registration) => self.register(time, registration, jitter, &mut out),
-            ToAgent::Report(report) => self.report(time, report, &mut out),
+            ToAgent::Register(registration) => {
+                self.register(time, registration, Admission::Paced, jitter, &mut out);
+            }
+            ToAgent::Report(report) => self.report_all(time, [report], &mut out),
+        }
+        out
+    }
+
+    /// Handles a batch of messages that came through a relay. `jitter` must be random.
+    pub fn receive_batch(&mut self, time: Time, batch: &[ToAgent], jitter: u64) -> Output {
+        let mut out = Output::default();
+        let mut reports = Vec::new();
+        for message in batch {
+            match message {
+                ToAgent::Register(registration) => {
+                    self.register(time, registration, Admission::Relayed, jitter, &mut out);
+                }
+                ToAgent::Report(report) => reports.push(report),
+            }
         }
+        self.report_all(time, reports, &mut out);
+        out
+    }
+
+    /// Handles that a relay knows of a term. The agent stands down where it is a later one.
+    pub fn hear_of_term(&mut self, term: u64) -> Output {
+        let mut out = Output::default();
+        self.observe_term(term, &mut out);
         out
     }
 
--- a/crates/fleet/src/fleet/registry.rs
+++ b/crates/fleet/src/fleet/registry.rs
@@ -6,16 +6,35 @@
 use super::{Fleet, Output, Time};
 use crate::membership::{Presence, Registered, Renewed};
 use crate::protocol::{Register, Report, ToInstance, Welcome, Who};
+use std::collections::BTreeSet;
+
+/// The way on which a registration has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// From the instance itself, after a handshake of its own: admitted at the agent's pace.
+    Paced,
+    /// Through a relay, which keeps a pace of its own: admitted at once.
+    Relayed,
+}
 
 impl Fleet {
-    pub(super) fn register(&mut self, time: Time, registration: &Register, jitter: u64, out: &mut Output) {
+    pub(super) fn register(
+        &mut self,
+        time: Time,
+        registration: &Register,
+        admission: Admission,
+        jitter: u64,
+        out: &mut Output,
+    ) {
         let Who { name, start, .. } = &registration.who;
         if registration.who.check().and_then(|()| registration.traits.check()).is_err() {
             return;
         }
         self.observe_term(registration.term, out);
         let (start, term, every) = (*start, self.term, self.rules.every);
-        if let Err(again) = self.spread.admit(time.now, name, jitter) {
+        if admission == Admission::Paced
+            && let Err(again) = self.spread.admit(time.now, name, jitter)
+        {
             return out.sends.push((name.clone(), ToInstance::Later { start, again }));
         }
         let known = self.membership.len();
@@ -60,7 +79,7 @@
     }
 
     /// Records a term that an instance knows. The agent stands down where it is a later one.
-    fn observe_term(&mut self, term: u64, out: &mut Output) {
+    pub(super) fn observe_term(&mut self, term: u64, out: &mut Output) {
         if term > self.term && self.stood_down.is_none_or(|known| known < term) {
             self.stood_down = Some(term);
             self.fleet_limits = None;
@@ -68,19 +87,49 @@
         }
     }
 
-    pub(super) fn report(&mut self, time: Time, report: &Report, out: &mut Output) {
+    /// Handles reports that have come together, and advances the rollout once for all of them.
+    pub(super) fn report_all<'a>(
+        &mut self,
+        time: Time,
+        reports: impl IntoIterator<Item = &'a Report>,
+        out: &mut Output,
+    ) {
+        let reporters: Vec<&str> = reports
+            .into_iter()
+            .filter(|report| self.accept_report(time, report, out))
+            .map(|report| report.who.name.as_str())
+            .collect();
+        if reporters.is_empty() {
+            return;
+        }
+        self.advance(time, out);
+        // The rollout may have sent orders just now.
+        let is_order = |message: &ToInstance| matches!(message, ToInstance::Order(_));
+        let ordered = out.sends.iter().filter(|(_, message)| is_order(message));
+        let ordered: BTreeSet<String> = ordered.map(|(name, _)| name.clone()).collect();
+        for name in reporters.into_iter().filter(|name| !ordered.contains(*name)) {
+            self.send_order(name, out);
+        }
+    }
+
+    /// Records a report, and renews the lease of the instance. Returns whether the instance holds its name.
+    fn accept_report(&mut self, time: Time, report: &Report, out: &mut Output) -> bool {
         let Who { name, start, .. } = &report.who;
         let start = *start;
         if report.who.check().is_err() {
-            return;
+            return false;
         }
         self.observe_term(report.term, out);
         let was = match self.membership.renew(time.now, &report.who) {
             Renewed::Renewed(was) => was,
-            Renewed::Unknown => return out.sends.push((name.clone(), ToInstance::Unknown { start })),
+            Renewed::Unknown => {
+                out.sends.push((name.clone(), ToInstance::Unknown { start }));
+                return false;
+            }
             Renewed::Superseded { by, again } => {
                 out.notes.push(Note::Rival(name.clone(), report.who.incarnation, by));
-                return out.sends.push((name.clone(), ToInstance::Superseded { start, by, again }));
+                out.sends.push((name.clone(), ToInstance::Superseded { start, by, again }));
+                return false;
             }
         };
         if was != Presence::Alive {
@@ -99,10 +148,6 @@
         if let Some(answer) = &report.answer {
             self.record_answer(name, answer, out);
         }
-        self.advance(time, out);
-        // The rollout may have sent an order just now.
-        if !out.sends.iter().any(|(to, message)| to == name && matches!(message, ToInstance::Order(_))) {
-            self.send_order(name, out);
-        }
+        true
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!   [`change::Layers`] in effect, and the orders to each instance. It returns what must be durable as records. The
 //!   caller must make them durable together before it does anything else that the same call returned.
 //! - [`Instance`] is the instance's side of the [`protocol`].
+//! - [`relay`] passes the messages of many instances on to an agent above it.
 //! - [`gate`] judges by the instances' own request counts whether a change does harm.
 //!
 //! With the feature `explore` there is also an explorer that runs both sides through every order of messages, losses,
@@ -20,6 +21,7 @@
 mod instance;
 pub mod membership;
 pub mod protocol;
+pub mod relay;
 pub mod rollout;
 pub mod settings;
 pub mod spread;
@@ -76,6 +78,12 @@
     ApplyPartially,
     /// The agent forgets a rollout that was under way when it was killed.
     ForgetRollout,
+    /// A relay passes on what an agent of an earlier term says.
+    RelayObeysFormerTerms,
+    /// A relay sends messages over watches that overtake answers under a former term.
+    RelayOvertakesAnswers,
+    /// A relay does not register its children with a parent that does not know them.
+    RelayForgetsToRegister,
 }
 
 /// Whether a bug is injected. Always false in a program that serves.
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -113,6 +113,16 @@
     Report(Report),
 }
 
+impl ToAgent {
+    /// The start that the message is from.
+    pub fn who(&self) -> &Who {
+        match self {
+            ToAgent::Register(registration) => &registration.who,
+            ToAgent::Report(report) => &report.who,
+        }
+    }
+}
+
 /// An instance's registration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Register {
