Add madderloom relay: an agent to a zone's instances, one connection of them all to the agent

Change: the processes around fleet::relay. The agent takes batches and watches of relays (/v1/relays), under certificates that are good for the names in them, and remembers the way to each instance (routes). A relay that knows of a later term tells it to the agent, which stands down. top and /v1/status say how many instances came through each relay.

Tests: three relays with eight instances each over real sockets (changes once each, the agent killed with and without its state, no instance registers again, a relay killed and replaced, an instance that moves, names beyond the certificate); three relays and twelve real sidecars as processes (a region cut off with changes and an undo meanwhile, agent and relay killed, an agent of an earlier term, a relay stopped for longer than a lease); 24 sidecars under a plan of ten faults, whose limit is kept in every window.

--- /dev/null
+++ b/crates/agent/src/batch.rs
@@ -0,0 +1,56 @@
+//! A batch of a relay: what goes into the answer to it, and what goes over watches.
+
+use crate::routes::{RelayId, Routes};
+use madderloom_fleet::Micros;
+use madderloom_fleet::protocol::{ToAgent, ToInstance};
+use madderloom_fleet::relay::{Batch, BatchAnswer};
+use madderloom_roster::{Lists, Note, Relay};
+
+/// Messages to instances, by name.
+pub(crate) type Sends = Vec<(String, ToInstance)>;
+
+/// Makes the answer to a batch from what its messages have led to. Returns it with what goes over watches: orders and
+/// lists, which may be long, and messages for instances that are not in the batch.
+pub(crate) fn answer(
+    term: u64,
+    batch: &Batch,
+    relay: &RelayId,
+    sends: Sends,
+    (routes, lists, now): (&mut Routes, &mut Relay, Micros),
+) -> (BatchAnswer, Sends) {
+    let (answer, mut others) = BatchAnswer::new(term, batch, sends);
+    let accepted = answer.accepted();
+    for message in &batch.messages {
+        let who = message.who();
+        if !accepted.contains(&(who.name.as_str(), who.start)) {
+            continue;
+        }
+        routes.set_behind(&who.name, relay);
+        if let Some((answer, updates)) = share_lists(lists, now, message) {
+            others.push((who.name.clone(), ToInstance::Lists(answer)));
+            others.extend(updates);
+        }
+    }
+    (answer, others)
+}
+
+/// Whether this says that the instance holds its name.
+pub(crate) fn is_accepted(message: &ToInstance) -> bool {
+    matches!(message, ToInstance::Welcome(_) | ToInstance::Renewed { .. })
+}
+
+/// Handles what a report of an instance that holds its name says of lists. Returns the answer to it, and what other
+/// instances are told; none where it says nothing of lists.
+pub(crate) fn share_lists(lists: &mut Relay, now: Micros, message: &ToAgent) -> Option<(Lists, Sends)> {
+    let ToAgent::Report(report) = message else { return None };
+    let tells = report.tells.as_ref()?;
+    let (answer, others, notes) = lists.hear(now, &report.who.name, report.who.start, tells);
+    for note in notes {
+        match note {
+            Note::Newer { .. } => tracing::info!("{note}"),
+            Note::Odd { .. } => tracing::warn!("{note}"),
+        }
+    }
+    let others = others.into_iter().map(|(name, lists)| (name, ToInstance::Lists(lists))).collect();
+    Some((answer, others))
+}
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -2,18 +2,20 @@
 //! answers and sends. What is asked while it writes is taken together and written together.
 
 use crate::Error;
+use crate::batch;
 use crate::clock::Clock;
+use crate::routes::{RelayId, Routes};
 use crate::storage::{Saves, Storage};
 use crate::traffic::Traffic;
 use crate::view;
 use madderloom_fleet::change::Change;
 use madderloom_fleet::fleet_limits::FleetLimitSettings;
 use madderloom_fleet::protocol::{ToAgent, ToInstance};
+use madderloom_fleet::relay::{Batch, BatchAnswer, WatchLine};
 use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules};
 use madderloom_quota::Note as Quota;
-use madderloom_roster::{Note as List, Relay};
+use madderloom_roster::Relay;
 use madderloom_watchdog::{self as watchdog, TaskKind};
-use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -22,8 +24,6 @@
 const TOGETHER: usize = 512;
 /// So many asked things wait at most.
 const WAITING: usize = 4_096;
-/// Messages that wait for a slow watch; more are dropped, since the next report brings them again.
-const WATCH: usize = 4;
 /// How long after a failed write the storage is tried again.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -34,16 +34,18 @@
 type Reply<T> = oneshot::Sender<Result<T, Unable>>;
 
 /// What someone wants to see of it, as JSON.
-type Look = Box<dyn FnOnce(&Fleet, &Relay, Micros) -> Vec<u8> + Send>;
+type Look = Box<dyn FnOnce(&Fleet, &Relay, &Routes, Micros) -> Vec<u8> + Send>;
 
 /// What is asked of the machine.
 pub(crate) enum Ask {
     Instance(Box<ToAgent>, Reply<Vec<ToInstance>>),
+    Batch(RelayId, Batch, Reply<BatchAnswer>),
     Push(Box<Change>, By, Reply<Result<Accepted, Declined>>),
     Stop(String, By, Reply<Result<Accepted, Declined>>),
     Undo(String, By, Reply<Result<Accepted, Declined>>),
     See(Look, Reply<Vec<u8>>),
-    Watch { name: String, start: u64, to: mpsc::Sender<ToInstance> },
+    Watch(String, u64, Reply<mpsc::Receiver<ToInstance>>),
+    WatchRelay(RelayId, u64, Reply<mpsc::Receiver<WatchLine>>),
 }
 
 /// How the machine is asked.
@@ -62,25 +64,29 @@
         &self,
         what: impl FnOnce(&Fleet, Micros) -> T + Send + 'static,
     ) -> Result<Vec<u8>, Unable> {
-        self.see_all(|fleet, _, now| what(fleet, now)).await
+        self.see_all(|fleet, _, _, now| what(fleet, now)).await
     }
 
-    /// The same, of the lists that the fleet shares as well.
+    /// The same, of the lists that the fleet shares and the ways to instances as well.
     async fn see_all<T: serde::Serialize>(
         &self,
-        what: impl FnOnce(&Fleet, &Relay, Micros) -> T + Send + 'static,
+        what: impl FnOnce(&Fleet, &Relay, &Routes, Micros) -> T + Send + 'static,
     ) -> Result<Vec<u8>, Unable> {
-        let written = |fleet: &Fleet, relay: &Relay, now| {
-            serde_json::to_vec(&what(fleet, relay, now)).unwrap_or_default()
+        let written = |fleet: &Fleet, relay: &Relay, routes: &Routes, now| {
+            serde_json::to_vec(&what(fleet, relay, routes, now)).unwrap_or_default()
         };
         self.ask(|reply| Ask::See(Box::new(written), reply)).await
     }
 
-    /// The messages for a start of an instance that come of what others ask.
+    /// The messages for a start of an instance that come of what others ask. There are none where the agent is unable.
     pub(crate) async fn watch(&self, name: String, start: u64) -> mpsc::Receiver<ToInstance> {
-        let (to, messages) = mpsc::channel(WATCH);
-        let _ = self.0.send(Ask::Watch { name, start, to }).await;
-        messages
+        self.ask(|reply| Ask::Watch(name, start, reply)).await.unwrap_or_else(|_| mpsc::channel(1).1)
+    }
+
+    /// The messages for all instances behind a start of a relay, which knows of this term. There are none where the agent
+    /// is unable.
+    pub(crate) async fn watch_relay(&self, relay: RelayId, term: u64) -> mpsc::Receiver<WatchLine> {
+        self.ask(|reply| Ask::WatchRelay(relay, term, reply)).await.unwrap_or_else(|_| mpsc::channel(1).1)
     }
 }
 
@@ -95,7 +101,7 @@
     fleet: Result<Fleet, Unable>,
     /// The lists that the fleet shares. Each term learns them anew.
     relay: Relay,
-    watches: BTreeMap<String, (u64, mpsc::Sender<ToInstance>)>,
+    routes: Routes,
     rng: oorandom::Rand64,
     above: u64,
     /// When storage that failed is tried again.
@@ -119,7 +125,7 @@
         storage: Some(storage),
         fleet: Err(Unable(String::new())),
         relay: Relay::new(0, 0),
-        watches: BTreeMap::new(),
+        routes: Routes::default(),
         rng: oorandom::Rand64::new(seed),
         above,
         again: Instant::now(),
@@ -194,18 +200,29 @@
                     match ask {
                         Ask::Instance(message, reply) => {
                             let out = fleet.receive(time, &message, self.rng.rand_u64());
-                            let name = match &*message {
-                                ToAgent::Register(wish) => &wish.who.name,
-                                ToAgent::Report(report) => &report.who.name,
-                            };
+                            let name = &message.who().name;
                             let (own, mut others): (Vec<_>, Vec<_>) =
                                 keep(out).into_iter().partition(|(to, _)| to == name);
                             sends.append(&mut others);
                             let mut own: Vec<ToInstance> =
                                 own.into_iter().map(|(_, message)| message).collect();
-                            sends.extend(pass_on_lists(&mut self.relay, time.now, &message, &mut own));
+                            if own.iter().any(batch::is_accepted)
+                                && let Some((answer, updates)) =
+                                    batch::share_lists(&mut self.relay, time.now, &message)
+                            {
+                                own.push(ToInstance::Lists(answer));
+                                sends.extend(updates);
+                            }
                             held.push(hold(reply, own));
                         }
+                        Ask::Batch(relay, batch, reply) => {
+                            let out = fleet.receive_batch(time, &batch.messages, self.rng.rand_u64());
+                            let shared = (&mut self.routes, &mut self.relay, time.now);
+                            let (answer, mut others) =
+                                batch::answer(fleet.term(), &batch, &relay, keep(out), shared);
+                            sends.append(&mut others);
+                            held.push(hold(reply, answer));
+                        }
                         Ask::Push(change, by, reply) => {
                             let (done, out) = fleet.push(time, *change, by);
                             sends.append(&mut keep(out));
@@ -221,10 +238,15 @@
                             sends.append(&mut keep(out));
                             held.push(hold(reply, done));
                         }
-                        Ask::See(what, reply) => held.push(hold(reply, what(fleet, &self.relay, time.now))),
-                        Ask::Watch { name, start, to } => {
-                            self.watches.retain(|_, (_, to)| !to.is_closed());
-                            self.watches.insert(name, (start, to));
+                        Ask::See(what, reply) => {
+                            held.push(hold(reply, what(fleet, &self.relay, &self.routes, time.now)));
+                        }
+                        Ask::Watch(name, start, reply) => {
+                            held.push(hold(reply, self.routes.watch(name, start)));
+                        }
+                        Ask::WatchRelay(relay, term, reply) => {
+                            sends.append(&mut keep(fleet.hear_of_term(term)));
+                            held.push(hold(reply, self.routes.watch_relay(relay, fleet.term())));
                         }
                     }
                 }
@@ -234,11 +256,13 @@
                     let unable = unable.clone();
                     match ask {
                         Ask::Instance(_, reply) => drop(reply.send(Err(unable))),
+                        Ask::Batch(_, _, reply) => drop(reply.send(Err(unable))),
                         Ask::Push(_, _, reply) | Ask::Stop(_, _, reply) | Ask::Undo(_, _, reply) => {
                             drop(reply.send(Err(unable)));
                         }
                         Ask::See(_, reply) => drop(reply.send(Err(unable))),
-                        Ask::Watch { .. } => {}
+                        Ask::Watch(_, _, reply) => drop(reply.send(Err(unable))),
+                        Ask::WatchRelay(_, _, reply) => drop(reply.send(Err(unable))),
                     }
                 }
                 return;
@@ -248,11 +272,7 @@
         match lasting {
             Ok(()) => {
                 for (name, message) in sends {
-                    if let Some((start, to)) = self.watches.get(&name)
-                        && message.start() == *start
-                    {
-                        let _ = to.try_send(message);
-                    }
+                    self.routes.send(name, message);
                 }
                 held.into_iter().for_each(|answer| answer(Ok(())));
             }
@@ -298,32 +318,15 @@
     }
 }
 
-/// What a report says of lists goes on to others, where the one who says so is known by its name; the answer goes with its
-/// own messages.
-fn pass_on_lists(
-    relay: &mut Relay,
-    now: Micros,
-    message: &ToAgent,
-    own: &mut Vec<ToInstance>,
-) -> Vec<(String, ToInstance)> {
-    let ToAgent::Report(report) = message else { return Vec::new() };
-    let is_known = own.iter().any(|message| matches!(message, ToInstance::Renewed { .. }));
-    let Some(tells) = report.tells.as_ref().filter(|_| is_known) else { return Vec::new() };
-    let (answer, others, notes) = relay.hear(now, &report.who.name, report.who.start, tells);
-    for note in notes {
-        match note {
-            List::Newer { .. } => tracing::info!("{note}"),
-            List::Odd { .. } => tracing::warn!("{note}"),
-        }
-    }
-    own.push(ToInstance::Lists(answer));
-    others.into_iter().map(|(name, lists)| (name, ToInstance::Lists(lists))).collect()
-}
-
 fn hold<T: 'static>(reply: Reply<T>, answer: T) -> Held {
     Box::new(move |lasting| drop(reply.send(lasting.map(|()| answer))))
 }
 
 pub(crate) async fn status(core: &Core, traffic: Traffic) -> Result<Vec<u8>, Unable> {
-    core.see_all(move |fleet, relay, now| view::Status { traffic, ..view::status(fleet, relay, now) }).await
+    let status = move |fleet: &Fleet, relay: &Relay, routes: &Routes, now| view::Status {
+        traffic,
+        relays: routes.relays(),
+        ..view::status(fleet, relay, now)
+    };
+    core.see_all(status).await
 }
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -180,11 +180,11 @@
         self.settings.sent(&message);
         let under_way = Rc::clone(&self.under_way);
         let client = Rc::clone(&self.reports);
-        let (name, what) = match &message {
-            ToAgent::Register(wish) => (&wish.who.name, "register"),
-            ToAgent::Report(report) => (&report.who.name, "report"),
+        let what = match &message {
+            ToAgent::Register(_) => "register",
+            ToAgent::Report(_) => "report",
         };
-        let path = format!("/v1/instances/{name}/{what}");
+        let path = format!("/v1/instances/{}/{what}", message.who().name);
         let body = serde_json::to_vec(&message).unwrap_or_default();
         watchdog::spawn(TaskKind::AgentCall, async move {
             let came = match client.ask(Method::POST, &path, body).await {
--- /dev/null
+++ b/crates/agent/src/relay/config.rs
@@ -0,0 +1,170 @@
+//! The relay's file.
+
+use crate::config::USUAL_CONNECTIONS;
+use madderloom_config::{Document, Problem, Span};
+use madderloom_fleet::relay::RelayRules;
+use madderloom_fleet::settings::check_name;
+use madderloom_fleet::spread::Pace;
+use madderloom_keys::Files;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The most agents that a relay may be told of.
+const MAX_AGENTS: usize = 8;
+/// The longest that an instance may have to wait for the agent's answer: it takes a registration for lost after 5 s.
+const LONGEST_ANSWER: Span = Span::s(4);
+
+/// A relay's settings.
+#[derive(Clone, Debug)]
+pub struct RelayConfig {
+    /// Its name among all relays.
+    pub name: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its keys as a server: a certificate for an agent.
+    pub keys: Files,
+    /// The most connections at a time.
+    pub connections: usize,
+    /// The agents above it, `HOST:PORT` each. It connects to one at a time, and to the next where that fails.
+    pub agents: Vec<String>,
+    /// Its keys as a client: a certificate for an instance that is good for the names of all its instances.
+    pub parent_keys: Files,
+    /// Leases, bounds, paces.
+    pub rules: RelayRules,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct File {
+    version: u32,
+    name: String,
+    listen: Option<SocketAddr>,
+    connections: Option<usize>,
+    keys: KeysPart,
+    parent: ParentPart,
+    children: ChildrenPart,
+    registrations: RegistrationsPart,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct KeysPart {
+    authority: Option<PathBuf>,
+    certificate: Option<PathBuf>,
+    key: Option<PathBuf>,
+    revoked: Option<PathBuf>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ParentPart {
+    agents: Vec<String>,
+    certificate: Option<PathBuf>,
+    key: Option<PathBuf>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ChildrenPart {
+    lease: Option<Span>,
+    answer: Option<Span>,
+    instances: Option<usize>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct RegistrationsPart {
+    rate: Option<u32>,
+    burst: Option<u32>,
+    horizon: Option<Span>,
+}
+
+impl RelayConfig {
+    /// Reads a relay's file; paths in it are beside it.
+    ///
+    /// # Errors
+    /// Every problem of the file, with its place.
+    pub fn read(text: &str, place: &Path) -> Result<Self, Vec<Problem>> {
+        let (mut document, file) = Document::read::<File>(text)?;
+        document.require(file.version == 1, "version", "must be 1");
+        if let Err(problem) = check_name(&file.name) {
+            document.problem("name", problem);
+        }
+        let missing = "is missing; write an address such as \"10.0.0.5:7070\"";
+        document.require(file.listen.is_some(), "listen", missing);
+        let count = file.parent.agents.len();
+        document.require(
+            (1..=MAX_AGENTS).contains(&count),
+            "parent.agents",
+            "must be from 1 to 8 addresses, such as [\"10.0.0.5:7070\"]",
+        );
+        for (at, agent) in file.parent.agents.iter().enumerate() {
+            let port = agent.rsplit_once(':').map(|(_, port)| port.parse::<u16>());
+            let is_address = matches!(port, Some(Ok(_)));
+            document.require(is_address, &format!("parent.agents[{at}]"), "must be HOST:PORT");
+        }
+        let beside = |path: PathBuf| place.parent().unwrap_or(Path::new("")).join(path);
+        let mut needed = |path: Option<PathBuf>, field: &str| {
+            document.require(path.is_some(), field, "is missing; write the path of a file");
+            beside(path.unwrap_or_default())
+        };
+        let keys = Files {
+            authority: needed(file.keys.authority, "keys.authority"),
+            certificate: needed(file.keys.certificate, "keys.certificate"),
+            key: needed(file.keys.key, "keys.key"),
+            revoked: file.keys.revoked.map(beside),
+        };
+        let parent_keys = Files {
+            certificate: needed(file.parent.certificate, "parent.certificate"),
+            key: needed(file.parent.key, "parent.key"),
+            ..keys.clone()
+        };
+        let rules = rules(&file.children, &file.registrations);
+        let answer = file.children.answer.unwrap_or(Span::s(2));
+        document.require(
+            answer <= LONGEST_ANSWER && rules.answer_timeout >= 10_000,
+            "children.answer",
+            "must be from 10ms to 4s",
+        );
+        document.require(
+            (300_000..=600_000_000).contains(&rules.lease),
+            "children.lease",
+            "must be from 300ms to 10m",
+        );
+        document.require(
+            (1..=65_536).contains(&rules.max_children),
+            "children.instances",
+            "must be from 1 to 65536",
+        );
+        document.require(rules.pace.rate > 0, "registrations.rate", "must be 1 or more a second");
+        document.require(rules.pace.horizon >= 1_000_000, "registrations.horizon", "must be 1s or more");
+        let connections = file.connections.unwrap_or(USUAL_CONNECTIONS);
+        document.require(connections >= 4, "connections", "must be 4 or more");
+        let config = RelayConfig {
+            name: file.name,
+            listen: file.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+            keys,
+            connections,
+            agents: file.parent.agents,
+            parent_keys,
+            rules,
+        };
+        document.finish(config)
+    }
+}
+
+fn rules(children: &ChildrenPart, registrations: &RegistrationsPart) -> RelayRules {
+    let usual = RelayRules::default();
+    let micros = |span: Option<Span>, usual: u64| span.map_or(usual, Span::micros);
+    RelayRules {
+        lease: micros(children.lease, usual.lease),
+        answer_timeout: micros(children.answer, usual.answer_timeout),
+        max_children: children.instances.unwrap_or(usual.max_children),
+        pace: Pace {
+            rate: registrations.rate.unwrap_or(usual.pace.rate),
+            burst: registrations.burst.unwrap_or(usual.pace.burst),
+            horizon: micros(registrations.horizon, usual.pace.horizon),
+        },
+    }
+}
--- a/crates/agent/src/view.rs
+++ b/crates/agent/src/view.rs
@@ -38,6 +38,9 @@
     /// What has passed over its connections since it started.
     #[serde(default)]
     pub traffic: Traffic,
+    /// The relays that are connected, with how many instances have come through each.
+    #[serde(default)]
+    pub relays: BTreeMap<String, usize>,
 }
 
 /// Figures of a fleet-wide limit: all of it, or a part.
@@ -213,6 +216,7 @@
         shared_lists: relay.views(now).collect(),
         // The machine knows nothing of connections: whoever holds them fills this in.
         traffic: Traffic::default(),
+        relays: BTreeMap::new(),
     }
 }
 
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -3,11 +3,12 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
+use madderloom_agent::relay::{Relay, RelayConfig, RelayView};
 use madderloom_agent::{Agent, Client, Config, Error, Link, Saves, Settings, Storage, Taking, view};
 use madderloom_config::Problem;
 use madderloom_fleet::change::{Change, Policy, Selector, Share, Then, Traits, What};
 use madderloom_fleet::gate::Counts;
-use madderloom_fleet::protocol::{Outcome, Who};
+use madderloom_fleet::protocol::{Outcome, ToAgent, Who};
 use madderloom_fleet::settings::{Edits, Key, Overlay, Value};
 use madderloom_fleet::{Instance, Memory, Record};
 use madderloom_keys::{Authority, Files, Role};
@@ -77,6 +78,8 @@
     /// Its requests end badly while it has this.
     pub hurt_by: Option<Key>,
     pub memory: Memory,
+    /// How often it has registered.
+    pub registrations: usize,
 }
 
 impl Toy {
@@ -107,6 +110,17 @@
     fn keep(&mut self, memory: &Memory) {
         self.0.borrow_mut().memory = memory.clone();
     }
+
+    fn sent(&mut self, message: &ToAgent) {
+        self.0.borrow_mut().registrations += usize::from(matches!(message, ToAgent::Register(_)));
+    }
+}
+
+/// A relay of the tests.
+pub struct TestRelay {
+    pub name: String,
+    pub address: String,
+    task: JoinHandle<()>,
 }
 
 pub struct Rig {
@@ -115,6 +129,8 @@
     pub disk: Disk,
     /// `[leases]` and `[registrations]` of the agent's file.
     paces: &'static str,
+    /// The next term of the agent is above this one.
+    term_above: u64,
     agent: Option<JoinHandle<()>>,
     links: Vec<JoinHandle<()>>,
 }
@@ -147,6 +163,7 @@
             address: "127.0.0.1:0".into(),
             disk: Disk::default(),
             paces,
+            term_above: 0,
             agent: None,
             links: vec![],
         };
@@ -169,10 +186,10 @@
 
     pub fn config(&self) -> Config {
         let text = format!(
-            "version = 1\nlisten = \"{}\"\naudit = \"audit.log\"\n[keys]\nauthority = \"keys/authority.pem\"\n\
+            "version = 1\nlisten = \"{}\"\naudit = \"audit.log\"\nterm_above = {}\n[keys]\nauthority = \"keys/authority.pem\"\n\
              certificate = \"agent.pem\"\nkey = \"agent.key\"\nrevoked = \"keys/revoked.pem\"\n\
              {}",
-            self.address, self.paces
+            self.address, self.term_above, self.paces
         );
         let problems = |problems: Vec<Problem>| panic!("{problems:?}");
         Config::read(&text, &self.directory.path().join("agent.toml")).unwrap_or_else(problems)
@@ -208,15 +225,73 @@
     }
 
     pub fn start_instance(&mut self, number: usize, toy: &Toy) {
+        self.start_instance_at(&self.address.clone(), number, toy);
+    }
+
+    /// Starts an instance whose agent, or relay, is at this address. Gives its place for [`Rig::kill_instance`].
+    pub fn start_instance_at(&mut self, address: &str, number: usize, toy: &Toy) -> usize {
         let who =
             Who { name: format!("shop-{number}"), start: 1_000 + self.links.len() as u64, incarnation: 1 };
         let zone = if number.is_multiple_of(2) { "north" } else { "south" };
         let traits = Traits { zone: zone.into(), build: "test".into(), ..Traits::default() };
         let memory = toy.0.borrow().memory.clone();
         let machine = Instance::new(0, who, traits, memory);
-        let (reports, watch) = (self.client("shop-any"), self.client("shop-any"));
-        let link = Link::new(machine, toy.clone(), reports, watch, number as u128);
+        let client = || Client::new(address, self.files("shop-any")).expect("a client");
+        let link = Link::new(machine, toy.clone(), client(), client(), number as u128);
         self.links.push(tokio::task::spawn_local(link.run()));
+        self.links.len() - 1
+    }
+
+    /// Starts a relay below the agent, at an address or at one that is free.
+    pub async fn start_relay(&self, name: &str, address: &str) -> TestRelay {
+        let text = format!(
+            "version = 1\nname = \"{name}\"\nlisten = \"{address}\"\n[keys]\nauthority = \"keys/authority.pem\"\n\
+             certificate = \"agent.pem\"\nkey = \"agent.key\"\nrevoked = \"keys/revoked.pem\"\n[parent]\n\
+             agents = [\"{}\"]\ncertificate = \"shop-any.pem\"\nkey = \"shop-any.key\"\n[children]\nlease = \"2s\"\n",
+            self.address
+        );
+        let problems = |problems: Vec<Problem>| panic!("{problems:?}");
+        let config = RelayConfig::read(&text, &self.directory.path().join("relay.toml"));
+        let config = config.unwrap_or_else(problems);
+        let begin = Instant::now();
+        let relay = loop {
+            // The port of the former one may take a moment to be free.
+            match Relay::start(&config).await {
+                Ok(relay) => break relay,
+                Err(problem) if begin.elapsed() > Duration::from_secs(20) => panic!("{problem}"),
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        let address = relay.address().expect("an address").to_string();
+        let task = tokio::task::spawn_local(async move {
+            relay.serve(std::future::pending()).await.expect("it serves");
+        });
+        TestRelay { name: name.to_string(), address, task }
+    }
+
+    /// What a relay says of itself.
+    pub async fn relay_view(&self, relay: &TestRelay) -> Option<RelayView> {
+        let client = Client::new(&relay.address, self.files("vic")).expect("a client");
+        client.get(hyper::Method::GET, "/v1/relay", vec![]).await.ok()
+    }
+
+    /// Waits until a relay says what it should.
+    pub async fn until_relay(&self, relay: &TestRelay, what: &str, holds: impl Fn(&RelayView) -> bool) {
+        let begin = Instant::now();
+        loop {
+            let view = self.relay_view(relay).await;
+            if view.as_ref().is_some_and(&holds) {
+                return;
+            }
+            assert!(begin.elapsed() < Duration::from_secs(30), "never: {what}: {view:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The agent forgets everything; its next term is above this one.
+    pub fn lose_state(&mut self, above: u64) {
+        self.disk = Disk::default();
+        self.term_above = above;
     }
 
     pub fn kill_instance(&mut self, place: usize) {
@@ -275,6 +350,14 @@
     }
 }
 
+impl TestRelay {
+    /// Ends it without a word.
+    pub async fn kill(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
 /// Sets a server's weight everywhere, in two waves, at once.
 pub fn change(id: &str, base: u64, server: &str, weight: u32) -> Change {
     let edits = Edits::from([(Key::Weight(server.into()), Some(Value::Weight(weight)))]);
--- a/crates/cli/src/agent.rs
+++ b/crates/cli/src/agent.rs
@@ -1,11 +1,10 @@
 //! `madderloom agent`: the agent, from its file to a program that serves until it is told to stop.
 
 use crate::logging::{LAST_LINES, Logging};
+use crate::server::{Signals, serve_locally};
 use madderloom_agent::{Agent as Program, Config, Lasting, Memory, Storage};
-use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs the agent, which instances register with and changes are pushed to.
 ///
@@ -38,33 +37,13 @@
                 Box::<Memory>::default()
             }
         };
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        let _watchdog = watchdog::start();
-        let served = tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listen = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-            let (mut planned, mut by_hand) =
-                (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
-            let mut again = listen(SignalKind::hangup())?;
+        let served = serve_locally(async {
+            let signals = Signals::listen()?;
             let agent = Program::start(&config, storage).await?;
             let address = agent.address().map_err(|e| e.to_string())?;
             tracing::info!("listening on {address}");
             let keyring = agent.keyring();
-            watchdog::spawn(TaskKind::KeyFiles, async move {
-                while again.recv().await.is_some() {
-                    match keyring.reload() {
-                        Ok(_) => tracing::info!("the keys were read again"),
-                        Err(problem) => tracing::warn!("the keys stay as they were: {problem}"),
-                    }
-                }
-            });
-            let stop = async move {
-                tokio::select! {
-                    _ = planned.recv() => {}
-                    _ = by_hand.recv() => {}
-                }
-            };
-            agent.serve(stop).await
+            agent.serve(signals.stop(vec![keyring])).await
         });
         written.wait(LAST_LINES);
         served.map(|()| ExitCode::SUCCESS)
--- a/crates/cli/src/fleet/top.rs
+++ b/crates/cli/src/fleet/top.rs
@@ -95,6 +95,10 @@
             }
             writeln!(f, "{}", shares(&self.status.fleet_limits))?;
         }
+        if !self.status.relays.is_empty() {
+            let behind = self.status.relays.iter().map(|(relay, count)| format!("{relay} {count}"));
+            writeln!(f, "instances behind relays: {}", behind.collect::<Vec<_>>().join(", "))?;
+        }
         if !self.status.shared_lists.is_empty() {
             writeln!(f, "{}", lists(&self.status.shared_lists))?;
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,8 +8,10 @@
 mod logging;
 mod output;
 mod place;
+mod relay;
 mod route;
 mod serve;
+mod server;
 mod status;
 mod store;
 mod stories;
@@ -49,6 +51,8 @@
     Level(level::Level),
     /// Runs the agent, which instances register with and changes are pushed to
     Agent(agent::Agent),
+    /// Runs a relay, which instances of a zone register with in place of the agent
+    Relay(relay::Relay),
     /// Lists the instances of the fleet
     Instances(fleet::Instances),
     /// Shows one instance, with what the fleet has settled on for it
@@ -85,6 +89,7 @@
         Command::Events(events) => events.run(),
         Command::Level(level) => level.run(),
         Command::Agent(agent) => agent.run(),
+        Command::Relay(relay) => relay.run(),
         Command::Instances(instances) => instances.run(),
         Command::Show(show) => show.run(),
         Command::Push(push) => push.run(),
--- a/crates/cli/tests/fleet/limits.rs
+++ b/crates/cli/tests/fleet/limits.rs
@@ -15,6 +15,9 @@
 /// A request arrives so much later than it was let in at most, on a machine that is busy.
 const JITTER: Duration = Duration::from_millis(100);
 
+/// Each of these has a relay, where there are relays.
+const ZONES_OF_RELAYS: [&str; 3] = ["north", "south", "east"];
+
 fn limit(name: &str, figures: &str) -> String {
     format!("[[fleet_limits]]\nname = \"{name}\"\n{figures}\n")
 }
@@ -32,15 +35,38 @@
     }
 
     fn with(count: usize, leases: &str, limits: &str, own: &str) -> Self {
+        let mut fleet = Fleet::of_servers(leases, limits);
+        fleet.add_all(count, &["north", "south"], own);
+        fleet
+    }
+
+    /// So many sidecars, each behind the relay of one of three zones.
+    fn behind_relays(count: usize, limits: &str, own: &str) -> Self {
+        let leases = "report = \"300ms\"\nlease = \"3s\"\ngrace = \"3s\"\nlimits = \"3s\"\n[registrations]\n\
+            horizon = \"1s\"\n";
+        let mut fleet = Fleet::of_servers(leases, limits);
+        for zone in ZONES_OF_RELAYS {
+            fleet.add_relay(zone, "[children]\nlease = \"3s\"\nanswer = \"500ms\"\n");
+        }
+        fleet.add_all(count, &ZONES_OF_RELAYS, own);
+        fleet
+    }
+
+    /// An agent and three servers.
+    fn of_servers(leases: &str, limits: &str) -> Self {
         let servers = (0..3).map(|n| Server::that_takes(&format!("w{n}"), millis(5))).collect();
-        let mut fleet = Fleet::found(&format!("{leases}{limits}"), servers, SITE);
+        Fleet::found(&format!("{leases}{limits}"), servers, SITE)
+    }
+
+    /// So many sidecars, in each of these zones in turn; waits until each has a lease.
+    fn add_all(&mut self, count: usize, zones: &[&str], own: &str) {
+        let fleet = self;
         for number in 0..count {
-            let zone = ["north", "south"][number % 2];
+            let zone = zones[number % zones.len()];
             fleet.add_one(&format!("{zone}-{number}"), &format!("shop-{number}"), own);
         }
         fleet.stage.program("agent").wait_for("all of them can be lent");
         until("each has a lease", || fleet.all_leased().then_some(()));
-        fleet
     }
 
     /// A sidecar that knows the servers.
@@ -94,8 +120,7 @@
 
 /// Plays a plan under load, heals, and gives what was over in the worst window, and the part of the limit that was used
 /// from some seconds after the healing on.
-fn play(plan: &Plan, over: Duration) -> (f64, f64) {
-    let mut fleet = Fleet::new(12, &limit("submissions", SUBMISSIONS), OWN);
+fn play(mut fleet: Fleet, plan: &Plan, over: Duration) -> (f64, f64) {
     // Buckets run full, so that the load begins with the whole burst.
     std::thread::sleep(millis(2_500));
     let load = fleet.load();
@@ -136,10 +161,15 @@
     Menu { choices, over, lasts: (millis(300), millis(5_000)) }
 }
 
-/// Judges a plan; a failure prints the shortest plan found that fails too, if it is asked for.
+/// Judges a plan on twelve sidecars.
 fn holds(plan: &Plan, over: Duration) {
+    holds_on(|| Fleet::new(12, &limit("submissions", SUBMISSIONS), OWN), plan, over);
+}
+
+/// Judges a plan; a failure prints the shortest plan found that fails too, if it is asked for.
+fn holds_on(found: impl Fn() -> Fleet, plan: &Plan, over: Duration) {
     let fails = |plan: &Plan| {
-        let (over, used) = play(plan, over);
+        let (over, used) = play(found(), plan, over);
         eprintln!("over {over:.1}, used {used:.3} after:\n{plan}");
         over > 0.0 || used < 0.95
     };
@@ -196,6 +226,31 @@
     holds(&Plan { faults }, millis(7_000));
 }
 
+/// An agent, three relays and 24 sidecars: relays, the agent and links between all of them fail, die and freeze.
+#[test]
+fn no_window_is_over_behind_relays_whatever_links_fail_and_processes_die_or_freeze() {
+    let links = vec![
+        Act::Cut,
+        Act::CutOut,
+        Act::CutBack,
+        Act::HoldBack,
+        Act::HoldOut,
+        Act::HoldOld,
+        Act::Delay(400),
+        Act::Reset,
+        Act::Swallow,
+    ];
+    let processes = vec![Act::Kill, Act::Stop];
+    let of_links = ["relay-north>agent", "relay-south>agent", "north-0>agent", "east-2>agent"];
+    let of_processes = ["relay-south", "relay-east", "agent", "north-3"];
+    let of_links = of_links.map(|on| (on.to_string(), links.clone()));
+    let of_processes = of_processes.map(|on| (on.to_string(), processes.clone()));
+    let choices = of_links.into_iter().chain(of_processes).collect();
+    let menu = Menu { choices, over: millis(8_000), lasts: (millis(300), millis(5_000)) };
+    let found = || Fleet::behind_relays(24, &limit("submissions", SUBMISSIONS), OWN);
+    holds_on(found, &menu.draw(12, 10), millis(11_000));
+}
+
 fn push(fleet: &Fleet, id: &str, set: &str) {
     let at_once = "waves = []\npause = \"0\"\nsilence = \"5s\"\nat_once = 1000";
     let pushed = fleet.rig.push(id, at_once, set);
--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -6,5 +6,6 @@
 mod lists;
 mod many;
 mod overlay;
+mod relays;
 mod rig;
 mod wire;
--- a/crates/cli/tests/fleet/many.rs
+++ b/crates/cli/tests/fleet/many.rs
@@ -14,6 +14,8 @@
     pub rig: Rig,
     pub stage: Stage,
     pub fronts: BTreeMap<String, SocketAddr>,
+    /// The relays by zone; sidecars of a zone that has one are behind it.
+    pub relays: BTreeMap<String, SocketAddr>,
 }
 
 fn free_port() -> u16 {
@@ -33,7 +35,8 @@
         let (instances, roads) = Default::default();
         let rig = Rig { directory, agent: None, address, roads, servers, instances };
         std::fs::write(rig.at("site.json"), site).expect("written");
-        let mut fleet = Fleet { rig, stage: Stage::default(), fronts: BTreeMap::new() };
+        let (stage, fronts, relays) = Default::default();
+        let mut fleet = Fleet { rig, stage, fronts, relays };
         fleet.add_agent("agent", "agent.toml", "state");
         fleet
     }
@@ -51,7 +54,27 @@
         self.stage.slots.insert(name.into(), Slot::new(program, make));
     }
 
-    /// A sidecar with a link of its own to the agent. It listens where it did before when it is started again.
+    /// A relay of a zone, at a port that it keeps, with a link of its own to the agent. Its file ends with this.
+    pub fn add_relay(&mut self, zone: &str, more: &str) {
+        let (name, link, address) = (format!("relay-{zone}"), Link::new(self.rig.address), own_address());
+        let text = format!(
+            "version = 1\nname = \"{name}\"\nlisten = \"{address}\"\n[keys]\nauthority = \"authority.pem\"\n\
+             certificate = \"agent.pem\"\nkey = \"agent.key\"\nrevoked = \"keys/revoked.pem\"\n[parent]\n\
+             agents = [\"{}\"]\ncertificate = \"shop-any.pem\"\nkey = \"shop-any.key\"\n{more}",
+            link.address(),
+        );
+        std::fs::write(self.rig.at(&format!("{name}.toml")), text).expect("written");
+        let (at, file) = (self.rig.directory.path().to_path_buf(), format!("{name}.toml"));
+        let make = move |_| madderloom(&at, &["relay", "--config", &file]);
+        let program = Program::start(make(false));
+        program.wait_for("listening on ");
+        program.wait_for("connected to the agent");
+        self.relays.insert(zone.into(), address);
+        self.stage.links.insert(format!("{name}>agent"), link);
+        self.stage.slots.insert(name, Slot::new(program, make));
+    }
+
+    /// A sidecar with a link of its own to the agent, or to the relay of its zone. It listens where it did before when it is started again.
     /// Its file ends with what its pool has, `pool`, and its agent's section with `own`.
     pub fn add(&mut self, name: &str, own_name: &str, own: &str, pool: &str) {
         self.begin(name, own_name, own, pool);
@@ -60,9 +83,9 @@
 
     /// The same, and it is not waited for.
     pub fn begin(&mut self, name: &str, own_name: &str, own: &str, pool: &str) {
-        let link = Link::new(self.rig.address);
-        let front = own_address();
         let zone = name.split('-').next().expect("a zone");
+        let link = Link::new(self.relays.get(zone).copied().unwrap_or(self.rig.address));
+        let front = own_address();
         let text = format!(
             "version = 1\n[admin]\nlisten = \"127.0.0.1:0\"\n[control]\nagent = \"{}\"\nname = \"{own_name}\"\n\
              zone = \"{zone}\"\nkeys = {{ authority = \"authority.pem\", certificate = \"shop-any.pem\", key = \
--- /dev/null
+++ b/crates/cli/tests/fleet/relays.rs
@@ -0,0 +1,137 @@
+//! Relays as processes between real sidecars and an agent: what a region that is cut off has, and what the heal brings.
+
+use crate::many::Fleet;
+use madderloom_rig::{Act, Server, served, until};
+use std::time::Duration;
+
+const ZONES: [&str; 3] = ["north", "south", "east"];
+/// Sidecars of each zone.
+const EACH: usize = 4;
+const LEASES: &str =
+    "report = \"300ms\"\nlease = \"3s\"\ngrace = \"3s\"\n[registrations]\nhorizon = \"1s\"\n";
+const SITE: &str = r#"{"group_size": 1, "my_zone": 0, "period": 5000, "discovery": "automatic",
+    "services": [{"name": "submit", "effect": "unsafe", "on_time": 2000000, "give_up": 6000000, "worth": 10,
+    "key_scope": "all", "window": 4000000}],
+    "limits": {"cancel": true, "max_attempts": 3, "retry_after": true, "max_retry_after": 2000000},
+    "safety": {"cold": 1000000, "cold_from": 0.3, "fall": 1000000}}"#;
+const AT_ONCE: &str = "waves = []\npause = \"0\"\nsilence = \"1s\"\nat_once = 1000\nfailures = 1000";
+
+/// An agent, a relay in each of three zones, and four sidecars behind each.
+fn tree() -> Fleet {
+    let servers = (0..3).map(|n| Server::that_takes(&format!("w{n}"), Duration::from_millis(5))).collect();
+    let mut fleet = Fleet::found(LEASES, servers, SITE);
+    for zone in ZONES {
+        fleet.add_relay(zone, "[children]\nlease = \"3s\"\nanswer = \"500ms\"\n");
+    }
+    let pool = format!("servers = [{}]", fleet.rig.entries());
+    for number in 0..ZONES.len() * EACH {
+        let zone = ZONES[number % ZONES.len()];
+        fleet.add(&format!("{zone}-{number}"), &format!("shop-{number}"), "", &pool);
+    }
+    fleet.rig.until_alive(ZONES.len() * EACH);
+    fleet
+}
+
+fn push(fleet: &Fleet, id: &str, set: &str) {
+    let pushed = fleet.rig.push(id, AT_ONCE, set);
+    assert!(pushed.status.success(), "{}", String::from_utf8_lossy(&pushed.stderr));
+}
+
+/// How many instances have each outcome.
+fn results(fleet: &Fleet, id: &str) -> (usize, usize) {
+    let results = fleet.rig.ended(id);
+    let count = |state: &str| results.values().filter(|result| result["state"] == state).count();
+    (count("applied"), count("failed"))
+}
+
+fn registrations(fleet: &Fleet) -> usize {
+    let log = fleet.stage.program("agent").log();
+    log.iter().filter(|line| line.contains("joining")).count()
+}
+
+#[test]
+fn a_region_that_is_cut_off_serves_on_and_has_what_it_lacks_soon_after_the_heal() {
+    let mut fleet = tree();
+    let load = fleet.load();
+    push(&fleet, "before", "\"weight/w0\" = 0.5");
+    assert_eq!(results(&fleet, "before"), (12, 0));
+    fleet.stage.act("relay-north>agent", Act::Cut);
+    // The change goes on without the region, and one that was undone meanwhile never reaches it.
+    push(&fleet, "meanwhile", "\"weight/w1\" = 0.5");
+    assert_eq!(results(&fleet, "meanwhile"), (8, 4));
+    push(&fleet, "regretted", "\"weight/w2\" = 0.5");
+    assert_eq!(results(&fleet, "regretted"), (8, 4));
+    fleet.rig.told("alice", &["rollout", "undo", "regretted"], 0);
+    fleet.stage.act("relay-north>agent", Act::Heal);
+    fleet.rig.until_alive(12);
+    for instance in fleet.rig.listed() {
+        assert_eq!(instance["in_line"], true, "{instance}");
+    }
+    let got = load.stop();
+    assert_eq!(
+        served(&got, &fleet.rig.servers, false),
+        got.len(),
+        "requests are served on, and none is lost"
+    );
+}
+
+#[test]
+fn an_agent_and_then_a_relay_are_killed_and_all_instances_are_back() {
+    let mut fleet = tree();
+    let load = fleet.load();
+    fleet.stage.act("agent", Act::Kill);
+    // Each has reported meanwhile, and was told that it keeps its name.
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.stage.act("agent", Act::Start);
+    fleet.rig.until_alive(12);
+    assert_eq!(registrations(&fleet), 0, "no instance has registered again");
+    fleet.stage.act("relay-south", Act::Kill);
+    fleet.stage.act("relay-south", Act::Start);
+    fleet.rig.until_alive(12);
+    push(&fleet, "after", "\"weight/w0\" = 0.5");
+    assert_eq!(results(&fleet, "after"), (12, 0));
+    until("each relay has its instances", || {
+        let told = fleet.rig.told("vic", &["top", "--once"], 0);
+        told.contains("behind relays: relay-east 4, relay-north 4, relay-south 4").then_some(())
+    });
+    let got = load.stop();
+    assert_eq!(
+        served(&got, &fleet.rig.servers, false),
+        got.len(),
+        "requests are served on, and none is lost"
+    );
+}
+
+/// An agent that lost its state begins with the first term again, and is told by the relays that there was a later one.
+#[test]
+fn an_agent_of_an_earlier_term_stands_down_when_a_relay_comes_to_it() {
+    let mut fleet = tree();
+    fleet.stage.act("agent", Act::Kill);
+    fleet.stage.act("agent", Act::Start);
+    fleet.rig.until_alive(12);
+    fleet.stage.act("agent", Act::Kill);
+    fleet.stage.act("agent", Act::StartAfresh);
+    fleet.stage.program("agent").wait_for("no more orders are given here");
+    fleet.stage.program("relay-east").wait_for("it is of an earlier term than one that is known");
+    // The operator says that the former one is gone.
+    fleet.stage.act("agent", Act::Kill);
+    let file = fleet.rig.at("agent.toml");
+    let text = std::fs::read_to_string(&file).expect("written");
+    std::fs::write(&file, format!("term_above = 5\n{text}")).expect("written");
+    fleet.stage.act("agent", Act::Start);
+    fleet.rig.until_alive(12);
+    push(&fleet, "after", "\"weight/w0\" = 0.5");
+    assert_eq!(results(&fleet, "after"), (12, 0));
+}
+
+/// A relay that is stopped for longer than all leases, and goes on with what it had.
+#[test]
+fn a_relay_that_stood_still_goes_on_and_its_instances_have_what_changed_meanwhile() {
+    let mut fleet = tree();
+    fleet.stage.act("relay-east", Act::Stop);
+    push(&fleet, "meanwhile", "\"weight/w1\" = 0.5");
+    assert_eq!(results(&fleet, "meanwhile"), (8, 4));
+    std::thread::sleep(Duration::from_secs(4));
+    fleet.stage.act("relay-east", Act::Continue);
+    fleet.rig.until_alive(12);
+}
