Scale rig: relays between the hollow instances and the agent

Need: figures of the relay before and after, and at 11,000 instances, which one agent cannot hold here (22,064 descriptors of 20,000).

While relays answer for the agent, only the agent knows when it has all instances: the restart's time is taken from its status there.

--- a/crates/lab/src/scale/agent.rs
+++ b/crates/lab/src/scale/agent.rs
@@ -198,6 +198,7 @@
 ) -> Result<Process, String> {
     let program = match program {
         Program::Agent => "agent",
+        Program::Relay => "relay",
         Program::Sidecar => "sidecar",
     };
     let file = file.display().to_string();
--- a/crates/lab/src/scale/child.rs
+++ b/crates/lab/src/scale/child.rs
@@ -1,8 +1,10 @@
-//! The real programs of a rig, as processes that end with the lab: the agent and, for the comparison with hollow
+//! The real programs of a rig, as processes that end with the lab: the agent, relays and, for the comparison with hollow
 //! instances, sidecars.
 
 use crate::sockets::itself::{log_to_standard_error, on_one_thread, stay_with, told_to_stop};
+use madderloom_agent::relay::{Relay, RelayConfig};
 use madderloom_agent::{Agent, Config, Lasting, Memory, Storage};
+use madderloom_config::Problem;
 use madderloom_operator::Operator;
 use madderloom_sidecar::Sidecar;
 use std::os::unix::process::CommandExt;
@@ -14,6 +16,8 @@
 pub enum Program {
     /// `madderloom agent`
     Agent,
+    /// `madderloom relay`
+    Relay,
     /// `madderloom serve --operator`
     Sidecar,
 }
@@ -46,6 +50,7 @@
             let mut command = Command::new(binary);
             match self.program {
                 Program::Agent => command.args(["agent", "--config"]),
+                Program::Relay => command.args(["relay", "--config"]),
                 Program::Sidecar => command.args(["serve", "--operator"]),
             };
             // What was asked of the system about the parent's end holds for the program that takes this one's place.
@@ -55,6 +60,7 @@
         log_to_standard_error();
         match self.program {
             Program::Agent => serve_agent(&self.file),
+            Program::Relay => serve_relay(&self.file),
             Program::Sidecar => serve_sidecar(&self.file),
         }
     }
@@ -62,11 +68,7 @@
 
 fn serve_agent(file: &Path) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let config = Config::read(&text, file).map_err(|problems| {
-        let lines: Vec<String> =
-            problems.iter().map(|problem| format!("{}:{problem}", file.display())).collect();
-        lines.join("\n")
-    })?;
+    let config = Config::read(&text, file).map_err(|problems| written(file, &problems))?;
     let storage: Box<dyn Storage> = match &config.state {
         Some(directory) => Box::new(Lasting::new(directory)),
         None => Box::<Memory>::default(),
@@ -80,6 +82,24 @@
     })
 }
 
+fn serve_relay(file: &Path) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let config = RelayConfig::read(&text, file).map_err(|problems| written(file, &problems))?;
+    on_one_thread(async {
+        let stop = told_to_stop()?;
+        let relay = Relay::start(&config).await?;
+        let address = relay.address().map_err(|e| e.to_string())?;
+        tracing::info!("listening on {address}");
+        relay.serve(stop).await
+    })
+}
+
+/// The problems of a file, a line each.
+fn written(file: &Path, problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(|problem| format!("{}:{problem}", file.display())).collect();
+    lines.join("\n")
+}
+
 fn serve_sidecar(file: &Path) -> Result<(), String> {
     let operator = Operator::load(file).map_err(|faults| faults.to_string())?;
     on_one_thread(async {
--- a/crates/lab/src/scale/command.rs
+++ b/crates/lab/src/scale/command.rs
@@ -2,6 +2,7 @@
 
 use super::conductor::{Rig, RigSettings};
 use super::measured::Measured;
+use super::places::ZONES;
 use super::protocol::Manner;
 use super::real::{self, Difference};
 use super::record::{self, FORMAT, RunRecord, StepRecord, write_json};
@@ -78,6 +79,9 @@
     /// Requests that each instance tells to have ended within 10 s
     #[arg(long, default_value_t = 2_700, value_name = "N")]
     requests: u64,
+    /// Put a relay of each zone between its instances and the agent
+    #[arg(long, conflicts_with = "check_against_real")]
+    relays: bool,
     /// Fleet-wide limits that each instance takes part in
     #[arg(long, default_value_t = 1, value_name = "N", value_parser = clap::value_parser!(u8).range(0..=128))]
     limits: u8,
@@ -113,7 +117,8 @@
             }
         }
         for instances in &self.instances {
-            limits::check(*instances as usize, Allowed::here()).map_err(|e| e.to_string())?;
+            limits::check(*instances as usize, self.relay_count(), Allowed::here())
+                .map_err(|e| e.to_string())?;
         }
         if cfg!(debug_assertions) {
             say("this is a debug build: its figures say nothing of a release");
@@ -236,9 +241,15 @@
             calm: duration(self.calm),
             cut: duration(self.cut),
             restarts: RESTARTS,
+            has_relays: self.relays,
         }
     }
 
+    /// Relays of a run.
+    fn relay_count(&self) -> usize {
+        if self.relays { ZONES } else { 0 }
+    }
+
     async fn one_run(&self, settings: RigSettings) -> Result<RunRecord, String> {
         let (build, built) = record::build(self.built.as_deref())?;
         let mut record = RunRecord {
@@ -251,6 +262,7 @@
             manner: settings.manner.clone(),
             report_ms: settings.report_ms,
             registrations: settings.registrations,
+            relays: self.relay_count(),
             allowed: Allowed::here(),
             load: load_average(),
             steps: Vec::new(),
--- a/crates/lab/src/scale/conductor.rs
+++ b/crates/lab/src/scale/conductor.rs
@@ -3,9 +3,10 @@
 use super::agent::{AgentProcess, AgentSettings};
 use super::hollow::MARKER;
 use super::limits;
-use super::places::Group;
+use super::places::{Group, ZONES};
 use super::protocol::{Command, Manner, Totals};
 use super::record::{StepRecord, Times, Work};
+use super::relays::Relays;
 use super::steps::Step;
 use super::usage::{Allowed, now};
 use super::workers::Workers;
@@ -48,6 +49,8 @@
     pub cut: Duration,
     /// Restarts of instances within the step of that name, one a second.
     pub restarts: usize,
+    /// Whether a relay of each zone stands between its instances and the agent.
+    pub has_relays: bool,
 }
 
 impl RigSettings {
@@ -72,6 +75,7 @@
 pub struct Rig {
     settings: RigSettings,
     agent: AgentProcess,
+    relays: Relays,
     workers: Workers,
     /// What agents before the present one came to.
     former: Totals,
@@ -87,6 +91,7 @@
 struct Begin {
     agent: Totals,
     instances: Totals,
+    relays: Totals,
     at: Instant,
 }
 
@@ -120,13 +125,20 @@
     /// # Errors
     /// The machine does not bear it, or something does not start.
     pub async fn new(settings: RigSettings) -> Result<Self, String> {
-        limits::check(settings.instances, Allowed::here()).map_err(|e| e.to_string())?;
+        let relays = if settings.has_relays { ZONES } else { 0 };
+        limits::check(settings.instances, relays, Allowed::here()).map_err(|e| e.to_string())?;
         let directory = tempfile::tempdir().map_err(|e| format!("a directory for keys: {e}"))?;
         let agent = AgentProcess::start(directory.path(), settings.binary.clone(), settings.agent()).await?;
-        let workers =
-            Workers::start(settings.instances, agent.address(), directory.path(), &settings.manner)?;
+        let relays = if settings.has_relays {
+            let lease_ms = settings.agent().lease_ms;
+            Relays::start(directory.path(), settings.binary.clone(), agent.address(), lease_ms).await?
+        } else {
+            Relays::default()
+        };
+        let agents = if relays.is_empty() { vec![agent.address().into()] } else { relays.addresses() };
+        let workers = Workers::start(settings.instances, &agents, directory.path(), &settings.manner)?;
         let former = Totals::default();
-        Ok(Rig { settings, agent, workers, former, marker: 0, discovery: 1, _directory: directory })
+        Ok(Rig { settings, agent, relays, workers, former, marker: 0, discovery: 1, _directory: directory })
     }
 
     /// Takes one step. What can't be done is told in the record.
@@ -157,7 +169,8 @@
             Err(problem) => (Outcome::default(), Some(problem)),
         };
         let (agent, instances) = (self.agent_totals().await?, self.workers.totals()?);
-        let memory = agent.usage.memory + instances.usage.memory;
+        let relays = self.relay_totals();
+        let memory = agent.usage.memory + instances.usage.memory + relays.usage.memory;
         limits::check_memory(self.settings.instances, memory, Allowed::here()).map_err(|e| e.to_string())?;
         Ok(StepRecord {
             step,
@@ -165,6 +178,7 @@
             seconds: (begin.at.elapsed().as_secs_f64() * 1e3).round() / 1e3,
             agent: Work::between(&begin.agent, &agent),
             instances: Work::between(&begin.instances, &instances),
+            relays: Work::between(&begin.relays, &relays),
             times: outcome.times,
             counts: outcome.counts,
             problem,
@@ -173,7 +187,13 @@
 
     async fn begin(&mut self) -> Result<Begin, String> {
         let agent = self.agent_totals().await?;
-        Ok(Begin { agent, instances: self.workers.totals()?, at: Instant::now() })
+        let (instances, relays) = (self.workers.totals()?, self.relay_totals());
+        Ok(Begin { agent, instances, relays, at: Instant::now() })
+    }
+
+    /// What the relays used. What passes over them is not counted.
+    fn relay_totals(&self) -> Totals {
+        Totals { usage: self.relays.usage(), ..Totals::default() }
     }
 
     /// What all agents of this rig came to; what is held is the present one's.
@@ -208,6 +228,19 @@
         Ok(Times::since(begin, self.workers.times(&Command::Renewed(group))?, wanted))
     }
 
+    /// Waits until the agent has all instances, and tells how long after `begin` that was.
+    async fn all_alive(&self, begin: u64) -> Result<Times, String> {
+        let (wanted, since) = (self.settings.instances, Instant::now());
+        let patience = self.patience(wanted);
+        let mut alive = 0;
+        while alive < wanted && since.elapsed() < patience {
+            let status = self.agent.status().await?;
+            alive = status.instances.get("alive").copied().unwrap_or(0);
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(Times::since(begin, vec![now(); alive], wanted))
+    }
+
     async fn start(&mut self) -> Result<Outcome, String> {
         self.workers.tell(&Command::Mark)?;
         let begin = now();
@@ -246,7 +279,13 @@
         self.workers.tell(&Command::Mark)?;
         tokio::time::sleep(AWAY).await;
         self.agent.start_again(state_lost.then_some(term)).await?;
-        let healed = self.renewed(Group::All, now()).await?;
+        let begin = now();
+        let healed = if self.relays.is_empty() {
+            self.renewed(Group::All, begin).await?
+        } else {
+            // A relay answers reports without the agent: only the agent knows when it has all of them.
+            self.all_alive(begin).await?
+        };
         Ok(Outcome::about(self.settings.instances).time("healed", healed))
     }
 
@@ -270,7 +309,7 @@
     async fn cut(&mut self) -> Result<Outcome, String> {
         let wanted = Group::Region.count(self.settings.instances);
         let elsewhere = self.settings.instances - wanted;
-        self.workers.tell(&Command::Hold(Group::Region))?;
+        self.cut_region()?;
         let cut = Instant::now();
         let (id, begin) = self.push(Group::All).await?;
         let marker = self.marker;
@@ -282,8 +321,12 @@
         tokio::time::sleep(self.settings.cut.saturating_sub(cut.elapsed())).await;
         self.workers.tell(&Command::Mark)?;
         let back = now();
-        self.workers.tell(&Command::Release(Group::Region))?;
-        let back_again = self.renewed(Group::Region, back).await?;
+        self.heal_region()?;
+        let back_again = if self.relays.is_empty() {
+            self.renewed(Group::Region, back).await?
+        } else {
+            self.all_alive(back).await?
+        };
         self.until(Command::CountInForce(Group::Region, marker), wanted, PATIENCE).await?;
         let times = self.workers.times(&Command::InForce(Group::Region, marker))?;
         let outcome = Outcome::about(wanted)
@@ -294,6 +337,23 @@
         Ok(count_results(outcome, &rollout.counts))
     }
 
+    /// The region's instances are cut off, or its relays are.
+    fn cut_region(&mut self) -> Result<(), String> {
+        if self.relays.is_empty() {
+            return self.workers.tell(&Command::Hold(Group::Region));
+        }
+        self.relays.cut_region();
+        Ok(())
+    }
+
+    fn heal_region(&mut self) -> Result<(), String> {
+        if self.relays.is_empty() {
+            return self.workers.tell(&Command::Release(Group::Region));
+        }
+        self.relays.heal();
+        Ok(())
+    }
+
     async fn restart_some(&mut self) -> Result<Outcome, String> {
         let count = self.settings.restarts.min(self.settings.instances);
         let mut took = Vec::new();
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -34,8 +34,8 @@
 
 /// What all instances of a process share.
 pub struct Shared {
-    /// The agent's address.
-    pub agent: String,
+    /// The address of the agent, or those of the relays by zone.
+    pub agents: Vec<String>,
     /// The keys of all instances.
     pub keyring: Arc<Keyring>,
     /// What the instances are like.
@@ -131,7 +131,10 @@
     }
 
     fn client(&self) -> Result<Client, String> {
-        let client = Client::with(&self.shared.agent, &self.shared.keyring)?;
+        let agents = &self.shared.agents;
+        let agent = agents.get(places::zone_number(self.number) % agents.len().max(1));
+        let agent = agent.ok_or("no agent is named")?;
+        let client = Client::with(agent, &self.shared.keyring)?;
         Ok(client.dialled_by(Arc::new(SwitchedDial(Arc::clone(&self.switch)))))
     }
 }
--- a/crates/lab/src/scale/limits.rs
+++ b/crates/lab/src/scale/limits.rs
@@ -73,14 +73,18 @@
     instances.div_ceil(PER_WORKER).max(1)
 }
 
-/// Checks that so many hollow instances can be had.
+/// Checks that so many hollow instances, and relays between them and the agent, can be had.
 ///
 /// # Errors
 /// The first limit that is in the way.
-pub fn check(instances: usize, allowed: Allowed) -> Result<(), Unable> {
-    let of_agent = CONNECTIONS * instances as u64 + OWN_DESCRIPTORS;
+pub fn check(instances: usize, relays: usize, allowed: Allowed) -> Result<(), Unable> {
+    // Behind relays, a relay has the connections of its instances, and the agent those of the relays.
+    let at_agent = if relays == 0 { instances } else { relays };
+    let at_relay = if relays == 0 { 0 } else { instances.div_ceil(relays) };
+    let of_agent = CONNECTIONS * at_agent as u64 + OWN_DESCRIPTORS;
+    let of_relay = CONNECTIONS * at_relay as u64 + OWN_DESCRIPTORS;
     let of_worker = CONNECTIONS * instances.div_ceil(workers(instances)) as u64 + OWN_DESCRIPTORS;
-    for (process, needed) in [("agent", of_agent), ("worker", of_worker)] {
+    for (process, needed) in [("agent", of_agent), ("relay", of_relay), ("worker", of_worker)] {
         if needed > allowed.descriptors {
             let allowed = allowed.descriptors;
             return Err(Unable::Descriptors { process, instances, needed, allowed });
@@ -88,7 +92,7 @@
     }
     let needed = BYTES_PER_INSTANCE * instances as u64;
     check_memory(instances, needed, allowed)?;
-    check_processes(workers(instances) + 2)
+    check_processes(workers(instances) + relays + 2)
 }
 
 /// Checks that no more than half of the machine's memory is taken.
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -20,6 +20,7 @@
 pub mod protocol;
 pub mod real;
 pub mod record;
+pub mod relays;
 pub mod size;
 pub mod steps;
 mod switch;
--- a/crates/lab/src/scale/places.rs
+++ b/crates/lab/src/scale/places.rs
@@ -21,7 +21,12 @@
 
 /// The name of the zone that an instance is in. Neighbouring numbers are in different zones.
 pub fn zone(number: usize) -> String {
-    zone_name(number % ZONES)
+    zone_name(zone_number(number))
+}
+
+/// The number of the zone that an instance is in.
+pub fn zone_number(number: usize) -> usize {
+    number % ZONES
 }
 
 fn zone_name(zone: usize) -> String {
@@ -30,7 +35,7 @@
 
 /// The region that an instance is in.
 pub fn region(number: usize) -> usize {
-    (number % ZONES) % REGIONS
+    zone_number(number) % REGIONS
 }
 
 /// The name of the service that an instance belongs to.
--- a/crates/lab/src/scale/protocol.rs
+++ b/crates/lab/src/scale/protocol.rs
@@ -21,8 +21,8 @@
 /// What a worker is told first.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Setup {
-    /// The agent's address.
-    pub agent: String,
+    /// The address of the agent, or those of the relays by zone.
+    pub agents: Vec<String>,
     /// The directory of the keys.
     pub keys: PathBuf,
     /// The numbers of its instances.
--- a/crates/lab/src/scale/real.rs
+++ b/crates/lab/src/scale/real.rs
@@ -133,7 +133,7 @@
 pub async fn compare(settings: &RigSettings) -> Result<Comparison, String> {
     // Real ones are a process each, beside the agent and the lab.
     limits::check_processes(settings.instances + 2).map_err(|e| e.to_string())?;
-    limits::check(settings.instances, Allowed::here()).map_err(|e| e.to_string())?;
+    limits::check(settings.instances, 0, Allowed::here()).map_err(|e| e.to_string())?;
     let manner = Manner { requests: 0, lists: 0, ..settings.manner.clone() };
     let settings = RigSettings { manner, ..settings.clone() };
     Ok(Comparison {
@@ -152,7 +152,8 @@
     let mut instances = if real {
         Instances::Real(start_sidecars(settings, place, agent.address())?)
     } else {
-        let mut workers = Workers::start(settings.instances, agent.address(), place, &settings.manner)?;
+        let mut workers =
+            Workers::start(settings.instances, &[agent.address().into()], place, &settings.manner)?;
         workers.tell(&Command::Start(Group::All))?;
         Instances::Hollow(workers)
     };
--- a/crates/lab/src/scale/record.rs
+++ b/crates/lab/src/scale/record.rs
@@ -33,6 +33,9 @@
     pub report_ms: u64,
     /// Registrations that the agent lets in a second.
     pub registrations: u32,
+    /// Relays between the instances and the agent, one for each zone; none where the instances are at the agent itself.
+    #[serde(default)]
+    pub relays: usize,
     /// What the machine allows.
     pub allowed: Allowed,
     /// The machine's load average over a minute at the beginning: what others ran beside it.
@@ -54,6 +57,9 @@
     pub agent: Work,
     /// At the instances, all together.
     pub instances: Work,
+    /// At the relays, all together: processor time, memory and descriptors.
+    #[serde(default)]
+    pub relays: Work,
     /// Times that it took, by what they are of.
     pub times: BTreeMap<String, Times>,
     /// Counts of what happened, by name.
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -99,7 +99,7 @@
         let authority = setup.keys.join("keys/authority.pem");
         let files = Files { authority, certificate: file("pem"), key: file("key"), revoked: None };
         let shared = Rc::new(Shared {
-            agent: setup.agent,
+            agents: setup.agents,
             keyring: Keyring::load(files)?,
             manner: setup.manner,
             counters: Arc::new(Counters::default()),
--- a/crates/lab/src/scale/workers.rs
+++ b/crates/lab/src/scale/workers.rs
@@ -18,17 +18,18 @@
 }
 
 impl Workers {
-    /// Starts processes for so many instances, none of which is started yet.
+    /// Starts processes for so many instances, none of which is started yet. They are at the agent of this address, or at
+    /// the relays of their zones.
     ///
     /// # Errors
     /// A process can't be started, or can't read the keys.
-    pub fn start(instances: usize, agent: &str, keys: &Path, manner: &Manner) -> Result<Self, String> {
+    pub fn start(instances: usize, agents: &[String], keys: &Path, manner: &Manner) -> Result<Self, String> {
         let each = instances.div_ceil(workers(instances));
         let mut all = Workers(Vec::new());
         for first in (0..instances).step_by(each.max(1)) {
             let mut worker = Worker::start()?;
             let setup = Setup {
-                agent: agent.to_string(),
+                agents: agents.to_vec(),
                 keys: keys.to_path_buf(),
                 instances: first..instances.min(first + each),
                 manner: manner.clone(),
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -32,6 +32,7 @@
         seconds,
         agent,
         instances: Work { cpu_seconds: 0.000_5 * instances as f64 * seconds, ..agent },
+        relays: Work::default(),
         times: times.iter().map(|(name, last_ms)| (name.to_string(), times_of(*last_ms))).collect(),
         counts: BTreeMap::new(),
         problem: None,
@@ -60,6 +61,7 @@
         manner: Manner { requests: 0, limits: 1, lists: 1 },
         report_ms: 3_000,
         registrations: 100,
+        relays: 0,
         allowed: Allowed { descriptors: 1, memory: 1, cores: 1 },
         load: 0.0,
         steps: vec![
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -25,6 +25,7 @@
         binary: None,
         calm: Duration::from_secs(2),
         cut: Duration::from_secs(4),
+        has_relays: false,
         restarts: 2,
     }
 }
@@ -89,6 +90,35 @@
     }
 }
 
+#[test]
+fn a_small_fleet_behind_relays_takes_every_step_and_the_agent_has_the_connections_of_relays_alone() {
+    let records: Result<Vec<StepRecord>, String> = on_one_thread(async {
+        let mut rig = Rig::new(RigSettings { has_relays: true, ..settings() }).await?;
+        let mut records = Vec::new();
+        for step in Step::ALL {
+            records.push(rig.step(step).await?);
+        }
+        Ok(records)
+    });
+    let records = records.expect("all steps");
+    for record in &records {
+        assert_eq!(record.problem, None, "{}", record.step);
+        for (name, times) in &record.times {
+            assert_eq!(times.missing, 0, "{}: {name}: {times:?}", record.step);
+        }
+        // Two of each relay, and those of the operator who looks.
+        assert!(record.agent.connections <= 2 * ZONES as u64 + 2, "{}: {:?}", record.step, record.agent);
+        assert!(record.relays.memory > 0, "{}: {:?}", record.step, record.relays);
+    }
+    let of = |step: Step| records.iter().find(|record| record.step == step).expect("it was done");
+    let cut = of(Step::RegionCut);
+    assert_eq!(cut.counts["failed"] as usize, Group::Region.count(INSTANCES), "{cut:?}");
+    for step in [Step::RestartWithState, Step::RestartWithoutState] {
+        let restart = of(step);
+        assert!(restart.instances.opened == 0, "no instance has connected again: {restart:?}");
+    }
+}
+
 #[test]
 fn a_hollow_instance_sends_what_a_real_one_sends() {
     let settings = RigSettings { instances: 6, calm: Duration::from_secs(4), ..settings() };
@@ -103,12 +133,13 @@
 #[test]
 fn what_the_machine_does_not_bear_is_told_before_anything_is_started() {
     let allowed = Allowed { descriptors: 20_000, memory: 24 << 30, cores: 8 };
-    assert_eq!(limits::check(9_000, allowed), Ok(()));
-    let unable = limits::check(11_000, allowed).expect_err("two connections each");
+    assert_eq!(limits::check(9_000, 0, allowed), Ok(()));
+    let unable = limits::check(11_000, 0, allowed).expect_err("two connections each");
     assert!(matches!(unable, Unable::Descriptors { process: "agent", instances: 11_000, .. }), "{unable}");
     assert!(unable.to_string().contains("needs 22064 descriptors and may open 20000"), "{unable}");
+    assert_eq!(limits::check(11_000, ZONES, allowed), Ok(()), "relays share the connections");
     let small = Allowed { memory: 1 << 30, ..allowed };
-    assert!(matches!(limits::check(9_000, small), Err(Unable::Memory { .. })));
+    assert!(matches!(limits::check(9_000, 0, small), Err(Unable::Memory { .. })));
     assert!(limits::check_processes(MOST_PROCESSES).is_ok());
     assert!(matches!(limits::check_processes(MOST_PROCESSES + 1), Err(Unable::Processes { .. })));
 }
@@ -172,6 +203,7 @@
         manner: Manner { requests: 1, limits: 2, lists: 3 },
         report_ms: 3_000,
         registrations: 100,
+        relays: 0,
         allowed: Allowed { descriptors: 1, memory: 2, cores: 3 },
         load: 0.5,
         steps: vec![],
