Read the whole log before a missing ejection is judged, in the test of a node that hangs

With thirty busy loops beside it the test failed 36 of 40 times: "it ends without saying ejected n0: Timeout". The test killed the process right behind the sixth answer, while the log is written by a thread of its own that nothing that serves waits for: the line was made and not yet written.

Change: the process is told to stop (SIGTERM), which writes the whole log, and then the line is looked for. What must be in the log is as before.

Measured: 0 of 40 failed with the same thirty loops beside it.

--- a/crates/cli/tests/sidecar/main.rs
+++ b/crates/cli/tests/sidecar/main.rs
@@ -667,6 +667,7 @@
         silent.push(node.accept());
         assert_eq!(client.read().expect("an answer").status(), 502);
     }
-    sidecar.child.kill().expect("it still runs");
+    // The log is written behind the answers; a process that is told to stop writes all of it.
+    sidecar.signal("TERM");
     sidecar.wait_for("ejected n0: Timeout");
 }
