--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -2,7 +2,7 @@
 //! answers and sends. What is asked while it writes is taken together and written together.
 
 use crate::Error;
-use crate::batch;
+use crate::batch::{self, Sends};
 use crate::clock::Clock;
 use crate::routes::{RelayId, Routes};
 use crate::storage::{Saves, Storage};
@@ -12,7 +12,7 @@
 use madderloom_fleet::fleet_limits::FleetLimitSettings;
 use madderloom_fleet::protocol::{ToAgent, ToInstance};
 use madderloom_fleet::relay::{Batch, BatchAnswer, WatchLine};
-use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules};
+use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules, Time};
 use madderloom_quota::Note as Quota;
 use madderloom_roster::Relay;
 use madderloom_watchdog::{self as watchdog, TaskKind};
@@ -93,6 +93,52 @@
 /// An answer that waits until what it tells of lasts.
 type Held = Box<dyn FnOnce(Result<(), Unable>)>;
 
+/// What has come of the requests that are taken together.
+#[derive(Default)]
+struct Turn {
+    saves: Saves,
+    sends: Sends,
+    /// Answers that wait until what they tell of lasts.
+    held: Vec<Held>,
+}
+
+impl Turn {
+    /// Logs the events of an output and keeps its records. Returns its messages.
+    fn record(&mut self, out: Output) -> Sends {
+        for note in &out.notes {
+            match note {
+                Note::Leases(Quota::Overcommitted(_) | Quota::Conflict(_)) => tracing::error!("{note}"),
+                note => tracing::info!("{note}"),
+            }
+        }
+        self.saves.extend(out.saves);
+        out.sends
+    }
+
+    /// The same, and sends its messages.
+    fn record_and_send(&mut self, out: Output) {
+        let sends = self.record(out);
+        self.sends.extend(sends);
+    }
+}
+
+impl Ask {
+    /// Answers that nothing is done.
+    fn refuse(self, unable: &Unable) {
+        let unable = unable.clone();
+        match self {
+            Ask::Instance(_, reply) => drop(reply.send(Err(unable))),
+            Ask::Batch(_, _, reply) => drop(reply.send(Err(unable))),
+            Ask::Push(_, _, reply) | Ask::Stop(_, _, reply) | Ask::Undo(_, _, reply) => {
+                drop(reply.send(Err(unable)));
+            }
+            Ask::See(_, reply) => drop(reply.send(Err(unable))),
+            Ask::Watch(_, _, reply) => drop(reply.send(Err(unable))),
+            Ask::WatchRelay(_, _, reply) => drop(reply.send(Err(unable))),
+        }
+    }
+}
+
 struct Driver {
     clock: Clock,
     rules: Rules,
@@ -176,104 +222,23 @@
 
     /// Takes what was asked, in turn; makes it last; answers.
     async fn take(&mut self, all: Vec<Ask>) {
-        let mut saves = Saves::new();
-        let mut sends = Vec::new();
-        let mut held: Vec<Held> = Vec::new();
+        if let Err(unable) = &self.fleet {
+            return all.into_iter().for_each(|ask| ask.refuse(unable));
+        }
+        let mut turn = Turn::default();
         let time = self.clock.time();
-        match &mut self.fleet {
-            Ok(fleet) => {
-                let mut out = fleet.tick(time);
-                let mut keep = |out: Output| -> Vec<(String, ToInstance)> {
-                    for note in &out.notes {
-                        match note {
-                            Note::Leases(Quota::Overcommitted(_) | Quota::Conflict(_)) => {
-                                tracing::error!("{note}")
-                            }
-                            note => tracing::info!("{note}"),
-                        }
-                    }
-                    saves.extend(out.saves);
-                    out.sends
-                };
-                sends.append(&mut keep(std::mem::take(&mut out)));
-                for ask in all {
-                    match ask {
-                        Ask::Instance(message, reply) => {
-                            let out = fleet.receive(time, &message, self.rng.rand_u64());
-                            let name = &message.who().name;
-                            let (own, mut others): (Vec<_>, Vec<_>) =
-                                keep(out).into_iter().partition(|(to, _)| to == name);
-                            sends.append(&mut others);
-                            let mut own: Vec<ToInstance> =
-                                own.into_iter().map(|(_, message)| message).collect();
-                            if own.iter().any(batch::is_accepted)
-                                && let Some((answer, updates)) =
-                                    batch::share_lists(&mut self.relay, time.now, &message)
-                            {
-                                own.push(ToInstance::Lists(answer));
-                                sends.extend(updates);
-                            }
-                            held.push(hold(reply, own));
-                        }
-                        Ask::Batch(relay, batch, reply) => {
-                            let out = fleet.receive_batch(time, &batch.messages, self.rng.rand_u64());
-                            let shared = (&mut self.routes, &mut self.relay, time.now);
-                            let (answer, mut others) =
-                                batch::answer(fleet.term(), &batch, &relay, keep(out), shared);
-                            sends.append(&mut others);
-                            held.push(hold(reply, answer));
-                        }
-                        Ask::Push(change, by, reply) => {
-                            let (done, out) = fleet.push(time, *change, by);
-                            sends.append(&mut keep(out));
-                            held.push(hold(reply, done));
-                        }
-                        Ask::Stop(id, by, reply) => {
-                            let (done, out) = fleet.stop(time, &id, &by);
-                            sends.append(&mut keep(out));
-                            held.push(hold(reply, done));
-                        }
-                        Ask::Undo(id, by, reply) => {
-                            let (done, out) = fleet.undo(time, &id, by);
-                            sends.append(&mut keep(out));
-                            held.push(hold(reply, done));
-                        }
-                        Ask::See(what, reply) => {
-                            held.push(hold(reply, what(fleet, &self.relay, &self.routes, time.now)));
-                        }
-                        Ask::Watch(name, start, reply) => {
-                            held.push(hold(reply, self.routes.watch(name, start)));
-                        }
-                        Ask::WatchRelay(relay, term, reply) => {
-                            sends.append(&mut keep(fleet.hear_of_term(term)));
-                            held.push(hold(reply, self.routes.watch_relay(relay, fleet.term())));
-                        }
-                    }
-                }
-            }
-            Err(unable) => {
-                for ask in all {
-                    let unable = unable.clone();
-                    match ask {
-                        Ask::Instance(_, reply) => drop(reply.send(Err(unable))),
-                        Ask::Batch(_, _, reply) => drop(reply.send(Err(unable))),
-                        Ask::Push(_, _, reply) | Ask::Stop(_, _, reply) | Ask::Undo(_, _, reply) => {
-                            drop(reply.send(Err(unable)));
-                        }
-                        Ask::See(_, reply) => drop(reply.send(Err(unable))),
-                        Ask::Watch(_, _, reply) => drop(reply.send(Err(unable))),
-                        Ask::WatchRelay(_, _, reply) => drop(reply.send(Err(unable))),
-                    }
-                }
-                return;
-            }
+        if let Ok(fleet) = &mut self.fleet {
+            let due = fleet.tick(time);
+            turn.record_and_send(due);
+        }
+        for ask in all {
+            self.handle(time, ask, &mut turn);
         }
-        let lasting = if saves.is_empty() { Ok(()) } else { self.commit(saves).await };
-        match lasting {
+        let Turn { saves, sends, held } = turn;
+        let durable = if saves.is_empty() { Ok(()) } else { self.commit(saves).await };
+        match durable {
             Ok(()) => {
-                for (name, message) in sends {
-                    self.routes.send(name, message);
-                }
+                sends.into_iter().for_each(|(name, message)| self.routes.send(name, message));
                 held.into_iter().for_each(|answer| answer(Ok(())));
             }
             Err(problem) => {
@@ -287,6 +252,57 @@
         }
     }
 
+    /// Has the state machine handle one request.
+    fn handle(&mut self, time: Time, ask: Ask, turn: &mut Turn) {
+        let Ok(fleet) = &mut self.fleet else { return };
+        match ask {
+            Ask::Instance(message, reply) => {
+                let sends = turn.record(fleet.receive(time, &message, self.rng.rand_u64()));
+                let name = &message.who().name;
+                let (own, others): (Sends, Sends) = sends.into_iter().partition(|(to, _)| to == name);
+                turn.sends.extend(others);
+                let mut own: Vec<ToInstance> = own.into_iter().map(|(_, message)| message).collect();
+                if own.iter().any(batch::is_accepted)
+                    && let Some((answer, updates)) = batch::share_lists(&mut self.relay, time.now, &message)
+                {
+                    own.push(ToInstance::Lists(answer));
+                    turn.sends.extend(updates);
+                }
+                turn.held.push(hold(reply, own));
+            }
+            Ask::Batch(relay, batch, reply) => {
+                let sends = turn.record(fleet.receive_batch(time, &batch.messages, self.rng.rand_u64()));
+                let shared = (&mut self.routes, &mut self.relay, time.now);
+                let (answer, others) = batch::answer(fleet.term(), &batch, &relay, sends, shared);
+                turn.sends.extend(others);
+                turn.held.push(hold(reply, answer));
+            }
+            Ask::Push(change, by, reply) => {
+                let (done, out) = fleet.push(time, *change, by);
+                turn.record_and_send(out);
+                turn.held.push(hold(reply, done));
+            }
+            Ask::Stop(id, by, reply) => {
+                let (done, out) = fleet.stop(time, &id, &by);
+                turn.record_and_send(out);
+                turn.held.push(hold(reply, done));
+            }
+            Ask::Undo(id, by, reply) => {
+                let (done, out) = fleet.undo(time, &id, by);
+                turn.record_and_send(out);
+                turn.held.push(hold(reply, done));
+            }
+            Ask::See(what, reply) => {
+                turn.held.push(hold(reply, what(fleet, &self.relay, &self.routes, time.now)));
+            }
+            Ask::Watch(name, start, reply) => turn.held.push(hold(reply, self.routes.watch(name, start))),
+            Ask::WatchRelay(relay, term, reply) => {
+                turn.record_and_send(fleet.hear_of_term(term));
+                turn.held.push(hold(reply, self.routes.watch_relay(relay, fleet.term())));
+            }
+        }
+    }
+
     async fn commit(&mut self, saves: Saves) -> Result<(), Error> {
         let mut storage = self.storage.take().ok_or(Error::StorageLost)?;
         let task = tokio::task::spawn_blocking(move || {
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -252,7 +252,7 @@
             Presence::Joining | Presence::Alive => (Presence::Suspect, self.leases.grace),
             Presence::Suspect => (Presence::Gone, self.leases.memory),
             Presence::Gone => {
-                self.members.remove(&name);
+                self.remove(&name);
                 return Presence::Gone;
             }
         };
