--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -244,11 +244,16 @@
 
     /// Starts a relay below the agent, at an address or at one that is free.
     pub async fn start_relay(&self, name: &str, address: &str) -> TestRelay {
+        self.start_relay_below(&self.address, name, address).await
+    }
+
+    /// Starts a relay below what listens at `parent`.
+    pub async fn start_relay_below(&self, parent: &str, name: &str, address: &str) -> TestRelay {
         let text = format!(
             "version = 1\nname = \"{name}\"\nlisten = \"{address}\"\n[keys]\nauthority = \"keys/authority.pem\"\n\
              certificate = \"agent.pem\"\nkey = \"agent.key\"\nrevoked = \"keys/revoked.pem\"\n[parent]\n\
              agents = [\"{}\"]\ncertificate = \"shop-any.pem\"\nkey = \"shop-any.key\"\n[children]\nlease = \"2s\"\n",
-            self.address
+            parent
         );
         let problems = |problems: Vec<Problem>| panic!("{problems:?}");
         let config = RelayConfig::read(&text, &self.directory.path().join("relay.toml"));
--- a/crates/agent/tests/relays_stand_between_instances_and_an_agent.rs
+++ b/crates/agent/tests/relays_stand_between_instances_and_an_agent.rs
@@ -135,6 +135,50 @@
     });
 }
 
+#[test]
+fn a_relay_in_the_place_of_one_that_still_serves_takes_its_instances_one_by_one() {
+    run(async {
+        let mut rig = Rig::new().await;
+        let (relays, toys) = tree(&mut rig).await;
+        // Of the same name, at another address: a replacement that its instances are led to.
+        let second = rig.start_relay(&relays[0].name, "127.0.0.1:0").await;
+        for place in (0..toys.len()).step_by(2 * RELAYS) {
+            let moved = Toy(toys[place].0.clone());
+            rig.kill_instance(place);
+            rig.start_instance_at(&second.address, place, &moved);
+        }
+        let half = EACH / 2;
+        rig.until_relay(&second, "half of them have come", |view| view.relay.registered == half).await;
+        until_alive(&rig).await;
+        change_all(&rig, &toys, "both", 0, 200).await;
+        rig.until_relay(&relays[0], "it has forgotten them", |view| view.relay.children == half).await;
+        change_all(&rig, &toys, "both-again", 1, 300).await;
+    });
+}
+
+/// Another relay answers what an agent of a former version does: that there is no such path.
+#[test]
+fn an_agent_that_does_not_know_relays_is_left_alone_and_instances_are_told_to_come_later() {
+    run(async {
+        let mut rig = Rig::new().await;
+        let first = rig.start_relay("zone-0", "127.0.0.1:0").await;
+        let second = rig.start_relay_below(&first.address, "zone-1", "127.0.0.1:0").await;
+        let toy = Toy::default();
+        rig.start_instance_at(&second.address, 0, &toy);
+        let begin = Instant::now();
+        while toy.0.borrow().registrations < 2 {
+            assert!(begin.elapsed() < Duration::from_secs(30), "it never comes again");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let view = rig.relay_view(&second).await.expect("it answers");
+        assert!(!view.relay.is_connected && view.relay.registered == 0, "{view:?}");
+        rig.until("the agent has heard of nobody", |status| {
+            status.instances.values().all(|count| *count == 0)
+        })
+        .await;
+    });
+}
+
 /// Its certificate is not good for the name that it speaks for.
 #[test]
 fn a_relay_speaks_for_those_names_alone_that_its_certificate_is_good_for() {
