--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -4,7 +4,7 @@
 use madderloom_fleet::Micros;
 use madderloom_fleet::protocol::{ToAgent, ToInstance};
 use madderloom_fleet::relay::{Batch, BatchAnswer};
-use madderloom_roster::{Lists, Note, Relay};
+use madderloom_roster::{Lists, Note, Relay as ListRelay};
 
 /// Messages to instances, by name.
 pub(crate) type Sends = Vec<(String, ToInstance)>;
@@ -16,7 +16,7 @@
     batch: &Batch,
     relay: &RelayId,
     sends: Sends,
-    (routes, lists, now): (&mut Routes, &mut Relay, Micros),
+    (routes, lists, now): (&mut Routes, &mut ListRelay, Micros),
 ) -> (BatchAnswer, Sends) {
     let (answer, mut others) = BatchAnswer::new(term, batch, sends);
     let accepted = answer.accepted();
@@ -41,7 +41,7 @@
 
 /// Handles what a report of an instance that holds its name says of lists. Returns the answer to it, and what other
 /// instances are told; none where it says nothing of lists.
-pub(crate) fn share_lists(lists: &mut Relay, now: Micros, message: &ToAgent) -> Option<(Lists, Sends)> {
+pub(crate) fn share_lists(lists: &mut ListRelay, now: Micros, message: &ToAgent) -> Option<(Lists, Sends)> {
     let ToAgent::Report(report) = message else { return None };
     let tells = report.tells.as_ref()?;
     let (answer, others, notes) = lists.hear(now, &report.who.name, report.who.start, tells);
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -14,7 +14,7 @@
 use madderloom_fleet::relay::{Batch, BatchAnswer, WatchLine};
 use madderloom_fleet::{Accepted, By, Declined, Fleet, Micros, Note, Output, Rules, Time};
 use madderloom_quota::Note as Quota;
-use madderloom_roster::Relay;
+use madderloom_roster::Relay as ListRelay;
 use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -34,7 +34,7 @@
 type Reply<T> = oneshot::Sender<Result<T, Unable>>;
 
 /// What someone wants to see of it, as JSON.
-type Look = Box<dyn FnOnce(&Fleet, &Relay, &Routes, Micros) -> Vec<u8> + Send>;
+type Look = Box<dyn FnOnce(&Fleet, &ListRelay, &Routes, Micros) -> Vec<u8> + Send>;
 
 /// What is asked of the machine.
 pub(crate) enum Ask {
@@ -70,10 +70,10 @@
     /// The same, of the lists that the fleet shares and the ways to instances as well.
     async fn see_all<T: serde::Serialize>(
         &self,
-        what: impl FnOnce(&Fleet, &Relay, &Routes, Micros) -> T + Send + 'static,
+        what: impl FnOnce(&Fleet, &ListRelay, &Routes, Micros) -> T + Send + 'static,
     ) -> Result<Vec<u8>, Unable> {
-        let written = |fleet: &Fleet, relay: &Relay, routes: &Routes, now| {
-            serde_json::to_vec(&what(fleet, relay, routes, now)).unwrap_or_default()
+        let written = |fleet: &Fleet, lists: &ListRelay, routes: &Routes, now| {
+            serde_json::to_vec(&what(fleet, lists, routes, now)).unwrap_or_default()
         };
         self.ask(|reply| Ask::See(Box::new(written), reply)).await
     }
@@ -146,7 +146,7 @@
     storage: Option<Box<dyn Storage>>,
     fleet: Result<Fleet, Unable>,
     /// The lists that the fleet shares. Each term learns them anew.
-    relay: Relay,
+    lists: ListRelay,
     routes: Routes,
     rng: oorandom::Rand64,
     above: u64,
@@ -170,7 +170,7 @@
         lending,
         storage: Some(storage),
         fleet: Err(Unable(String::new())),
-        relay: Relay::new(0, 0),
+        lists: ListRelay::new(0, 0),
         routes: Routes::default(),
         rng: oorandom::Rand64::new(seed),
         above,
@@ -263,7 +263,7 @@
                 turn.sends.extend(others);
                 let mut own: Vec<ToInstance> = own.into_iter().map(|(_, message)| message).collect();
                 if own.iter().any(batch::is_accepted)
-                    && let Some((answer, updates)) = batch::share_lists(&mut self.relay, time.now, &message)
+                    && let Some((answer, updates)) = batch::share_lists(&mut self.lists, time.now, &message)
                 {
                     own.push(ToInstance::Lists(answer));
                     turn.sends.extend(updates);
@@ -272,7 +272,7 @@
             }
             Ask::Batch(relay, batch, reply) => {
                 let sends = turn.record(fleet.receive_batch(time, &batch.messages, self.rng.rand_u64()));
-                let shared = (&mut self.routes, &mut self.relay, time.now);
+                let shared = (&mut self.routes, &mut self.lists, time.now);
                 let (answer, others) = batch::answer(fleet.term(), &batch, &relay, sends, shared);
                 turn.sends.extend(others);
                 turn.held.push(hold(reply, answer));
@@ -293,7 +293,7 @@
                 turn.held.push(hold(reply, done));
             }
             Ask::See(what, reply) => {
-                turn.held.push(hold(reply, what(fleet, &self.relay, &self.routes, time.now)));
+                turn.held.push(hold(reply, what(fleet, &self.lists, &self.routes, time.now)));
             }
             Ask::Watch(name, start, reply) => turn.held.push(hold(reply, self.routes.watch(name, start))),
             Ask::WatchRelay(relay, term, reply) => {
@@ -327,7 +327,7 @@
         let leases = fleet.serve_fleet_limits(self.clock.time(), self.lending.clone(), self.rng.rand_u64());
         out.saves.extend(leases.saves);
         self.commit(out.saves).await?;
-        self.relay = Relay::new(fleet.term(), self.rng.rand_u64());
+        self.lists = ListRelay::new(fleet.term(), self.rng.rand_u64());
         tracing::info!("term {} begins at revision {}", fleet.term(), fleet.newest());
         self.fleet = Ok(fleet);
         Ok(())
@@ -339,10 +339,10 @@
 }
 
 pub(crate) async fn status(core: &Core, traffic: Traffic) -> Result<Vec<u8>, Unable> {
-    let status = move |fleet: &Fleet, relay: &Relay, routes: &Routes, now| view::Status {
+    let status = move |fleet: &Fleet, lists: &ListRelay, routes: &Routes, now| view::Status {
         traffic,
         relays: routes.relays(),
-        ..view::status(fleet, relay, now)
+        ..view::status(fleet, lists, now)
     };
     core.see_all(status).await
 }
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -8,9 +8,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Says whether a configuration, an operator file or an agent's file makes sense, and where it does not.
+/// Says whether a configuration, an operator file, an agent's or a relay's file makes sense, and where it does not.
 ///
 /// A name that ends in `.toml` is an operator file's or, with `listen` or `audit` before its first section, an agent's;
+/// with a section `[parent]` too, a relay's;
 /// one in `.json` is a configuration's; else the content tells. Files of keys are not opened.
 /// Nothing is started and nothing is connected to. Exits with 0 where the file makes sense, with 1 where it
 /// does not or can't be read.
@@ -30,7 +31,10 @@
         let extension = self.file.extension().and_then(|e| e.to_str());
         let is_object = || text.trim_start().starts_with('{');
         let operator = extension == Some("toml") || (extension != Some("json") && !is_object());
-        let checked = if operator && is_agents(&text) {
+        let checked = if operator && is_relays(&text) {
+            let read = madderloom_agent::relay::RelayConfig::read(&text, &self.file);
+            read.map(|config| (relays_summary(&config), Vec::new(), Vec::new(), Vec::new()))
+        } else if operator && is_agents(&text) {
             let read = madderloom_agent::Config::read(&text, &self.file);
             read.map(|config| (agents_summary(&config), agents_bounds(&config), Vec::new(), Vec::new()))
         } else if operator {
@@ -71,6 +75,11 @@
     names.into_iter().any(|name| ["listen", "audit"].contains(&name))
 }
 
+/// Whether this is a relay's file: that of an agent which has one above it.
+fn is_relays(text: &str) -> bool {
+    is_agents(text) && text.lines().any(|line| line.trim() == "[parent]")
+}
+
 /// What its fleet-wide limits bound, as arithmetic.
 fn agents_bounds(config: &madderloom_agent::Config) -> Vec<String> {
     config.bounds().iter().map(ToString::to_string).collect()
@@ -114,6 +123,15 @@
     told.collect()
 }
 
+/// What a relay's file configures, in a few words.
+fn relays_summary(config: &madderloom_agent::relay::RelayConfig) -> String {
+    let (name, listen, agents) = (&config.name, config.listen, config.agents.join(", "));
+    format!(
+        "the relay {name} on {listen}, below the agent at {agents}; {} instances at most",
+        config.rules.max_children
+    )
+}
+
 /// What an agent's file configures, in a few words.
 fn agents_summary(config: &madderloom_agent::Config) -> String {
     let state = config.state.as_ref().map_or("nowhere".to_string(), |state| state.display().to_string());
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -71,3 +71,31 @@
     let told = String::from_utf8(done.stdout).expect("text");
     assert!(done.status.success() && told.contains("agent 127.0.0.1:7070 as shop-1"), "{told}");
 }
+
+#[test]
+fn a_relays_file_is_told_from_an_agents() {
+    let sound = include_str!("../../../examples/fleet/relay.toml");
+    let done = check("relay.toml", sound, &[]);
+    let told = String::from_utf8(done.stdout).expect("text");
+    let summary =
+        "the relay relay-north on 127.0.0.1:7071, below the agent at 127.0.0.1:7070; 2000 instances at most";
+    assert!(done.status.success() && told.contains(summary), "{told}");
+    let bad = sound
+        .replace("\"127.0.0.1:7070\"", "\"somewhere\"")
+        .replace("answer = \"2s\"", "answer = \"20s\"")
+        .replace("rate = 400", "rate = 0")
+        .replace("instances = 2000", "instances = 0")
+        .replace("key = \"shop-any.key\"\n", "");
+    let done = check("relay-bad.toml", &bad, &[]);
+    let told = String::from_utf8(done.stdout).expect("text");
+    assert_eq!(done.status.code(), Some(1), "{told}");
+    for problem in [
+        "parent.agents[0]: must be HOST:PORT",
+        "parent.key: is missing",
+        "children.answer: must be from 10ms to 4s",
+        "children.instances: must be from 1 to 65536",
+        "registrations.rate: must be 1 or more",
+    ] {
+        assert!(told.contains(problem), "{problem} in {told}");
+    }
+}
--- a/crates/lab/src/hop/mod.rs
+++ b/crates/lab/src/hop/mod.rs
@@ -2,6 +2,7 @@
 //! in one run and in turns, so that whatever else the machine does meanwhile falls on both.
 
 mod bare;
+mod chain;
 mod load;
 
 pub use bare::PassThrough;
@@ -9,6 +10,7 @@
 use crate::cli::{Output, tell, tell_json};
 use crate::sockets::child::{Process, Usage};
 use crate::sockets::itself::on_one_thread;
+use chain::Chain;
 use load::Answers;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -19,7 +21,7 @@
 const SETTLE: Duration = Duration::from_millis(500);
 const STOP: Duration = Duration::from_secs(10);
 
-/// Measures what a hop costs: CPU a request, beside a bare pass-through.
+/// Measures what a hop costs: CPU and time a request, beside a bare pass-through and beside no hop at all.
 #[derive(clap::Args)]
 pub struct Hop {
     /// Busy clients, a figure for each series of rounds
@@ -31,6 +33,9 @@
     /// Rounds that these seconds are shared out to; the two take turns
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u32).range(1..=1000))]
     rounds: u32,
+    /// Hops behind each other, for a request that calls so deep
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=20))]
+    depth: u32,
     /// Instant servers behind
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=64))]
     servers: u32,
@@ -93,6 +98,8 @@
     pub program: Figures,
     /// The pass-through.
     pub bare: Figures,
+    /// The same clients at a server, with no hop.
+    pub direct: Figures,
     /// How many times as much CPU the program takes, paired by round.
     pub ratio: Spread,
 }
@@ -128,47 +135,55 @@
     async fn measure(&self) -> Result<Vec<Row>, String> {
         let servers = load::instant_servers(self.servers).map_err(|e| format!("servers: {e}"))?;
         let dir = tempfile::tempdir().map_err(|e| format!("a folder for configurations: {e}"))?;
-        let config = config(&servers);
-        let mut program =
-            Process::start("program", &["sidecar"], self.binary.as_deref(), Some((dir.path(), &config)))?;
-        let named: Vec<String> = servers.iter().map(|at| format!("--server={at}")).collect();
-        let named = std::iter::once("pass-through").chain(named.iter().map(String::as_str));
-        let mut bare = Process::start("pass-through", &named.collect::<Vec<_>>(), None, None)?;
-        let (program_at, bare_at) = (program.listens().await?, bare.listens().await?);
+        let program = Chain::start(self.depth, &servers, |number, next| {
+            let name = format!("program-{number}");
+            let config = config(next);
+            Process::start(&name, &["sidecar"], self.binary.as_deref(), Some((dir.path(), &config)))
+        });
+        let program = program.await?;
+        let bare = Chain::start(self.depth, &servers, |number, next| {
+            let named: Vec<String> = next.iter().map(|at| format!("--server={at}")).collect();
+            let named = std::iter::once("pass-through").chain(named.iter().map(String::as_str));
+            Process::start(&format!("pass-through-{number}"), &named.collect::<Vec<_>>(), None, None)
+        });
+        let bare = bare.await?;
+        let direct = Chain::direct(servers[0]);
         // Read by now: nothing of it stays behind where this is broken off.
         drop(dir);
 
         let mut rows = Vec::new();
         for &clients in &self.clients {
-            let (mut of_program, mut of_bare) = (Vec::new(), Vec::new());
+            let (mut of_program, mut of_bare, mut of_direct) = (Vec::new(), Vec::new(), Vec::new());
             for round in 0..self.rounds {
                 // Whoever goes first gains or loses by it in every other round alone.
                 if round.is_multiple_of(2) {
-                    of_program.push(self.round(&program, program_at, clients)?);
-                    of_bare.push(self.round(&bare, bare_at, clients)?);
+                    of_program.push(self.round(&program, clients)?);
+                    of_bare.push(self.round(&bare, clients)?);
                 } else {
-                    of_bare.push(self.round(&bare, bare_at, clients)?);
-                    of_program.push(self.round(&program, program_at, clients)?);
+                    of_bare.push(self.round(&bare, clients)?);
+                    of_program.push(self.round(&program, clients)?);
                 }
+                of_direct.push(self.round(&direct, clients)?);
             }
             let ratio = of_program.iter().zip(&of_bare).map(|(p, b)| p.cpu / b.cpu).collect();
             let ratio = Spread::of(ratio);
-            rows.push(Row { clients, program: figures(&of_program), bare: figures(&of_bare), ratio });
+            let (program, bare, direct) = (figures(&of_program), figures(&of_bare), figures(&of_direct));
+            rows.push(Row { clients, program, bare, direct, ratio });
         }
         program.stop(STOP).await?;
         bare.stop(STOP).await?;
         Ok(rows)
     }
 
-    fn round(&self, of: &Process, at: SocketAddr, clients: u32) -> Result<Round, String> {
-        let load = |time| load::busy_clients(at, clients, time).map_err(|e| format!("clients: {e}"));
+    fn round(&self, of: &Chain, clients: u32) -> Result<Round, String> {
+        let load = |time| load::busy_clients(of.at(), clients, time).map_err(|e| format!("clients: {e}"));
         load(SETTLE)?;
         let (begun, before) = (Instant::now(), of.usage());
         let time = Duration::from_secs_f64(self.seconds / f64::from(self.rounds));
         let answers = load(time)?;
         let (took, Usage { cpu, memory, .. }) = (begun.elapsed(), of.usage());
         if answers.good == 0 {
-            return Err(format!("{} answers nothing: {}", of.name, of.last_line()));
+            return Err(format!("{} answers nothing: {}", of.at(), of.last_line()));
         }
         let all = (answers.good + answers.bad) as f64;
         let cpu = cpu.saturating_sub(before.cpu) as f64 / 1e3 / all;
@@ -227,7 +242,9 @@
     );
     let spread = |s: &Spread| format!("{:.1} ({:.1} to {:.1})", s.median, s.least, s.greatest);
     for row in rows {
-        for (name, figures) in [("program", &row.program), ("pass-through", &row.bare)] {
+        for (name, figures) in
+            [("program", &row.program), ("pass-through", &row.bare), ("no hop", &row.direct)]
+        {
             let ratio = if name == "program" {
                 format!("{:.2} ({:.2} to {:.2})", row.ratio.median, row.ratio.least, row.ratio.greatest)
             } else {
--- a/crates/lab/tests/no_process_is_left_behind.rs
+++ b/crates/lab/tests/no_process_is_left_behind.rs
@@ -138,8 +138,18 @@
 
 #[test]
 fn a_hop_is_measured_on_both_and_every_request_is_served() {
+    hops_are_measured_on_both("1");
+}
+
+#[test]
+fn three_hops_behind_each_other_are_measured_on_both_and_every_request_is_served() {
+    hops_are_measured_on_both("3");
+}
+
+fn hops_are_measured_on_both(depth: &str) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_madderloom-lab"));
     command.args(["hop", "--clients", "2,4", "--seconds", "0.2", "--rounds", "2", "--output", "json"]);
+    command.args(["--depth", depth]);
     let out = command.output().expect("it runs");
     assert_eq!(out.status.code(), Some(0), "{}", String::from_utf8_lossy(&out.stderr));
     let rows: serde_json::Value = serde_json::from_slice(&out.stdout).expect("an object for programs");
@@ -151,6 +161,8 @@
             assert!(figures["cpu"]["least"].as_f64().is_some_and(|cpu| cpu > 0.0), "{row}");
             assert!(figures["p99"].as_u64() >= figures["p50"].as_u64(), "{row}");
         }
+        assert_eq!(row["direct"]["bad"], 0, "{row}");
+        assert!(row["direct"]["p50"].as_u64() > Some(0), "{row}");
         let (least, median) = (row["ratio"]["least"].as_f64(), row["ratio"]["median"].as_f64());
         assert!(least > Some(0.0) && least <= median, "{row}");
     }
