Read keys and paces of files in one place; rows of relays in the capacity table

The agent's and the relay's files share the reading of keys and of the pace of registrations, and both refuse a role in one place.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -53,15 +53,45 @@
     fleet_limits: Vec<FleetLimit>,
 }
 
+/// The keys of a server.
 #[derive(Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-struct KeysPart {
+pub(crate) struct KeysPart {
     authority: Option<PathBuf>,
     certificate: Option<PathBuf>,
     key: Option<PathBuf>,
     revoked: Option<PathBuf>,
 }
 
+impl KeysPart {
+    /// The files, beside the file that names them.
+    pub(crate) fn files(self, document: &mut Document<'_>, place: &Path) -> Files {
+        let mut needed = |path, field| needed_path(document, place, path, field);
+        Files {
+            authority: needed(self.authority, "keys.authority"),
+            certificate: needed(self.certificate, "keys.certificate"),
+            key: needed(self.key, "keys.key"),
+            revoked: self.revoked.map(|path| beside(place, path)),
+        }
+    }
+}
+
+/// A path in a file, which is beside it.
+pub(crate) fn beside(place: &Path, path: PathBuf) -> PathBuf {
+    place.parent().unwrap_or(Path::new("")).join(path)
+}
+
+/// A path that a file has to name.
+pub(crate) fn needed_path(
+    document: &mut Document<'_>,
+    place: &Path,
+    path: Option<PathBuf>,
+    field: &str,
+) -> PathBuf {
+    document.require(path.is_some(), field, "is missing; write the path of a file");
+    beside(place, path.unwrap_or_default())
+}
+
 #[derive(Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct LeasesPart {
@@ -137,14 +167,29 @@
     }
 }
 
+/// The pace of registrations.
 #[derive(Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-struct RegistrationsPart {
+pub(crate) struct RegistrationsPart {
     rate: Option<u32>,
     burst: Option<u32>,
     horizon: Option<Span>,
 }
 
+impl RegistrationsPart {
+    /// The pace, which is the usual one where the file does not say.
+    pub(crate) fn pace(&self, document: &mut Document<'_>, usual: Pace) -> Pace {
+        let pace = Pace {
+            rate: self.rate.unwrap_or(usual.rate),
+            burst: self.burst.unwrap_or(usual.burst),
+            horizon: self.horizon.map_or(usual.horizon, Span::micros),
+        };
+        document.require(pace.rate > 0, "registrations.rate", "must be 1 or more a second");
+        document.require(pace.horizon >= 1_000_000, "registrations.horizon", "must be 1s or more");
+        pace
+    }
+}
+
 impl Config {
     /// Reads an agent's file; paths in it are beside it.
     ///
@@ -153,18 +198,8 @@
     pub fn read(text: &str, place: &Path) -> Result<Self, Vec<Problem>> {
         let (mut document, file) = Document::read::<File>(text)?;
         document.require(file.version == 1, "version", "must be 1");
-        let beside = |path: PathBuf| place.parent().unwrap_or(Path::new("")).join(path);
-        let mut needed = |path: Option<PathBuf>, field: &str| {
-            document.require(path.is_some(), field, "is missing; write the path of a file");
-            beside(path.unwrap_or_default())
-        };
-        let keys = Files {
-            authority: needed(file.keys.authority, "keys.authority"),
-            certificate: needed(file.keys.certificate, "keys.certificate"),
-            key: needed(file.keys.key, "keys.key"),
-            revoked: file.keys.revoked.map(beside),
-        };
-        let audit = needed(file.audit, "audit");
+        let keys = file.keys.files(&mut document, place);
+        let audit = needed_path(&mut document, place, file.audit, "audit");
         document.require(
             file.listen.is_some(),
             "listen",
@@ -181,11 +216,7 @@
                 memory: micros(part.memory, leases.memory),
                 most: part.instances.unwrap_or(leases.most),
             },
-            pace: Pace {
-                rate: file.registrations.rate.unwrap_or(usual.pace.rate),
-                burst: file.registrations.burst.unwrap_or(usual.pace.burst),
-                horizon: micros(file.registrations.horizon, usual.pace.horizon),
-            },
+            pace: file.registrations.pace(&mut document, usual.pace),
         };
         let every = rules.every;
         document.require(
@@ -200,8 +231,6 @@
             "leases.instances",
             "must be from 1 to 65536",
         );
-        document.require(rules.pace.rate > 0, "registrations.rate", "must be 1 or more a second");
-        document.require(rules.pace.horizon >= 1_000_000, "registrations.horizon", "must be 1s or more");
         let duration = micros(file.leases.limits, rules.leases.lease);
         document.require(
             duration / 3 >= every && (LEASES.0..=LEASES.1).contains(&duration),
@@ -224,7 +253,7 @@
         document.require(connections >= 4, "connections", "must be 4 or more");
         let config = Config {
             listen: file.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
-            state: file.state.map(beside),
+            state: file.state.map(|path| beside(place, path)),
             audit,
             keys,
             term_above: file.term_above,
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use madderloom_keys::{Keyring, Peer, Shown};
+use madderloom_keys::{Keyring, Peer, Shown, Verb};
 use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -50,6 +50,15 @@
     }
 }
 
+impl Caller {
+    /// The answer to one whose role does not permit what it asks for.
+    pub(crate) fn refuse_verb(&self, peer: &Peer, verb: Verb<'_>) -> Response<Body> {
+        let Peer { name, role, serial, .. } = peer;
+        tracing::warn!("{}: turned away: {name} ({role}, {serial}) may not {verb}", self.from);
+        refuse(StatusCode::FORBIDDEN, format!("{name} has the role {role} and may not {verb}"))
+    }
+}
+
 /// Why a request is not answered as it asks.
 #[derive(Debug)]
 pub(crate) struct Refusal {
--- a/crates/agent/src/relay/config.rs
+++ b/crates/agent/src/relay/config.rs
@@ -1,6 +1,6 @@
 //! The relay's file.
 
-use crate::config::USUAL_CONNECTIONS;
+use crate::config::{KeysPart, RegistrationsPart, USUAL_CONNECTIONS, needed_path};
 use madderloom_config::{Document, Problem, Span};
 use madderloom_fleet::relay::RelayRules;
 use madderloom_fleet::settings::check_name;
@@ -47,15 +47,6 @@
     registrations: RegistrationsPart,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct KeysPart {
-    authority: Option<PathBuf>,
-    certificate: Option<PathBuf>,
-    key: Option<PathBuf>,
-    revoked: Option<PathBuf>,
-}
-
 #[derive(Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ParentPart {
@@ -72,14 +63,6 @@
     instances: Option<usize>,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct RegistrationsPart {
-    rate: Option<u32>,
-    burst: Option<u32>,
-    horizon: Option<Span>,
-}
-
 impl RelayConfig {
     /// Reads a relay's file; paths in it are beside it.
     ///
@@ -104,23 +87,14 @@
             let is_address = matches!(port, Some(Ok(_)));
             document.require(is_address, &format!("parent.agents[{at}]"), "must be HOST:PORT");
         }
-        let beside = |path: PathBuf| place.parent().unwrap_or(Path::new("")).join(path);
-        let mut needed = |path: Option<PathBuf>, field: &str| {
-            document.require(path.is_some(), field, "is missing; write the path of a file");
-            beside(path.unwrap_or_default())
-        };
-        let keys = Files {
-            authority: needed(file.keys.authority, "keys.authority"),
-            certificate: needed(file.keys.certificate, "keys.certificate"),
-            key: needed(file.keys.key, "keys.key"),
-            revoked: file.keys.revoked.map(beside),
-        };
+        let keys = file.keys.files(&mut document, place);
         let parent_keys = Files {
-            certificate: needed(file.parent.certificate, "parent.certificate"),
-            key: needed(file.parent.key, "parent.key"),
+            certificate: needed_path(&mut document, place, file.parent.certificate, "parent.certificate"),
+            key: needed_path(&mut document, place, file.parent.key, "parent.key"),
             ..keys.clone()
         };
-        let rules = rules(&file.children, &file.registrations);
+        let pace = file.registrations.pace(&mut document, RelayRules::default().pace);
+        let rules = file.children.rules(pace);
         let answer = file.children.answer.unwrap_or(Span::s(2));
         document.require(
             answer <= LONGEST_ANSWER && rules.answer_timeout >= 10_000,
@@ -137,8 +111,6 @@
             "children.instances",
             "must be from 1 to 65536",
         );
-        document.require(rules.pace.rate > 0, "registrations.rate", "must be 1 or more a second");
-        document.require(rules.pace.horizon >= 1_000_000, "registrations.horizon", "must be 1s or more");
         let connections = file.connections.unwrap_or(USUAL_CONNECTIONS);
         document.require(connections >= 4, "connections", "must be 4 or more");
         let config = RelayConfig {
@@ -154,17 +126,14 @@
     }
 }
 
-fn rules(children: &ChildrenPart, registrations: &RegistrationsPart) -> RelayRules {
-    let usual = RelayRules::default();
-    let micros = |span: Option<Span>, usual: u64| span.map_or(usual, Span::micros);
-    RelayRules {
-        lease: micros(children.lease, usual.lease),
-        answer_timeout: micros(children.answer, usual.answer_timeout),
-        max_children: children.instances.unwrap_or(usual.max_children),
-        pace: Pace {
-            rate: registrations.rate.unwrap_or(usual.pace.rate),
-            burst: registrations.burst.unwrap_or(usual.pace.burst),
-            horizon: micros(registrations.horizon, usual.pace.horizon),
-        },
+impl ChildrenPart {
+    fn rules(&self, pace: Pace) -> RelayRules {
+        let usual = RelayRules::default();
+        RelayRules {
+            lease: self.lease.map_or(usual.lease, Span::micros),
+            answer_timeout: self.answer.map_or(usual.answer_timeout, Span::micros),
+            max_children: self.instances.unwrap_or(usual.max_children),
+            pace,
+        }
     }
 }
--- a/crates/agent/src/relay/paths.rs
+++ b/crates/agent/src/relay/paths.rs
@@ -103,9 +103,7 @@
             }
         };
         if !may(peer.role, &peer.name, verb) {
-            tracing::warn!("{}: turned away: {} ({}) may not {verb}", caller.from, peer.name, peer.role);
-            let error = format!("{} has the role {} and may not {verb}", peer.name, peer.role);
-            return refuse(StatusCode::FORBIDDEN, error);
+            return caller.refuse_verb(&peer, verb);
         }
         match verb {
             Verb::Be(name) if request.method() == Method::POST => self.answer_instance(name, request).await,
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -96,7 +96,7 @@
             if verb == Verb::Change {
                 let _ = self.audit.write(&peer, request.method().as_str(), &path, "refused: wrong role");
             }
-            return wrong_role(&caller, &peer, verb);
+            return caller.refuse_verb(&peer, verb);
         }
         self.answer_permitted(caller, &peer, &path, &parts, request).await
     }
@@ -219,7 +219,7 @@
         }
         let names = batch.messages.iter().map(|message| Verb::Be(&message.who().name));
         if let Some(verb) = names.into_iter().find(|verb| !may(peer.role, &peer.name, *verb)) {
-            return wrong_role(caller, peer, verb);
+            return caller.refuse_verb(peer, verb);
         }
         self.counters.messages_came(batch.messages.len());
         match self.core.ask(|reply| Ask::Batch(relay, batch, reply)).await {
@@ -263,12 +263,6 @@
     }
 }
 
-fn wrong_role(caller: &Caller, peer: &Peer, verb: Verb<'_>) -> Response<Body> {
-    let Peer { name, role, serial, .. } = peer;
-    tracing::warn!("{}: turned away: {name} ({role}, {serial}) may not {verb}", caller.from);
-    refuse(StatusCode::FORBIDDEN, format!("{name} has the role {role} and may not {verb}"))
-}
-
 fn answer_declined(declined: &Declined) -> Response<Body> {
     let status = match declined {
         Declined::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -70,20 +70,22 @@
 /// Reckons rows for one size.
 pub(super) struct Reckoner<'a> {
     pub(super) file: &'a SizeFile,
-    measured: &'a Measured,
+    pub(super) measured: &'a Measured,
     pub(super) sidecars: f64,
 }
 
 /// What one line of the table asks for.
-struct Wanted {
-    role: &'static str,
-    what: &'static str,
-    figure: Figure,
+pub(super) struct Wanted {
+    /// The series of runs that it is reckoned from.
+    pub(super) series: &'static str,
+    pub(super) role: &'static str,
+    pub(super) what: &'static str,
+    pub(super) figure: Figure,
     /// What the figure is multiplied by.
-    factor: f64,
-    budget: Option<f64>,
-    unit: &'static str,
-    carried_by: &'static str,
+    pub(super) factor: f64,
+    pub(super) budget: Option<f64>,
+    pub(super) unit: &'static str,
+    pub(super) carried_by: &'static str,
 }
 
 /// The table of a size.
@@ -93,23 +95,24 @@
     rows.extend(reckoner.agent());
     rows.extend(reckoner.faults());
     rows.extend(reckoner.arithmetic());
+    rows.extend(reckoner.behind_relays());
     rows.extend(reckoner.others());
     rows.extend(reckoner.bounds());
     rows
 }
 
 impl Reckoner<'_> {
-    fn row(&self, wanted: Wanted) -> Row {
-        let Wanted { role, what, figure, factor, budget, unit, carried_by } = wanted;
-        let line = self.measured.line(BASE, figure);
+    pub(super) fn row(&self, wanted: Wanted) -> Row {
+        let Wanted { series, role, what, figure, factor, budget, unit, carried_by } = wanted;
+        let line = self.measured.line(series, figure);
         let value = line.map(|line| scaled(line.at(self.sidecars), factor));
-        let from = line.map_or_else(|| "not measured".into(), |line| self.words(figure, &line));
+        let from = line.map_or_else(|| "not measured".into(), |line| self.words(series, figure, &line));
         Row { role, what: what.into(), value, budget, unit, from, carried_by }
     }
 
     /// The line in words, and how it was measured.
-    fn words(&self, figure: Figure, line: &Line) -> String {
-        let sizes = self.measured.sizes(BASE);
+    fn words(&self, series: &str, figure: Figure, line: &Line) -> String {
+        let sizes = self.measured.sizes(series);
         let greatest = sizes.keys().max().copied().unwrap_or(0);
         let beyond = if self.sidecars > greatest as f64 {
             format!("; beyond the greatest measured, {greatest}")
@@ -134,6 +137,7 @@
         let role = "sidecar";
         let mut rows = vec![
             self.row(Wanted {
+                series: BASE,
                 role,
                 what: "control, ordinary day: both directions",
                 figure: Figure::Bytes,
@@ -143,6 +147,7 @@
                 carried_by: "`agent/src/link.rs` `Link`, `fleet/src/protocol.rs` `Report`",
             }),
             self.row(Wanted {
+                series: BASE,
                 role,
                 what: "control, ordinary day: messages, both directions",
                 figure: Figure::Messages,
@@ -152,6 +157,7 @@
                 carried_by: "`fleet/src/instance.rs` `Instance`",
             }),
             self.row(Wanted {
+                series: BASE,
                 role,
                 what: "control alone (hollow), ordinary day: processor time",
                 figure: Figure::InstancesProcessor,
@@ -199,10 +205,9 @@
     }
 
     fn agent(&self) -> Vec<Row> {
-        let (size, budget) = (&self.file.size, &self.file.budget);
-        let (role, within) = ("agent", budget.change_seconds());
+        let (size, role) = (&self.file.size, "agent");
         let row = |what, figure, factor, budget, unit, carried_by| {
-            self.row(Wanted { role, what, figure, factor, budget, unit, carried_by })
+            self.row(Wanted { series: BASE, role, what, figure, factor, budget, unit, carried_by })
         };
         let driver = "`agent/src/core.rs` `Driver`, one thread";
         let rollout = "`fleet/src/rollout.rs` `Rollout`";
@@ -240,28 +245,38 @@
                 "% of a core",
                 driver,
             ),
-            row("push to all: last in force", Figure::PushAllLast, 1e-3, Some(within), "s", rollout),
-            row(
-                "push to one service: last in force",
-                Figure::PushServiceLast,
-                1e-3,
-                Some(within),
-                "s",
-                rollout,
-            ),
-            row("push to one zone: last in force", Figure::PushZoneLast, 1e-3, Some(within), "s", rollout),
         ];
+        rows.extend(self.pushes(BASE, role, rollout));
         rows.extend(self.return_processor());
         rows.push(self.one_after_the_other());
         rows.push(self.machines());
         rows
     }
 
+    /// Until when a change for all, for one service and for one zone is in force.
+    pub(super) fn pushes(
+        &self,
+        series: &'static str,
+        role: &'static str,
+        carried_by: &'static str,
+    ) -> [Row; 3] {
+        let pushes = [
+            ("push to all: last in force", Figure::PushAllLast),
+            ("push to one service: last in force", Figure::PushServiceLast),
+            ("push to one zone: last in force", Figure::PushZoneLast),
+        ];
+        let budget = Some(self.file.budget.change_seconds());
+        pushes.map(|(what, figure)| {
+            self.row(Wanted { series, role, what, figure, factor: 1e-3, budget, unit: "s", carried_by })
+        })
+    }
+
     /// What the agent's one core has to do while all come back, beside the time that they take at the usual pace.
     fn return_processor(&self) -> [Row; 2] {
         let at_the_pace = self.sidecars / f64::from(Pace::default().rate);
         let row = |what, figure| {
             self.row(Wanted {
+                series: BASE,
                 role: "agent",
                 what,
                 figure,
@@ -284,6 +299,7 @@
     fn one_after_the_other(&self) -> Row {
         let gap = DAY / self.file.size.changes_per_day;
         self.row(Wanted {
+            series: BASE,
             role: "agent",
             what: "one change at a time: last in force, beside the gap between changes",
             figure: Figure::PushAllLast,
@@ -316,7 +332,16 @@
     fn faults(&self) -> Vec<Row> {
         let within = Some(self.file.budget.change_seconds());
         let row = |role, what, figure, carried_by| {
-            self.row(Wanted { role, what, figure, factor: 1.0, budget: within, unit: "s", carried_by })
+            self.row(Wanted {
+                series: BASE,
+                role,
+                what,
+                figure,
+                factor: 1.0,
+                budget: within,
+                unit: "s",
+                carried_by,
+            })
         };
         let spread = "`fleet/src/spread.rs` `Spread`";
         vec![
--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -50,11 +50,17 @@
     RegionInForce,
     /// From a push while a region is cut until the rollout has ended.
     RegionRollout,
+    /// Processor time of all relays in calm.
+    RelaysProcessor,
+    /// Resident memory of all relays in calm.
+    RelaysMemory,
+    /// Processor time of all relays from the start of all at once until the last one is registered.
+    RelaysStartProcessor,
 }
 
 impl Figure {
     /// All of them, in the order in which they are told.
-    pub const ALL: [Figure; 21] = [
+    pub const ALL: [Figure; 24] = [
         Figure::AgentMemory,
         Figure::AgentProcessor,
         Figure::Bytes,
@@ -76,6 +82,9 @@
         Figure::RegionLast,
         Figure::RegionInForce,
         Figure::RegionRollout,
+        Figure::RelaysProcessor,
+        Figure::RelaysMemory,
+        Figure::RelaysStartProcessor,
     ];
 
     /// Its name, with its unit.
@@ -102,6 +111,9 @@
             Figure::RegionLast => "region's cut ends: its last instance back [s]",
             Figure::RegionInForce => "region's cut ends: change made meanwhile in force at its last [s]",
             Figure::RegionRollout => "push while a region is cut: rollout ended [s]",
+            Figure::RelaysProcessor => "all relays, calm: processor time [% of a core]",
+            Figure::RelaysMemory => "all relays, calm: memory [MB]",
+            Figure::RelaysStartProcessor => "start of all at once: all relays' processor time until then [s]",
         }
     }
 
@@ -134,10 +146,21 @@
             Figure::RegionLast => seconds(run, Step::RegionCut, "back"),
             Figure::RegionInForce => seconds(run, Step::RegionCut, "in_force_after_heal"),
             Figure::RegionRollout => seconds(run, Step::RegionCut, "rollout_ended"),
+            Figure::RelaysProcessor => {
+                relays(run, Step::Calm).map(|(relays, seconds)| 100.0 * relays.cpu_seconds / seconds)
+            }
+            Figure::RelaysMemory => relays(run, Step::Calm).map(|(relays, _)| relays.memory as f64 / 1e6),
+            Figure::RelaysStartProcessor => relays(run, Step::Start).map(|(relays, _)| relays.cpu_seconds),
         }
     }
 }
 
+/// What all relays of a run did within a step, and how long it was looked at; none where there are no relays.
+fn relays(run: &RunRecord, step: Step) -> Option<(&Work, f64)> {
+    let step = run.step(step).filter(|_| run.relays > 0)?;
+    Some((&step.relays, step.seconds))
+}
+
 /// When the last of a step's times came, in milliseconds.
 fn last(run: &RunRecord, step: Step, times: &str) -> Option<f64> {
     let times = run.step(step)?.times.get(times)?;
--- a/crates/lab/src/scale/measured.rs
+++ b/crates/lab/src/scale/measured.rs
@@ -9,6 +9,8 @@
 
 /// The series that a capacity is reckoned from: the usual settings.
 pub const BASE: &str = "base";
+/// The series with a relay of each zone between its instances and the agent.
+pub const RELAYS: &str = "relays";
 /// The file of the comparison with real sidecars.
 pub const REAL: &str = "real.json";
 
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -26,6 +26,7 @@
 mod switch;
 mod tables;
 pub mod usage;
+mod with_relays;
 mod worker;
 mod workers;
 
