--- a/crates/agent/src/routes.rs
+++ b/crates/agent/src/routes.rs
@@ -62,12 +62,11 @@
 
     /// How many instances each relay that watches has, by the relay's name.
     pub(crate) fn relays(&self) -> BTreeMap<String, usize> {
-        let open = self.relays.iter().filter(|(_, to)| !to.is_closed());
-        let mut counts: BTreeMap<String, usize> = open.map(|(relay, _)| (relay.name.clone(), 0)).collect();
-        for relay in self.behind.values() {
-            if let Some(count) = counts.get_mut(&relay.name) {
-                *count += 1;
-            }
+        let is_open = |relay: &RelayId| self.relays.get(relay).is_some_and(|to| !to.is_closed());
+        let open = self.relays.keys().filter(|relay| is_open(relay));
+        let mut counts: BTreeMap<String, usize> = open.map(|relay| (relay.name.clone(), 0)).collect();
+        for relay in self.behind.values().filter(|relay| is_open(relay)) {
+            *counts.entry(relay.name.clone()).or_default() += 1;
         }
         counts
     }
