Say once why a relay has no connection to an agent

Seen in the page's tour: a line each third of a second while the agent was down, with its address twice. A reason is told once for each agent until there is a connection.

--- a/crates/agent/src/relay/core.rs
+++ b/crates/agent/src/relay/core.rs
@@ -8,7 +8,7 @@
 use madderloom_fleet::relay::{MAX_BATCH, Relay, RelayOutput, RelayStatus, RequestId};
 use madderloom_keys::Keyring;
 use madderloom_watchdog::{self as watchdog, TaskKind};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -65,6 +65,8 @@
     events: mpsc::Sender<(u64, ParentEvent)>,
     /// When a connection is tried next, where there is none.
     reconnect: Instant,
+    /// Why the last connection to each agent ended, by its place, until there is another one.
+    problems: BTreeMap<usize, String>,
     /// When the next batch is due, where something waits for it.
     batch_due: Option<Instant>,
     rng: oorandom::Rand64,
@@ -89,6 +91,7 @@
         connections: 0,
         events,
         reconnect: Instant::now(),
+        problems: BTreeMap::new(),
         batch_due: None,
         rng,
     };
@@ -151,6 +154,7 @@
         let now = self.clock.now();
         let output = match event {
             ParentEvent::Connected(term) => {
+                self.problems.clear();
                 tracing::info!("connected to the agent at {}, term {term}", self.agents[self.agent]);
                 self.relay.parent_connected(now, term)
             }
@@ -166,7 +170,7 @@
 
     /// Gives the connection up; the next agent is tried after a while.
     fn disconnect(&mut self, why: &str) {
-        tracing::warn!("agent at {}: {why}", self.agents[self.agent]);
+        self.log_problem(why);
         self.connection = None;
         self.batch_due = None;
         self.agent = (self.agent + 1) % self.agents.len();
@@ -176,6 +180,16 @@
         self.deliver(output);
     }
 
+    /// Logs why there is no connection, once for as long as it is the same.
+    fn log_problem(&mut self, why: &str) {
+        let prefix = format!("agent at {}: ", self.agents[self.agent]);
+        let problem = format!("{prefix}{}", why.strip_prefix(&prefix).unwrap_or(why));
+        if self.problems.get(&self.agent) != Some(&problem) {
+            tracing::warn!("{problem}");
+            self.problems.insert(self.agent, problem);
+        }
+    }
+
     fn do_what_is_due(&mut self) {
         let now = self.clock.now();
         if self.relay.next().is_some_and(|at| at <= now) {
