Fill the capacity table's row of added time from measured hops, where there are any

lab hop takes a list of depths and says the depth of each row; docs/capacity/hops.json, its output, becomes rows of the table: 99 in 100 with the hops less 99 in 100 with none. Without that file the row is marked as not measured, as before.

--- a/crates/lab/src/hop/mod.rs
+++ b/crates/lab/src/hop/mod.rs
@@ -12,7 +12,7 @@
 use crate::sockets::itself::on_one_thread;
 use chain::Chain;
 use load::Answers;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -33,9 +33,9 @@
     /// Rounds that these seconds are shared out to; the two take turns
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u32).range(1..=1000))]
     rounds: u32,
-    /// Hops behind each other, for a request that calls so deep
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=20))]
-    depth: u32,
+    /// Hops behind each other, for a call that goes so deep, a figure for each series of rounds
+    #[arg(long, value_delimiter = ',', default_value = "1", value_parser = clap::value_parser!(u32).range(1..=20))]
+    depth: Vec<u32>,
     /// Instant servers behind
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=64))]
     servers: u32,
@@ -48,7 +48,7 @@
 }
 
 /// Some figure over all rounds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spread {
     /// Half of the rounds lie below it.
     pub median: f64,
@@ -73,7 +73,7 @@
 }
 
 /// One of the two under some clients.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Figures {
     /// CPU for each request, in microseconds.
     pub cpu: Spread,
@@ -90,8 +90,10 @@
 }
 
 /// Both under some clients.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
+    /// Hops behind each other.
+    pub depth: u32,
     /// How many clients.
     pub clients: u32,
     /// The program.
@@ -133,15 +135,23 @@
     }
 
     async fn measure(&self) -> Result<Vec<Row>, String> {
+        let mut rows = Vec::new();
+        for &depth in &self.depth {
+            rows.extend(self.measure_chain(depth).await?);
+        }
+        Ok(rows)
+    }
+
+    async fn measure_chain(&self, depth: u32) -> Result<Vec<Row>, String> {
         let servers = load::instant_servers(self.servers).map_err(|e| format!("servers: {e}"))?;
         let dir = tempfile::tempdir().map_err(|e| format!("a folder for configurations: {e}"))?;
-        let program = Chain::start(self.depth, &servers, |number, next| {
+        let program = Chain::start(depth, &servers, |number, next| {
             let name = format!("program-{number}");
             let config = config(next);
             Process::start(&name, &["sidecar"], self.binary.as_deref(), Some((dir.path(), &config)))
         });
         let program = program.await?;
-        let bare = Chain::start(self.depth, &servers, |number, next| {
+        let bare = Chain::start(depth, &servers, |number, next| {
             let named: Vec<String> = next.iter().map(|at| format!("--server={at}")).collect();
             let named = std::iter::once("pass-through").chain(named.iter().map(String::as_str));
             Process::start(&format!("pass-through-{number}"), &named.collect::<Vec<_>>(), None, None)
@@ -168,7 +178,7 @@
             let ratio = of_program.iter().zip(&of_bare).map(|(p, b)| p.cpu / b.cpu).collect();
             let ratio = Spread::of(ratio);
             let (program, bare, direct) = (figures(&of_program), figures(&of_bare), figures(&of_direct));
-            rows.push(Row { clients, program, bare, direct, ratio });
+            rows.push(Row { depth, clients, program, bare, direct, ratio });
         }
         program.stop(STOP).await?;
         bare.stop(STOP).await?;
@@ -237,8 +247,8 @@
 
 fn table(rows: &[Row]) -> String {
     let mut text = format!(
-        "{:>7}  {:<12} {:>24} {:>10} {:>8} {:>8} {:>6} {:>7}  {}\n",
-        "clients", "", "CPU µs a request", "requests/s", "p50 µs", "p99 µs", "bad", "MiB", "ratio"
+        "{:>4} {:>7}  {:<12} {:>24} {:>10} {:>8} {:>8} {:>6} {:>7}  {}\n",
+        "hops", "clients", "", "CPU µs a request", "requests/s", "p50 µs", "p99 µs", "bad", "MiB", "ratio"
     );
     let spread = |s: &Spread| format!("{:.1} ({:.1} to {:.1})", s.median, s.least, s.greatest);
     for row in rows {
@@ -251,7 +261,8 @@
                 String::new()
             };
             let line = format!(
-                "{:>7}  {name:<12} {:>24} {:>10.0} {:>8} {:>8} {:>6} {:>7.1}  {ratio}",
+                "{:>4} {:>7}  {name:<12} {:>24} {:>10.0} {:>8} {:>8} {:>6} {:>7.1}  {ratio}",
+                row.depth,
                 row.clients,
                 spread(&figures.cpu),
                 figures.rate.median,
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -1,7 +1,8 @@
 //! Lines of a capacity that no measurement is needed for, or that there is none of: arithmetic of the size, bounds that stand
 //! in the code, and what was not measured.
 
-use super::capacity::{CONNECTIONS, DAY, Reckoner, Row, reckoned};
+use super::capacity::{CONNECTIONS, DAY, Reckoner, Row, exactly, reckoned};
+use crate::hop::Row as HopRow;
 use madderloom_agent::USUAL_CONNECTIONS;
 use madderloom_fleet::change::MOST_LAYERS;
 use madderloom_fleet::membership::Leases;
@@ -9,6 +10,9 @@
 use madderloom_fleet::spread::Pace;
 use madderloom_roster::MOST_LISTS;
 
+/// What carries a call through a sidecar.
+const TRANSACTION: &str = "`sidecar/src/transaction.rs`";
+
 impl Reckoner<'_> {
     /// What follows from the size alone.
     pub(super) fn arithmetic(&self) -> Vec<Row> {
@@ -47,6 +51,24 @@
         ]
     }
 
+    /// What hops behind each other add to a call.
+    fn added_by_hops(&self, hops: &HopRow) -> Row {
+        let HopRow { depth, clients, program, direct, .. } = hops;
+        let added = program.p99.saturating_sub(direct.p99) as f64 / 1e3;
+        Row {
+            role: "sidecar",
+            what: format!("added to a call, 99 in 100, {depth} deep, {clients} busy clients"),
+            value: Some(exactly(added)),
+            budget: Some(self.file.budget.added_to_call_ms),
+            unit: "ms",
+            from: format!(
+                "lab hop, one run: 99 in 100 answered within {} µs with the hops, {} µs without",
+                program.p99, direct.p99
+            ),
+            carried_by: TRANSACTION,
+        }
+    }
+
     /// What was not measured, and is not filled in.
     pub(super) fn others(&self) -> Vec<Row> {
         let budget = &self.file.budget;
@@ -59,14 +81,13 @@
             from: "not measured".into(),
             carried_by,
         };
-        vec![
-            row(
-                "sidecar",
-                "added to a call, 99 in 100, ten deep",
-                Some(budget.added_to_call_ms),
-                "ms",
-                "`sidecar/src/transaction.rs`",
-            ),
+        let hops = self.measured.hops.iter().map(|hops| self.added_by_hops(hops));
+        let mut rows: Vec<Row> = hops.collect();
+        if rows.is_empty() {
+            let what = "added to a call, 99 in 100, ten deep";
+            rows.push(row("sidecar", what, Some(budget.added_to_call_ms), "ms", TRANSACTION));
+        }
+        rows.extend([
             row(
                 "sidecar",
                 "memory with lists of many services",
@@ -95,7 +116,8 @@
                 "",
                 "`agent/src/view.rs`",
             ),
-        ]
+        ]);
+        rows
     }
 
     /// Bounds that stand in the code or are usual in its files, beside what the size needs of them.
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -379,7 +379,7 @@
     Row { role, what, value: Some(exactly(value)), budget, unit, from: from.into(), carried_by }
 }
 
-fn exactly(value: f64) -> Foretold {
+pub(super) fn exactly(value: f64) -> Foretold {
     Foretold { value, low: value, high: value }
 }
 
--- a/crates/lab/src/scale/measured.rs
+++ b/crates/lab/src/scale/measured.rs
@@ -4,6 +4,8 @@
 use super::line::Line;
 use super::real::Comparison;
 use super::record::RunRecord;
+use crate::hop::Row as HopRow;
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
@@ -14,6 +16,9 @@
 /// The file of the comparison with real sidecars.
 pub const REAL: &str = "real.json";
 
+/// The file of what hops cost: `lab hop --output json`.
+pub const HOPS: &str = "hops.json";
+
 /// A folder of measured files: a folder for each series of runs, and [`REAL`].
 #[derive(Clone, Debug, Default)]
 pub struct Measured {
@@ -21,6 +26,8 @@
     pub series: BTreeMap<String, Vec<RunRecord>>,
     /// Real sidecars beside hollow instances, where that was measured.
     pub real: Option<Comparison>,
+    /// What hops cost, by how many there are behind each other and by clients.
+    pub hops: Vec<HopRow>,
 }
 
 impl Measured {
@@ -37,9 +44,9 @@
                 let runs: Result<Vec<_>, _> = files.iter().map(|file| RunRecord::read(file)).collect();
                 measured.series.insert(name, runs?);
             } else if path.file_name().is_some_and(|name| name == REAL) {
-                let text = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-                let read = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))?;
-                measured.real = Some(read);
+                measured.real = Some(read_json(&path)?);
+            } else if path.file_name().is_some_and(|name| name == HOPS) {
+                measured.hops = read_json(&path)?;
             } else if path.extension().is_some_and(|ending| ending == "json") {
                 measured.series.entry(BASE.into()).or_default().push(RunRecord::read(&path)?);
             }
@@ -79,6 +86,11 @@
     }
 }
 
+fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 /// What a folder holds, by name.
 fn entries(folder: &Path) -> Result<Vec<PathBuf>, String> {
     let say = |e: std::io::Error| format!("{}: {e}", folder.display());
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -79,7 +79,7 @@
 fn made_up() -> Measured {
     let runs = [(100, 1.0), (100, -1.0), (300, 2.0), (300, -2.0), (1_000, 1.0), (1_000, -1.0)];
     let runs = runs.map(|(instances, extra)| run(instances, extra)).to_vec();
-    Measured { series: BTreeMap::from([(BASE.to_string(), runs)]), real: None }
+    Measured { series: BTreeMap::from([(BASE.to_string(), runs)]), real: None, hops: Vec::new() }
 }
 
 fn find<'r>(rows: &'r [Row], what: &str) -> &'r Row {
