Remember a relay's children for three reports; force a line beside its watch's time-out

Read in the code: with reports each 20 s a relay forgot its children after 10 s, and each would have registered anew with every report. The lease is three report intervals where these are longer; unit test, which needs it.

Owed from the acceptance work: a line that is there when the silence before it is over (the process is stopped from before the one to behind the other) is taken whole or asked for again.

--- a/crates/cli/tests/acceptance/watches.rs
+++ b/crates/cli/tests/acceptance/watches.rs
@@ -10,6 +10,9 @@
 /// A watch is given up after a longer silence than this: discovery beats every two seconds.
 const BEATS: Duration = Duration::from_secs(2);
 
+/// A watch is given up when it has said nothing for so long.
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// The next watch: its first line, and the head of its answer is written.
 fn watch(discovery: &Node) -> (Conn, String) {
     let mut conn = discovery.accept();
@@ -125,6 +128,32 @@
     settles_on(&sidecar, both, 1);
 }
 
+/// A line that is there in the moment in which the silence before it is over: the process stood still from before the one to
+/// behind the other, and finds both. The line is taken whole, or the watch is opened anew and asks for it again.
+#[test]
+fn a_line_that_comes_with_the_time_out_of_its_watch_is_taken_whole_or_asked_for_again() {
+    let nodes = [Node::new(), Node::new()];
+    let [first, second] = nodes.each_ref().map(Node::address);
+    let both = [&nodes[0], &nodes[1]];
+    let sidecar = Sidecar::start(&[first, second]);
+    let (mut old, asked) = watch(&sidecar.discovery);
+    assert!(asked.contains("after=41 "), "{asked}");
+    let change = drains(43, ("n0", first));
+    chunk(&mut old, "\n");
+    sidecar.signal("STOP");
+    std::thread::sleep(SILENCE + Duration::from_millis(500));
+    Form::Line.tell(&mut old, &change);
+    sidecar.signal("CONT");
+    // At once, or after the next silence.
+    let (mut new, asked) = watch(&sidecar.discovery);
+    if asked.contains("after=41 ") {
+        Form::Line.tell(&mut new, &change);
+    } else {
+        assert!(asked.contains("after=43 "), "{asked}");
+    }
+    settles_on(&sidecar, both, 1);
+}
+
 /// Pauses that are each shorter than the silence that ends a watch.
 #[test]
 fn a_list_that_comes_slowly_is_taken_whole_once_it_is() {
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -22,7 +22,7 @@
 /// The longest delay that an agent may ask for, in microseconds.
 const LONGEST_WAIT: Micros = 120_000_000;
 /// The shortest and the longest report interval that an agent may ask for, in microseconds.
-const REPORT_INTERVALS: (Micros, Micros) = (100_000, 60_000_000);
+pub(crate) const REPORT_INTERVALS: (Micros, Micros) = (100_000, 60_000_000);
 
 /// The state of an instance's session with the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/fleet/src/relay/children.rs
+++ b/crates/fleet/src/relay/children.rs
@@ -24,7 +24,7 @@
         if !is_known && let Err(again) = self.admit(now, &key, jitter) {
             return output.answers.push((request, vec![ToInstance::Later { start, again }]));
         }
-        let until = now.saturating_add(self.rules.lease);
+        let until = now.saturating_add(self.lease());
         let child =
             self.children.entry(key.clone()).or_insert_with(|| Child::new(registration.clone(), now, until));
         child.registration = registration.clone();
@@ -69,7 +69,7 @@
         child.registration.who = report.who.clone();
         child.last_report = Some(repeatable(&report));
         child.heard = now;
-        self.set_deadline(&key, now.saturating_add(self.rules.lease));
+        self.set_deadline(&key, now.saturating_add(self.lease()));
         self.wait(now, &key, request, output);
         if self.is_connected {
             self.queue(&key, ToAgent::Report(report));
@@ -88,6 +88,11 @@
         ToInstance::Welcome(Welcome { start, incarnation, term: self.term, every: self.every, spread })
     }
 
+    /// How long a child without messages is remembered: no less than three of the reports that the parent asks for.
+    pub(super) fn lease(&self) -> Micros {
+        self.rules.lease.max(self.every.saturating_mul(3))
+    }
+
     /// Has a request wait for the parent. One that waited before is answered with nothing.
     pub(super) fn wait(&mut self, now: Micros, key: &ChildKey, request: RequestId, output: &mut RelayOutput) {
         let waiting = Waiting { request, until: now.saturating_add(self.rules.answer_timeout) };
--- a/crates/fleet/src/relay/mod.rs
+++ b/crates/fleet/src/relay/mod.rs
@@ -50,7 +50,7 @@
 /// The settings of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RelayRules {
-    /// How long a child without messages is remembered, in microseconds.
+    /// How long a child without messages is remembered, in microseconds; three report intervals where these are longer.
     pub lease: Micros,
     /// The longest that a child waits for the parent's answer, in microseconds; below the 5 s after which an instance
     /// takes a registration for lost.
--- a/crates/fleet/src/relay/parent.rs
+++ b/crates/fleet/src/relay/parent.rs
@@ -3,6 +3,7 @@
 use super::child::ChildKey;
 use super::wire::{Addressed, Batch, BatchAnswer, MAX_BATCH};
 use super::{Relay, RelayOutput};
+use crate::instance::REPORT_INTERVALS;
 use crate::protocol::{ToAgent, ToInstance, Welcome};
 use crate::{InjectedBug, Micros, is_injected};
 use std::collections::BTreeMap;
@@ -147,7 +148,7 @@
 
     /// The parent has accepted a registration: one that the child waits for, or one that the relay made for it.
     fn accept(&mut self, key: &ChildKey, welcome: &Welcome, is_waiting: bool) -> Option<ToInstance> {
-        self.every = welcome.every;
+        self.every = welcome.every.clamp(REPORT_INTERVALS.0, REPORT_INTERVALS.1);
         let child = self.children.get_mut(key)?;
         let was_registered = std::mem::replace(&mut child.is_registered, true);
         if is_waiting || !was_registered {
--- a/crates/fleet/tests/a_relay_keeps_its_bounds.rs
+++ b/crates/fleet/tests/a_relay_keeps_its_bounds.rs
@@ -188,6 +188,25 @@
     assert_eq!((relay.status().children, relay.next()), (0, None));
 }
 
+#[test]
+fn where_reports_are_seldom_a_child_is_remembered_for_three_of_them() {
+    let mut relay = Relay::new(rules());
+    relay.parent_connected(0, TERM);
+    relay.receive(0, 1, registration(0), 0);
+    relay.take_batch().expect("the registration");
+    let mut seldom = welcome(0);
+    if let ToInstance::Welcome(welcome) = &mut seldom.message {
+        welcome.every = 20 * S;
+    }
+    relay.batch_answered(0, BatchAnswer { term: TERM, messages: vec![seldom] });
+    relay.receive(S, 2, report(0), 0);
+    relay.parent_lost(S);
+    relay.tick(61 * S - 1);
+    assert_eq!(relay.status().children, 1);
+    relay.tick(61 * S);
+    assert_eq!(relay.status().children, 0);
+}
+
 #[test]
 fn registrations_are_admitted_at_the_relays_pace() {
     let pace = Pace { rate: 10, burst: 5, horizon: 60 * S };
