--- a/crates/cli/tests/fleet/relays.rs
+++ b/crates/cli/tests/fleet/relays.rs
@@ -1,7 +1,7 @@
 //! Relays as processes between real sidecars and an agent: what a region that is cut off has, and what the heal brings.
 
 use crate::many::Fleet;
-use madderloom_rig::{Act, Server, served, until};
+use madderloom_rig::{Act, Load, Server, served, until};
 use std::time::Duration;
 
 const ZONES: [&str; 3] = ["north", "south", "east"];
@@ -33,6 +33,12 @@
     fleet
 }
 
+/// Requests were served on, and none was lost.
+fn judge(fleet: &Fleet, load: Load) {
+    let got = load.stop();
+    assert_eq!(served(&got, &fleet.rig.servers, false), got.len(), "not all requests were served");
+}
+
 fn push(fleet: &Fleet, id: &str, set: &str) {
     let pushed = fleet.rig.push(id, AT_ONCE, set);
     assert!(pushed.status.success(), "{}", String::from_utf8_lossy(&pushed.stderr));
@@ -68,12 +74,7 @@
     for instance in fleet.rig.listed() {
         assert_eq!(instance["in_line"], true, "{instance}");
     }
-    let got = load.stop();
-    assert_eq!(
-        served(&got, &fleet.rig.servers, false),
-        got.len(),
-        "requests are served on, and none is lost"
-    );
+    judge(&fleet, load);
 }
 
 #[test]
@@ -95,12 +96,7 @@
     fleet.rig.until_alive(12);
     push(&fleet, "after", "\"weight/w0\" = 0.5");
     assert_eq!(results(&fleet, "after"), (12, 0));
-    let got = load.stop();
-    assert_eq!(
-        served(&got, &fleet.rig.servers, false),
-        got.len(),
-        "requests are served on, and none is lost"
-    );
+    judge(&fleet, load);
 }
 
 /// An agent that lost its state begins with the first term again, and is told by the relays that there was a later one.
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -14,6 +14,9 @@
 /// Connections of one sidecar to its agent: one for reports, one for the watch.
 pub(super) const CONNECTIONS: f64 = 2.0;
 
+/// What carries an agent's work.
+const DRIVER: &str = "`agent/src/core.rs` `Driver`, one thread";
+
 /// Whether something fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -209,43 +212,16 @@
         let row = |what, figure, factor, budget, unit, carried_by| {
             self.row(Wanted { series: BASE, role, what, figure, factor, budget, unit, carried_by })
         };
-        let driver = "`agent/src/core.rs` `Driver`, one thread";
         let rollout = "`fleet/src/rollout.rs` `Rollout`";
-        let mut rows = vec![
-            row(
-                "ordinary day: memory",
-                Figure::AgentMemory,
-                1.0,
-                None,
-                "MB",
-                "`fleet/src/fleet/mod.rs` `Fleet`",
-            ),
-            row(
-                "ordinary day: processor time",
-                Figure::AgentProcessor,
-                1.0,
-                Some(100.0),
-                "% of a core",
-                driver,
-            ),
-            row(
-                "ordinary day: both directions",
-                Figure::Bytes,
-                1.0,
-                None,
-                "KB/s",
-                "`agent/src/server.rs` `Agent`",
-            ),
-            row("connections", Figure::Connections, 1.0, None, "", "`agent/src/server.rs` `Agent`"),
-            row(
-                "changes of a day, all to all: processor time beyond calm",
-                Figure::PushAllProcessor,
-                size.changes_per_day / DAY / 10.0,
-                Some(100.0),
-                "% of a core",
-                driver,
-            ),
-        ];
+        let mut rows = self.ordinary_day(BASE, role).to_vec();
+        rows.extend([row(
+            "changes of a day, all to all: processor time beyond calm",
+            Figure::PushAllProcessor,
+            size.changes_per_day / DAY / 10.0,
+            Some(100.0),
+            "% of a core",
+            DRIVER,
+        )]);
         rows.extend(self.pushes(BASE, role, rollout));
         rows.extend(self.return_processor());
         rows.push(self.one_after_the_other());
@@ -253,6 +229,20 @@
         rows
     }
 
+    /// What an agent needs on an ordinary day.
+    pub(super) fn ordinary_day(&self, series: &'static str, role: &'static str) -> [Row; 4] {
+        let row = |what, figure, budget, unit, carried_by| {
+            self.row(Wanted { series, role, what, figure, factor: 1.0, budget, unit, carried_by })
+        };
+        let (fleet, server) = ("`fleet/src/fleet/mod.rs` `Fleet`", "`agent/src/server.rs` `Agent`");
+        [
+            row("ordinary day: memory", Figure::AgentMemory, None, "MB", fleet),
+            row("ordinary day: processor time", Figure::AgentProcessor, Some(100.0), "% of a core", DRIVER),
+            row("ordinary day: both directions", Figure::Bytes, None, "KB/s", server),
+            row("connections", Figure::Connections, None, "", server),
+        ]
+    }
+
     /// Until when a change for all, for one service and for one zone is in force.
     pub(super) fn pushes(
         &self,
@@ -283,7 +273,7 @@
                 factor: 1.0,
                 budget: Some(at_the_pace),
                 unit: "s",
-                carried_by: "`agent/src/core.rs` `Driver`, one thread",
+                carried_by: DRIVER,
             })
         };
         [
--- a/crates/lab/src/scale/with_relays.rs
+++ b/crates/lab/src/scale/with_relays.rs
@@ -57,48 +57,9 @@
     }
 
     fn agent_above_relays(&self) -> Vec<Row> {
-        let row = |what, figure, factor, budget, unit, carried_by| {
-            self.row(Wanted {
-                series: RELAYS,
-                role: "agent above relays",
-                what,
-                figure,
-                factor,
-                budget,
-                unit,
-                carried_by,
-            })
-        };
-        let driver = "`agent/src/core.rs` `Driver`, one thread";
-        let batch = "`fleet/src/fleet/registry.rs` `Fleet::report_all`";
-        let mut rows = vec![
-            row(
-                "ordinary day: memory",
-                Figure::AgentMemory,
-                1.0,
-                None,
-                "MB",
-                "`fleet/src/fleet/mod.rs` `Fleet`",
-            ),
-            row(
-                "ordinary day: processor time",
-                Figure::AgentProcessor,
-                1.0,
-                Some(100.0),
-                "% of a core",
-                driver,
-            ),
-            row(
-                "ordinary day: both directions",
-                Figure::Bytes,
-                1.0,
-                None,
-                "KB/s",
-                "`agent/src/server.rs` `Agent`",
-            ),
-            row("connections", Figure::Connections, 1.0, None, "", "`agent/src/server.rs` `Agent`"),
-        ];
-        rows.extend(self.pushes(RELAYS, "agent above relays", batch));
+        let role = "agent above relays";
+        let mut rows = self.ordinary_day(RELAYS, role).to_vec();
+        rows.extend(self.pushes(RELAYS, role, "`fleet/src/fleet/registry.rs` `Fleet::report_all`"));
         rows
     }
 
