Read a server's file, know an instance's request and an acceptance in one place each

The agent and the relay wrote again: reading a file with its problems (read_config), which requests are those of an instance (instance_verb), and which messages say that a start holds its name (ToInstance::is_acceptance). Relay::parent_connected returned an output that was always empty, and returns nothing.

--- a/crates/agent/src/batch.rs
+++ b/crates/agent/src/batch.rs
@@ -34,11 +34,6 @@
     (answer, others)
 }
 
-/// Whether this says that the instance holds its name.
-pub(crate) fn is_accepted(message: &ToInstance) -> bool {
-    matches!(message, ToInstance::Welcome(_) | ToInstance::Renewed { .. })
-}
-
 /// Handles what a report of an instance that holds its name says of lists. Returns the answer to it, and what other
 /// instances are told; none where it says nothing of lists.
 pub(crate) fn share_lists(lists: &mut ListRelay, now: Micros, message: &ToAgent) -> Option<(Lists, Sends)> {
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -273,7 +273,7 @@
                 let (own, others): (Sends, Sends) = sends.into_iter().partition(|(to, _)| to == name);
                 turn.sends.extend(others);
                 let mut own: Vec<ToInstance> = own.into_iter().map(|(_, message)| message).collect();
-                if own.iter().any(batch::is_accepted)
+                if own.iter().any(ToInstance::is_acceptance)
                     && let Some((answer, updates)) = batch::share_lists(&mut self.lists, time.now, &message)
                 {
                     own.push(ToInstance::Lists(answer));
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Channel, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use madderloom_keys::{Keyring, Peer, Shown, Verb};
 use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde::Serialize;
@@ -97,6 +97,15 @@
     json(status, serde_json::to_vec(&WrittenRefusal { error: error.to_string() }).unwrap_or_default())
 }
 
+/// What a request of an instance asks for: to be that instance. None for all other requests.
+pub(crate) fn instance_verb<'a>(method: &Method, parts: &[&'a str]) -> Option<Verb<'a>> {
+    match (method, parts) {
+        (&Method::POST, ["v1", "instances", name, "register" | "report"])
+        | (&Method::GET, ["v1", "instances", name, "orders"]) => Some(Verb::Be(name)),
+        _ => None,
+    }
+}
+
 /// The answer to a request to see something, which may not be there.
 pub(crate) fn seen(done: Result<Vec<u8>, Unable>) -> Response<Body> {
     match done {
--- a/crates/agent/src/relay/core.rs
+++ b/crates/agent/src/relay/core.rs
@@ -156,7 +156,8 @@
             ParentEvent::Connected(term) => {
                 self.problems.clear();
                 tracing::info!("connected to the agent at {}, term {term}", self.agents[self.agent]);
-                self.relay.parent_connected(now, term)
+                self.relay.parent_connected(now, term);
+                RelayOutput::default()
             }
             ParentEvent::Message(message) => self.relay.parent_message(message),
             ParentEvent::Answered(answer) => self.relay.batch_answered(now, answer),
--- a/crates/agent/src/relay/paths.rs
+++ b/crates/agent/src/relay/paths.rs
@@ -4,7 +4,7 @@
 use super::core::{self, Ask, RelayCore};
 use crate::Error;
 use crate::clock::wall;
-use crate::http::{Body, Caller, json, number_in_query, read, refuse, watch};
+use crate::http::{Body, Caller, instance_verb, json, number_in_query, read, refuse, watch};
 use crate::listener::{Handler, Listener, follow_files};
 use crate::traffic::{Counters, Traffic};
 use hyper::body::Incoming;
@@ -93,11 +93,10 @@
         };
         let path = request.uri().path().to_string();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
-        let verb = match (request.method(), parts.as_slice()) {
-            (&Method::POST, ["v1", "instances", name, "register" | "report"])
-            | (&Method::GET, ["v1", "instances", name, "orders"]) => Verb::Be(name),
-            (&Method::GET, ["v1", "relay"]) => Verb::See,
-            _ => {
+        let own_view = (request.method() == Method::GET && parts == ["v1", "relay"]).then_some(Verb::See);
+        let verb = match instance_verb(request.method(), &parts).or(own_view) {
+            Some(verb) => verb,
+            None => {
                 let error = format!("this is the relay {}: ask the agent for {path}", self.name);
                 return refuse(StatusCode::NOT_FOUND, error);
             }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,7 +5,7 @@
 use crate::clock::{Clock, wall};
 use crate::config::Config;
 use crate::core::{self, Ask, Core, Unable};
-use crate::http::{Body, Caller, json, number_in_query, read, refuse, seen, watch};
+use crate::http::{Body, Caller, instance_verb, json, number_in_query, read, refuse, seen, watch};
 use crate::listener::{Handler, Listener};
 use crate::routes::RelayId;
 use crate::storage::Storage;
@@ -86,12 +86,10 @@
         if let ["v1", "relays", relay, what] = parts.as_slice() {
             return self.answer_relay(caller, &peer, relay, what, request).await;
         }
-        let verb = match (request.method(), parts.as_slice()) {
-            (&Method::POST, ["v1", "instances", name, "register" | "report"])
-            | (&Method::GET, ["v1", "instances", name, "orders"]) => Verb::Be(name),
-            (&Method::GET, _) => Verb::See,
+        let verb = instance_verb(request.method(), &parts).unwrap_or(match *request.method() {
+            Method::GET => Verb::See,
             _ => Verb::Change,
-        };
+        });
         if !may(peer.role, &peer.name, verb) {
             if verb == Verb::Change {
                 let _ = self.audit.write(&peer, request.method().as_str(), &path, "refused: wrong role");
--- a/crates/cli/src/agent.rs
+++ b/crates/cli/src/agent.rs
@@ -1,7 +1,7 @@
 //! `madderloom agent`: the agent, from its file to a program that serves until it is told to stop.
 
 use crate::logging::{LAST_LINES, Logging};
-use crate::server::{Signals, serve_locally};
+use crate::server::{Signals, read_config, serve_locally};
 use madderloom_agent::{Agent as Program, Config, Lasting, Memory, Storage};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -22,12 +22,7 @@
 impl Agent {
     pub(crate) fn run(self) -> Result<ExitCode, String> {
         let (_, written) = self.logging.start()?;
-        let name = self.config.display();
-        let text = std::fs::read_to_string(&self.config).map_err(|e| format!("{name}: {e}"))?;
-        let config = Config::read(&text, &self.config).map_err(|problems| {
-            let lines: Vec<String> = problems.iter().map(|problem| format!("{name}:{problem}")).collect();
-            lines.join("\n")
-        })?;
+        let config = read_config(&self.config, Config::read)?;
         let storage: Box<dyn Storage> = match &config.state {
             Some(directory) => Box::new(Lasting::new(directory)),
             None => {
--- a/crates/cli/src/relay.rs
+++ b/crates/cli/src/relay.rs
@@ -1,7 +1,7 @@
 //! `madderloom relay`: the relay, from its file to a program that serves until it is told to stop.
 
 use crate::logging::{LAST_LINES, Logging};
-use crate::server::{Signals, serve_locally};
+use crate::server::{Signals, read_config, serve_locally};
 use madderloom_agent::relay::{Relay as Program, RelayConfig};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,12 +23,7 @@
 impl Relay {
     pub(crate) fn run(self) -> Result<ExitCode, String> {
         let (_, written) = self.logging.start()?;
-        let name = self.config.display();
-        let text = std::fs::read_to_string(&self.config).map_err(|e| format!("{name}: {e}"))?;
-        let config = RelayConfig::read(&text, &self.config).map_err(|problems| {
-            let lines: Vec<String> = problems.iter().map(|problem| format!("{name}:{problem}")).collect();
-            lines.join("\n")
-        })?;
+        let config = read_config(&self.config, RelayConfig::read)?;
         let served = serve_locally(async {
             let signals = Signals::listen()?;
             let relay = Program::start(&config).await?;
--- a/crates/cli/src/server.rs
+++ b/crates/cli/src/server.rs
@@ -1,10 +1,28 @@
 //! What an agent and a relay share as processes: one thread, and the signals.
 
+use madderloom_config::Problem;
 use madderloom_keys::Keyring;
 use madderloom_watchdog::{self as watchdog, TaskKind};
+use std::path::Path;
 use std::sync::Arc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Reads the file of a server. Problems are told with their places, a line each.
+///
+/// # Errors
+/// The file cannot be read, or makes no sense.
+pub(crate) fn read_config<T>(
+    file: &Path,
+    read: impl FnOnce(&str, &Path) -> Result<T, Vec<Problem>>,
+) -> Result<T, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    read(&text, file).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(|problem| format!("{name}:{problem}")).collect();
+        lines.join("\n")
+    })
+}
+
 /// Runs a server on this thread, watched.
 ///
 /// # Errors
--- a/crates/fleet/src/explore/relay_model/transitions.rs
+++ b/crates/fleet/src/explore/relay_model/transitions.rs
@@ -169,8 +169,7 @@
         let term = self.agents[agent].fleet.term();
         let node = &mut self.relays[relay];
         node.agent = Some(agent);
-        let output = node.relay.parent_connected(0, term);
-        self.deliver(relay, output);
+        node.relay.parent_connected(0, term);
         self.drop_lost_connection(relay);
     }
 
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -204,6 +204,11 @@
 }
 
 impl ToInstance {
+    /// Whether it says that the start holds its name.
+    pub fn is_acceptance(&self) -> bool {
+        matches!(self, ToInstance::Welcome(_) | ToInstance::Renewed { .. })
+    }
+
     /// The start that the message is for.
     pub fn start(&self) -> u64 {
         match self {
--- a/crates/fleet/src/relay/parent.rs
+++ b/crates/fleet/src/relay/parent.rs
@@ -10,10 +10,10 @@
 
 impl Relay {
     /// The parent takes batches from now on. Every child that was heard of late is sent to it.
-    pub fn parent_connected(&mut self, now: Micros, term: u64) -> RelayOutput {
+    pub fn parent_connected(&mut self, now: Micros, term: u64) {
         if term < self.term && !is_injected(InjectedBug::RelayObeysFormerTerms) {
             // Another one has taken its place.
-            return RelayOutput::default();
+            return;
         }
         self.term = self.term.max(term);
         self.is_connected = true;
@@ -30,7 +30,6 @@
             };
             self.queue(&key, message);
         }
-        RelayOutput::default()
     }
 
     /// The parent does not answer, or its watch has ended. Children that wait are answered.
--- a/crates/fleet/src/relay/wire.rs
+++ b/crates/fleet/src/relay/wire.rs
@@ -56,9 +56,7 @@
 
     /// The starts that hold their names, by name and start.
     pub fn accepted(&self) -> BTreeSet<(&str, u64)> {
-        let is_accepted =
-            |message: &ToInstance| matches!(message, ToInstance::Welcome(_) | ToInstance::Renewed { .. });
-        let accepted = self.messages.iter().filter(|addressed| is_accepted(&addressed.message));
+        let accepted = self.messages.iter().filter(|addressed| addressed.message.is_acceptance());
         accepted.map(|addressed| (addressed.name.as_str(), addressed.message.start())).collect()
     }
 }
