Move the calls to discovery and the watch out of pool.rs into discovery_watch.rs

The task has a file of its own now and asks the pool by methods in place of its fields. No behaviour is changed. cargo check of the crate and its tests passed.

--- a/crates/sidecar/src/agent_link/connection.rs
+++ b/crates/sidecar/src/agent_link/connection.rs
@@ -1,6 +1,7 @@
 //! The connection to the agent: opened once the keys can be read, and kept while the file names that agent.
 
 use super::window::Window;
+use crate::discovery_watch;
 use crate::pool;
 use crate::process::Sidecar;
 use madderloom_agent::{ApplyFuture, Client, Link, LinkHandler};
@@ -182,8 +183,8 @@
             let service = service(pool).ok_or("no such pool is there any more")?;
             pool::passed_on(&service, offer.version.index, &offer.text, age)
         };
-        let call = |pool: &str| service(pool).iter().for_each(pool::call_for_all);
-        let rest = |pool: &str| service(pool).iter().for_each(pool::rest);
+        let call = |pool: &str| service(pool).iter().for_each(discovery_watch::call_for_all);
+        let rest = |pool: &str| service(pool).iter().for_each(discovery_watch::rest);
         common.shared_lists.hear(lists, apply, call, rest)
     }
 
--- /dev/null
+++ b/crates/sidecar/src/discovery_watch.rs
@@ -0,0 +1,206 @@
+//! Calls to discovery and the watch on changes of the endpoint list: opening it, reading it, and giving it up.
+
+use super::kept::OwnedTask;
+use super::list_reader::ListReader;
+use super::pool::{Listing, SERVERS, apply_update};
+use super::service::Service;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
+use hyper_util::rt::TokioIo;
+use madderloom_balancer::{Event, Members, Micros};
+use madderloom_endpoint_sharing::first_discovery_wait;
+use madderloom_watchdog::{self as watchdog, TaskKind};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// A watch that says nothing for this long, no heartbeat either, is stalled: it is given up and opened anew. Discovery beats
+/// every 2 s; what it has to tell counts as told after 6 s whether it came or not.
+const STALLED: Duration = Duration::from_secs(3);
+/// A call is given up when its connection has not come up after this, and when its answer has not begun after that.
+const CONNECTS: Duration = Duration::from_secs(1);
+const ANSWERS: Duration = Duration::from_millis(4_500);
+
+/// Follows another discovery from now on. The list is kept until that one speaks; its versions have nothing to
+/// do with those of the former, so it is asked from the beginning.
+pub(super) fn turn_to(service: &Rc<Service>, discovery: SocketAddr) {
+    let former = service.pool.follow(discovery);
+    let of = &service.label;
+    tracing::info!(%discovery, "{of}configuration read again: discovery is at {discovery}");
+    if former != Some(discovery) {
+        service.pool.forget_version();
+        service.common.shared_lists.forget(&service.name);
+        open_watch(service, true);
+    }
+}
+
+/// Opens the watch, in place of one that is open, as the module says. One that the fleet called for meanwhile stays.
+pub(super) fn subscribe(service: &Rc<Service>) {
+    if !(service.pool.is_called() && service.common.shared_lists.shares(&service.name)) {
+        open_watch(service, true);
+    }
+}
+
+/// Calls discovery now, for all of the fleet, where this instance does not watch it already.
+pub(super) fn call_for_all(service: &Rc<Service>) {
+    if !service.pool.is_called() && !service.is_leaving() {
+        open_watch(service, false);
+    }
+}
+
+/// Ends the watch, since enough others of the fleet watch: discovery is called again when what they tell is too old.
+pub(super) fn rest(service: &Rc<Service>) {
+    if service.pool.is_called() && !service.is_leaving() {
+        open_watch(service, true);
+    }
+}
+
+fn open_watch(service: &Rc<Service>, waits: bool) {
+    // A fixed list has nothing to follow, and all that it holds is known.
+    let Some(discovery) = service.pool.discovery() else {
+        return;
+    };
+    let own = Rc::clone(service);
+    let watch = watchdog::spawn(TaskKind::DiscoveryWatch, async move {
+        if waits {
+            // Whoever is told by its fleet spares discovery the call.
+            let ask_within = own.tuned().site.settings.rules.ask_within;
+            // Without any server a request may be waiting for the list.
+            let first = if own.pool.is_known() {
+                first_discovery_wait(own.common.clock.up(), ask_within)
+            } else {
+                0
+            };
+            own.common
+                .shared_lists
+                .wait_to_call(&own.name, ask_within, first)
+                .await;
+        }
+        own.pool.set_called(true);
+        let mut call = Call {
+            since: own.common.clock.now(),
+            asked: None,
+        };
+        let Err(problem) = follow(&own, discovery, &mut call).await;
+        own.pool.set_called(false);
+        own.common.shared_lists.ended(&own.name);
+        let of = &own.label;
+        tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
+        let now = own.common.clock.now();
+        let waited = call.asked.map_or(0, |asked| now.saturating_sub(asked));
+        own.handle(
+            now,
+            Event::Members(Members::Failed {
+                since: call.since,
+                waited,
+            }),
+        );
+    });
+    service.pool.set_called(false);
+    service.common.shared_lists.ended(&service.name);
+    service.pool.replace_watch(Some(watch.abort_handle()));
+}
+
+/// How a call for the list stands.
+struct Call {
+    /// What discovery had then is known: its beginning, and from its answer on the last word of the watch.
+    since: Micros,
+    /// When discovery was reached and asked; none before, and once it has answered, or been silent until the call was given
+    /// up: it ends in a 503 or a reset what it lets wait in vain, so that silence is not its doing.
+    asked: Option<Micros>,
+}
+
+/// Follows the watch for as long as it holds.
+async fn follow(
+    service: &Rc<Service>,
+    discovery: SocketAddr,
+    call: &mut Call,
+) -> Result<Infallible, String> {
+    let pool = &service.pool;
+    let silent = |_| "no word for too long".to_string();
+    let stream = timeout(CONNECTS, service.common.connect(discovery))
+        .await
+        .map_err(silent)?;
+    let stream = stream.map_err(|e| e.to_string())?;
+    call.asked = Some(service.common.clock.now());
+    let made = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = made.map_err(|e| e.to_string())?;
+    let _task = OwnedTask(watchdog::spawn(TaskKind::DiscoveryConnection, async move {
+        // How it ended shows in the body that is read from it.
+        let _ = connection.await;
+    }));
+    let request = Request::get(format!("/v1/endpoints?watch=1&after={}", pool.version()))
+        .header(header::HOST, discovery.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| e.to_string())?;
+    let answer = timeout(ANSWERS, sender.send_request(request))
+        .await
+        .map_err(|late| {
+            call.asked = None;
+            silent(late)
+        })?;
+    let answer = answer.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    call.asked = None;
+    read_lines(service, answer.into_body(), call).await
+}
+
+async fn read_lines(
+    service: &Rc<Service>,
+    mut body: Incoming,
+    call: &mut Call,
+) -> Result<Infallible, String> {
+    let mut reader = ListReader::default();
+    loop {
+        let frame = timeout(STALLED, body.frame())
+            .await
+            .map_err(|_| "no word for too long".to_string())?;
+        let frame = frame
+            .ok_or("the watch has ended")?
+            .map_err(|e| e.to_string())?;
+        let now = service.common.clock.now();
+        let was_within = reader.is_within();
+        reader.push(frame.data_ref().map_or(&[], |d| d.as_ref()));
+        while let Some(object) = reader.next()? {
+            apply_line(service, now, &object)?;
+            // Each costs as much as the list is long, and what was read at once may hold thousands.
+            tokio::task::yield_now().await;
+        }
+        // Until a list is whole nothing is known of what was to be told since it began.
+        if !was_within || !reader.is_within() {
+            service.pool.heard_at(now);
+            call.since = now;
+        }
+        if !reader.is_within() {
+            // Where a list is on its way, something has changed.
+            service.common.shared_lists.beat(&service.name);
+        }
+    }
+}
+
+/// Takes in one object of a watch, and tells the fleet of it.
+fn apply_line(service: &Rc<Service>, now: Micros, object: &[u8]) -> Result<(), String> {
+    let listing: Listing =
+        serde_json::from_slice(object).map_err(|e| format!("makes no sense: {e}"))?;
+    if listing.len() > SERVERS {
+        return Err(format!("lists {} servers", listing.len()));
+    }
+    let ask_within = service.tuned().site.settings.rules.ask_within;
+    let shared = &service.common.shared_lists;
+    if listing.is_whole() && !shared.allows(&service.name, listing.version(), ask_within) {
+        return Err(format!(
+            "lists version {}, which is older than the fleet's",
+            listing.version()
+        ));
+    }
+    apply_update(service, now, listing);
+    shared.told(&service.name, service.pool.version(), || {
+        service.pool.shared()
+    });
+    Ok(())
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod connections;
 mod counts;
+mod discovery_watch;
 mod drain;
 mod exchange;
 mod feed;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,36 +1,19 @@
 //! The pool: discovery's list of servers and its watch on changes, as news for the module.
 
-use super::kept::OwnedTask;
-use super::list_reader::ListReader;
 use super::service::Service;
-use bytes::Bytes;
 use foldhash::quality::FixedState;
-use http_body_util::{BodyExt, Empty};
-use hyper::{Request, StatusCode, body::Incoming, client::conn::http1, header};
-use hyper_util::rt::TokioIo;
 use madderloom_balancer::settings::Site;
 use madderloom_balancer::{Event, Listed, Members, Micros, ServerId, ServerState};
-use madderloom_endpoint_sharing::first_discovery_wait;
 use madderloom_operator_config::Server;
 use madderloom_sidecar_state::{ListedServer, ServerSnapshot};
-use madderloom_watchdog::{self as watchdog, TaskKind};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
-
-/// A watch that says nothing for this long, no heartbeat either, is stalled: it is given up and opened anew. Discovery beats
-/// every 2 s; what it has to tell counts as told after 6 s whether it came or not.
-const STALLED: Duration = Duration::from_secs(3);
-/// A call is given up when its connection has not come up after this, and when its answer has not begun after that.
-const CONNECTS: Duration = Duration::from_secs(1);
-const ANSWERS: Duration = Duration::from_millis(4_500);
+
 /// The most servers of one list.
 pub(super) const SERVERS: usize = 4_096;
 /// Weights that can be compared. One beyond them counts as one that makes no sense: as the usual.
@@ -98,6 +81,16 @@
     pub(super) fn len(&self) -> usize {
         self.endpoints.len()
     }
+
+    /// The version that discovery gives the list.
+    pub(super) fn version(&self) -> u64 {
+        self.index
+    }
+
+    /// Whether servers that it does not name are gone.
+    pub(super) fn is_whole(&self) -> bool {
+        self.snapshot
+    }
 }
 
 #[derive(Deserialize)]
@@ -304,6 +297,37 @@
         self.index.get()
     }
 
+    /// The next list is read whole, whatever its version.
+    pub(super) fn forget_version(&self) {
+        self.index.set(0);
+    }
+
+    /// Follows this discovery from now on; returns the former one.
+    pub(super) fn follow(&self, discovery: SocketAddr) -> Option<SocketAddr> {
+        self.discovery.replace(Some(discovery))
+    }
+
+    /// Whether a call to discovery, or the watch that it became, is under way.
+    pub(super) fn is_called(&self) -> bool {
+        self.called.get()
+    }
+
+    pub(super) fn set_called(&self, called: bool) {
+        self.called.set(called);
+    }
+
+    /// All that discovery had at this time is known.
+    pub(super) fn heard_at(&self, now: Micros) {
+        self.heard.set(now);
+    }
+
+    /// Ends the task that calls or watches discovery, for this one.
+    pub(super) fn replace_watch(&self, watch: Option<AbortHandle>) {
+        if let Some(former) = self.watch.replace(watch) {
+            former.abort();
+        }
+    }
+
     /// How many servers are in the list.
     pub(super) fn count(&self) -> usize {
         self.members.borrow().len()
@@ -345,7 +369,7 @@
     }
 
     /// All of the list as it is shared with the fleet: the same text for the same list.
-    fn shared(&self) -> String {
+    pub(super) fn shared(&self) -> String {
         let (members, names) = (self.members.borrow(), self.names.borrow());
         let row = |member: &Member| {
             let listed = &member.listed;
@@ -492,17 +516,13 @@
 /// Its list is this one from now on, whatever discovery it followed.
 pub(super) fn fix(service: &Rc<Service>, listing: Listing) {
     service.pool.discovery.set(None);
-    if let Some(watch) = service.pool.watch.take() {
-        watch.abort();
-    }
+    service.pool.replace_watch(None);
     known(service, listing);
 }
 
 /// The pool goes: its servers get no new attempts any more, whatever discovery says from now on.
 pub(super) fn drain(service: &Rc<Service>) {
-    if let Some(watch) = service.pool.watch.take() {
-        watch.abort();
-    }
+    service.pool.replace_watch(None);
     service.pool.discovery.set(None);
     let draining = |member: &Member| Listed {
         state: ServerState::Draining,
@@ -618,7 +638,7 @@
     Ok(())
 }
 
-fn apply_update(service: &Rc<Service>, now: Micros, listing: Listing) {
+pub(super) fn apply_update(service: &Rc<Service>, now: Micros, listing: Listing) {
     let full = listing.snapshot;
     if !full && listing.index < service.pool.index.get() {
         // Changes older than the list that is held would undo newer ones.
@@ -639,189 +659,6 @@
     service.recall_servers(now);
 }
 
-/// Follows another discovery from now on. The list is kept until that one speaks; its versions have nothing to
-/// do with those of the former, so it is asked from the beginning.
-pub(super) fn turn_to(service: &Rc<Service>, discovery: SocketAddr) {
-    let former = service.pool.discovery.replace(Some(discovery));
-    let of = &service.label;
-    tracing::info!(%discovery, "{of}configuration read again: discovery is at {discovery}");
-    if former != Some(discovery) {
-        service.pool.index.set(0);
-        service.common.shared_lists.forget(&service.name);
-        open_watch(service, true);
-    }
-}
-
-/// Opens the watch, in place of one that is open, as the module says. One that the fleet called for meanwhile stays.
-pub(super) fn subscribe(service: &Rc<Service>) {
-    if !(service.pool.called.get() && service.common.shared_lists.shares(&service.name)) {
-        open_watch(service, true);
-    }
-}
-
-/// Calls discovery now, for all of the fleet, where this instance does not watch it already.
-pub(super) fn call_for_all(service: &Rc<Service>) {
-    if !service.pool.called.get() && !service.is_leaving() {
-        open_watch(service, false);
-    }
-}
-
-/// Ends the watch, since enough others of the fleet watch: discovery is called again when what they tell is too old.
-pub(super) fn rest(service: &Rc<Service>) {
-    if service.pool.called.get() && !service.is_leaving() {
-        open_watch(service, true);
-    }
-}
-
-fn open_watch(service: &Rc<Service>, waits: bool) {
-    // A fixed list has nothing to follow, and all that it holds is known.
-    let Some(discovery) = service.pool.discovery.get() else {
-        return;
-    };
-    let own = Rc::clone(service);
-    let watch = watchdog::spawn(TaskKind::DiscoveryWatch, async move {
-        if waits {
-            // Whoever is told by its fleet spares discovery the call.
-            let ask_within = own.tuned().site.settings.rules.ask_within;
-            // Without any server a request may be waiting for the list.
-            let first = if own.pool.is_known() {
-                first_discovery_wait(own.common.clock.up(), ask_within)
-            } else {
-                0
-            };
-            own.common
-                .shared_lists
-                .wait_to_call(&own.name, ask_within, first)
-                .await;
-        }
-        own.pool.called.set(true);
-        let mut call = Call {
-            since: own.common.clock.now(),
-            asked: None,
-        };
-        let Err(problem) = follow(&own, discovery, &mut call).await;
-        own.pool.called.set(false);
-        own.common.shared_lists.ended(&own.name);
-        let of = &own.label;
-        tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
-        let now = own.common.clock.now();
-        let waited = call.asked.map_or(0, |asked| now.saturating_sub(asked));
-        own.handle(
-            now,
-            Event::Members(Members::Failed {
-                since: call.since,
-                waited,
-            }),
-        );
-    });
-    service.pool.called.set(false);
-    service.common.shared_lists.ended(&service.name);
-    if let Some(former) = service.pool.watch.replace(Some(watch.abort_handle())) {
-        former.abort();
-    }
-}
-
-/// How a call for the list stands.
-struct Call {
-    /// What discovery had then is known: its beginning, and from its answer on the last word of the watch.
-    since: Micros,
-    /// When discovery was reached and asked; none before, and once it has answered, or been silent until the call was given
-    /// up: it ends in a 503 or a reset what it lets wait in vain, so that silence is not its doing.
-    asked: Option<Micros>,
-}
-
-/// Follows the watch for as long as it holds.
-async fn follow(
-    service: &Rc<Service>,
-    discovery: SocketAddr,
-    call: &mut Call,
-) -> Result<Infallible, String> {
-    let pool = &service.pool;
-    let silent = |_| "no word for too long".to_string();
-    let stream = timeout(CONNECTS, service.common.connect(discovery))
-        .await
-        .map_err(silent)?;
-    let stream = stream.map_err(|e| e.to_string())?;
-    call.asked = Some(service.common.clock.now());
-    let made = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = made.map_err(|e| e.to_string())?;
-    let _task = OwnedTask(watchdog::spawn(TaskKind::DiscoveryConnection, async move {
-        // How it ended shows in the body that is read from it.
-        let _ = connection.await;
-    }));
-    let request = Request::get(format!("/v1/endpoints?watch=1&after={}", pool.index.get()))
-        .header(header::HOST, discovery.to_string())
-        .body(Empty::<Bytes>::new())
-        .map_err(|e| e.to_string())?;
-    let answer = timeout(ANSWERS, sender.send_request(request))
-        .await
-        .map_err(|late| {
-            call.asked = None;
-            silent(late)
-        })?;
-    let answer = answer.map_err(|e| e.to_string())?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
-    }
-    call.asked = None;
-    read_lines(service, answer.into_body(), call).await
-}
-
-async fn read_lines(
-    service: &Rc<Service>,
-    mut body: Incoming,
-    call: &mut Call,
-) -> Result<Infallible, String> {
-    let mut reader = ListReader::default();
-    loop {
-        let frame = timeout(STALLED, body.frame())
-            .await
-            .map_err(|_| "no word for too long".to_string())?;
-        let frame = frame
-            .ok_or("the watch has ended")?
-            .map_err(|e| e.to_string())?;
-        let now = service.common.clock.now();
-        let was_within = reader.is_within();
-        reader.push(frame.data_ref().map_or(&[], |d| d.as_ref()));
-        while let Some(object) = reader.next()? {
-            apply_line(service, now, &object)?;
-            // Each costs as much as the list is long, and what was read at once may hold thousands.
-            tokio::task::yield_now().await;
-        }
-        // Until a list is whole nothing is known of what was to be told since it began.
-        if !was_within || !reader.is_within() {
-            service.pool.heard.set(now);
-            call.since = now;
-        }
-        if !reader.is_within() {
-            // Where a list is on its way, something has changed.
-            service.common.shared_lists.beat(&service.name);
-        }
-    }
-}
-
-/// Takes in one object of a watch, and tells the fleet of it.
-fn apply_line(service: &Rc<Service>, now: Micros, object: &[u8]) -> Result<(), String> {
-    let listing: Listing =
-        serde_json::from_slice(object).map_err(|e| format!("makes no sense: {e}"))?;
-    if listing.endpoints.len() > SERVERS {
-        return Err(format!("lists {} servers", listing.endpoints.len()));
-    }
-    let ask_within = service.tuned().site.settings.rules.ask_within;
-    let shared = &service.common.shared_lists;
-    if listing.snapshot && !shared.allows(&service.name, listing.index, ask_within) {
-        return Err(format!(
-            "lists version {}, which is older than the fleet's",
-            listing.index
-        ));
-    }
-    apply_update(service, now, listing);
-    shared.told(&service.name, service.pool.version(), || {
-        service.pool.shared()
-    });
-    Ok(())
-}
-
 #[cfg(test)]
 #[path = "pool_lists_tests.rs"]
 mod pool_lists_tests;
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -3,8 +3,9 @@
 use super::admin::{self, AdminServer};
 use super::config::Config;
 use super::counts::count;
+use super::discovery_watch;
 use super::listener::{Listener, Manner, Socket, bind};
-use super::pool::{self, Listing};
+use super::pool::Listing;
 use super::process::{Sidecar, totals};
 use super::routing::{Routed, Routing};
 use super::service::{Parts, Service, Spec};
@@ -40,7 +41,7 @@
                         tracing::info!("settings taken over");
                         service.retune(config.settings);
                     }
-                    pool::turn_to(service, config.discovery);
+                    discovery_watch::turn_to(service, config.discovery);
                 }
                 Err(problem) => {
                     count(&self.common.files_refused);
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -4,6 +4,7 @@
 use super::common::Common;
 use super::connections::Connections;
 use super::counts::{Counts, Registry};
+use super::discovery_watch;
 use super::levels;
 use super::limits::Allowance;
 use super::moves::Moves;
@@ -180,7 +181,9 @@
         }
         drop(front);
         match pool.discovery {
-            Some(discovery) if !self.pool.follows(discovery) => pool::turn_to(self, discovery),
+            Some(discovery) if !self.pool.follows(discovery) => {
+                discovery_watch::turn_to(self, discovery)
+            }
             Some(_) => {}
             None => pool::fix(self, Listing::fixed(&pool.servers)),
         }
@@ -477,7 +480,7 @@
                 self.instruct(request, Step::Fail);
             }
             Action::SetTimer { at, timer } => self.set_timer(at, timer),
-            Action::Subscribe => pool::subscribe(self),
+            Action::Subscribe => discovery_watch::subscribe(self),
             Action::Probe(server) => probe::start(self, server),
             Action::Log(note) => self.note(now, note),
         }
