Log when discovery is called next, how long a failed call lasted, and that a list came

The logs of the incident could not say whether a call was due, under way or answered. A failed call or watch now says how long it lasted and how old the list in use is, each scheduled call when it is due, the first list of a call its version and size, and a list of changes which servers it names.

--- a/crates/sidecar/src/discovery_watch.rs
+++ b/crates/sidecar/src/discovery_watch.rs
@@ -23,6 +23,8 @@
 /// A call is given up when its connection has not come up after this, and when its answer has not begun after that.
 const CONNECTS: Duration = Duration::from_secs(1);
 const ANSWERS: Duration = Duration::from_millis(4_500);
+/// In microseconds.
+const MILLISECOND: Micros = 1_000;
 
 /// Follows another discovery from now on. The list is kept until that one speaks; its versions have nothing to
 /// do with those of the former, so it is asked from the beginning.
@@ -80,17 +82,13 @@
                 .await;
         }
         own.pool.set_called(true);
-        let mut call = Call {
-            since: own.common.clock.now(),
-            asked: None,
-        };
+        let mut call = Call::begin(own.common.clock.now());
         let Err(problem) = follow(&own, discovery, &mut call).await;
         own.pool.set_called(false);
         own.common.shared_lists.ended(&own.name);
-        let of = &own.label;
-        tracing::warn!(%discovery, "{of}discovery at {discovery}: {problem}");
         let now = own.common.clock.now();
         let waited = call.asked.map_or(0, |asked| now.saturating_sub(asked));
+        log_failure(&own, discovery, &problem, call.began, now);
         own.handle(
             now,
             Event::Members(Members::Failed {
@@ -104,8 +102,52 @@
     service.pool.replace_watch(Some(watch.abort_handle()));
 }
 
+/// Says what ended a call or its watch, how long that lasted, and how old the list is that is still in use.
+fn log_failure(
+    service: &Service,
+    discovery: SocketAddr,
+    problem: &str,
+    began: Micros,
+    now: Micros,
+) {
+    let of = &service.label;
+    let lasted_ms = now.saturating_sub(began) / MILLISECOND;
+    let list_age_ms = service.pool.age(now).unwrap_or(0) / MILLISECOND;
+    tracing::warn!(
+        %discovery,
+        lasted_ms,
+        list_age_ms,
+        "{of}discovery at {discovery}: {problem}, after {lasted_ms} ms; list is {list_age_ms} ms old"
+    );
+}
+
+/// Says when discovery is called next.
+pub(super) fn log_next_call(service: &Service, now: Micros, at: Micros) {
+    let of = &service.label;
+    let due_ms = at.saturating_sub(now) / MILLISECOND;
+    tracing::info!(due_ms, "{of}next call to discovery in {due_ms} ms");
+}
+
+/// Says that the first list of a call has come.
+fn log_first_list(service: &Service, began: Micros, now: Micros) {
+    let of = &service.label;
+    let version = service.pool.version();
+    let servers = service.pool.count();
+    let lasted_ms = now.saturating_sub(began) / MILLISECOND;
+    tracing::info!(
+        version,
+        servers,
+        lasted_ms,
+        "{of}discovery answered: list version {version}, {servers} servers, after {lasted_ms} ms"
+    );
+}
+
 /// How a call for the list stands.
 struct Call {
+    /// When it began.
+    began: Micros,
+    /// Whether it has brought a list.
+    has_list: bool,
     /// What discovery had then is known: its beginning, and from its answer on the last word of the watch.
     since: Micros,
     /// When discovery was reached and asked; none before, and once it has answered, or been silent until the call was given
@@ -113,6 +155,17 @@
     asked: Option<Micros>,
 }
 
+impl Call {
+    fn begin(now: Micros) -> Self {
+        Call {
+            began: now,
+            has_list: false,
+            since: now,
+            asked: None,
+        }
+    }
+}
+
 /// Follows the watch for as long as it holds.
 async fn follow(
     service: &Rc<Service>,
@@ -168,6 +221,9 @@
         reader.push(frame.data_ref().map_or(&[], |d| d.as_ref()));
         while let Some(object) = reader.next()? {
             apply_line(service, now, &object)?;
+            if !std::mem::replace(&mut call.has_list, true) {
+                log_first_list(service, call.began, now);
+            }
             // Each costs as much as the list is long, and what was read at once may hold thousands.
             tokio::task::yield_now().await;
         }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -18,6 +18,8 @@
 pub(super) const SERVERS: usize = 4_096;
 /// Weights that can be compared. One beyond them counts as one that makes no sense: as the usual.
 const WEIGHTS: RangeInclusive<f64> = 1e-6..=1e6;
+/// Changes of one list that the log names.
+const MAX_LOGGED_CHANGES: usize = 8;
 /// Clocks that differ by less are taken for the same: they are read one after the other.
 const PARTED: u64 = 100_000;
 
@@ -122,6 +124,16 @@
     Terminated,
 }
 
+impl Status {
+    fn as_str(self) -> &'static str {
+        match self {
+            Status::InService => "in service",
+            Status::Terminating => "draining",
+            Status::Terminated => "gone",
+        }
+    }
+}
+
 fn usual_weight() -> f64 {
     1.0
 }
@@ -487,6 +499,26 @@
     }
 }
 
+/// Says which servers discovery tells of; of a whole list only how many, since it repeats what is known.
+fn log_changes(service: &Service, listing: &Listing) {
+    if listing.snapshot || !tracing::enabled!(tracing::Level::INFO) {
+        return;
+    }
+    let named = listing.endpoints.iter().take(MAX_LOGGED_CHANGES);
+    let changes: Vec<String> = named
+        .map(|endpoint| format!("{} {}", endpoint.name, endpoint.status.as_str()))
+        .collect();
+    let changes = changes.join(", ");
+    let version = listing.index;
+    let unnamed = listing.len().saturating_sub(MAX_LOGGED_CHANGES);
+    let of = &service.label;
+    tracing::info!(
+        version,
+        unnamed,
+        "{of}discovery lists version {version}: {changes} and {unnamed} more"
+    );
+}
+
 /// Tells the module of the servers that are known at its start. The list of the configuration goes before what an
 /// earlier process left, and discovery's before both.
 pub(super) fn begin(service: &Rc<Service>, listing: Listing) {
@@ -644,6 +676,7 @@
         // Changes older than the list that is held would undo newer ones.
         return;
     }
+    log_changes(service, &listing);
     let times = (now, service.common.clock.behind());
     let (listed, left) = service
         .pool
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -497,7 +497,10 @@
     /// A request's timers end with it.
     fn set_timer(self: &Rc<Self>, at: Micros, timer: Timer) {
         match timer {
-            Timer::Discovery => _ = self.common.alarms.set_for(self, at, timer),
+            Timer::Discovery => {
+                discovery_watch::log_next_call(self, self.common.clock.now(), at);
+                self.common.alarms.set_for(self, at, timer);
+            }
             Timer::Request(id) => {
                 if let Some(steps) = self.transactions.borrow().get(&id) {
                     let alarms = &self.common.alarms;
