Reproduce late calls behind an outage of discovery: three tests that fail

The stand-in discovery can refuse calls after a time, and refuse what has waited in vain while it does the work all the same.

--- /dev/null
+++ b/crates/balancer/tests/discovery_outages.rs
@@ -0,0 +1,185 @@
+//! Fleets of one to 900 instances whose discovery is down for five seconds to a minute, and then works through their calls in turn.
+//!
+//! A discovery that is down and one that has too many callers look alike: both let a call wait and answer 503. Instances that took
+//! the first for the second asked again after up to 0.32 s for each instance of the fleet, and went on sending to servers that had
+//! begun to drain when it was back: 12 s behind the return among 40, 36 s among 169.
+
+mod common;
+use common::{MS, S, fleet as servers, settings};
+use madderloom_balancer::*;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Discovery refuses a call that has waited for so long. Its work is done all the same.
+const PATIENCE: Micros = 2 * S;
+
+/// How a call that comes while discovery is down is refused.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    AtOnce,
+    /// As one that has waited in vain.
+    Late,
+    /// The connection does not come up.
+    Unreached,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    instances: u32,
+    /// What it takes for a call, also for one that was refused meanwhile.
+    work: Micros,
+    lasts: Micros,
+    refusal: Refusal,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Call,
+    Answered,
+    Refused { since: Micros, waited: Micros },
+}
+
+struct Fleet {
+    instances: Vec<Balancer>,
+    /// Which instance does what at what time.
+    queue: BinaryHeap<Reverse<(Micros, usize, Step)>>,
+    actions: Vec<Action>,
+}
+
+impl Fleet {
+    fn tell(&mut self, now: Micros, at: usize, event: Event<'_>) {
+        self.instances[at].handle(now, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            if let Action::SetTimer {
+                at: due,
+                timer: Timer::Discovery,
+            } = action
+            {
+                self.queue.push(Reverse((due, at, Step::Call)));
+            }
+        }
+    }
+
+    fn list_fails(&mut self, now: Micros, at: usize, since: Micros, waited: Micros) {
+        let failed = Members::Failed { since, waited };
+        self.tell(now, at, Event::Members(failed));
+    }
+}
+
+/// A fleet in which all watch discovery, until the watches of all break in one moment.
+fn fleet_at_the_break(instances: u32, seed: u64) -> (Fleet, Micros) {
+    let settings = Settings {
+        group_size: instances,
+        ..settings(&[Effect::Safe])
+    };
+    let known = servers(4);
+    let instance = |number: u32| {
+        Balancer::new(settings.clone(), seed << 32 | u64::from(number)).expect("they make sense")
+    };
+    let mut fleet = Fleet {
+        instances: (0..instances).map(instance).collect(),
+        queue: BinaryHeap::new(),
+        actions: Vec::new(),
+    };
+    let broke = 60 * S;
+    for at in 0..instances as usize {
+        fleet.tell(S, at, Event::Members(Members::Full(&known)));
+        fleet.tell(30 * S, at, Event::Timer(Timer::Discovery));
+        fleet.tell(30 * S, at, Event::Members(Members::Full(&known)));
+    }
+    fleet.queue.clear();
+    for at in 0..instances as usize {
+        fleet.list_fails(broke, at, broke, 0);
+    }
+    (fleet, broke)
+}
+
+/// How long after the return the last has the list; none within two minutes.
+fn all_have_it_after(outage: Outage, seed: u64) -> Option<Micros> {
+    let (mut fleet, broke) = fleet_at_the_break(outage.instances, seed);
+    let back = broke + outage.lasts;
+    let known = servers(4);
+    let (mut busy, mut missing) = (back, outage.instances);
+    while let Some(Reverse((now, at, step))) = fleet.queue.pop() {
+        if now > back + 120 * S {
+            return None;
+        }
+        match step {
+            Step::Call => {
+                fleet.tell(now, at, Event::Timer(Timer::Discovery));
+                let (ends, step) = if now >= back {
+                    busy = busy.max(now) + outage.work;
+                    let waited_in_vain = busy > now + PATIENCE;
+                    let refused = Step::Refused {
+                        since: now,
+                        waited: PATIENCE,
+                    };
+                    if waited_in_vain {
+                        (now + PATIENCE, refused)
+                    } else {
+                        (busy, Step::Answered)
+                    }
+                } else {
+                    let (takes, waited) = match outage.refusal {
+                        Refusal::AtOnce => (MS, MS),
+                        Refusal::Late => (PATIENCE, PATIENCE),
+                        Refusal::Unreached => (S, 0),
+                    };
+                    (now + takes, Step::Refused { since: now, waited })
+                };
+                fleet.queue.push(Reverse((ends, at, step)));
+            }
+            Step::Refused { since, waited } => fleet.list_fails(now, at, since, waited),
+            Step::Answered => {
+                fleet.tell(now, at, Event::Members(Members::Full(&known)));
+                missing -= 1;
+                if missing == 0 {
+                    return Some(now - back);
+                }
+            }
+        }
+    }
+    None
+}
+
+/// A change counts as told 6 s after discovery had it and could be reached, and the grace is 3 s.
+fn told_and_grace() -> Micros {
+    Rules::TOLD + settings(&[Effect::Safe]).rules.drain_grace
+}
+
+fn longest(outage: Outage) -> Option<Micros> {
+    (0..5)
+        .map(|seed| all_have_it_after(outage, seed))
+        .max_by_key(|took| took.unwrap_or(Micros::MAX))?
+}
+
+#[test]
+fn behind_an_outage_of_any_length_all_have_the_list_before_the_grace_is_over() {
+    for (instances, work) in [
+        (1, 100 * MS),
+        (4, 100 * MS),
+        (15, 100 * MS),
+        (24, 20 * MS),
+        (40, 100 * MS),
+        (100, 50 * MS),
+        (169, 30 * MS),
+        (300, 16 * MS),
+        (900, 6 * MS),
+    ] {
+        for lasts in [5, 8, 12, 20, 37, 60].map(|seconds| seconds * S) {
+            for refusal in [Refusal::AtOnce, Refusal::Late, Refusal::Unreached] {
+                let outage = Outage {
+                    instances,
+                    work,
+                    lasts,
+                    refusal,
+                };
+                let took = longest(outage);
+                assert!(
+                    took.is_some_and(|took| took <= told_and_grace()),
+                    "{outage:?}: {took:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -3,6 +3,7 @@
 
 mod alone;
 mod cold;
+mod outages;
 mod told;
 
 use madderloom_fault_testing::{
--- a/crates/cli/tests/starts/told.rs
+++ b/crates/cli/tests/starts/told.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Told, and the grace of the settings, and the protocol's slack on it.
-const GRACE_OVER: Duration = millis(6_000 + 3_000 + 50);
+pub(super) const GRACE_OVER: Duration = millis(6_000 + 3_000 + 50);
 
 fn on_all_links(fleet: &mut Fleet, act: Act) {
     ZONES
@@ -15,12 +15,12 @@
 }
 
 /// The first of the new servers drains from now on, by a list of this version.
-fn drain(fleet: &Fleet) {
+pub(super) fn drain(fleet: &Fleet) {
     let all: Vec<_> = fleet.servers.iter().collect();
     fleet.lists.publish(3, &all, &["w3"]);
 }
 
-fn judge(fleet: &Fleet, from: Instant) {
+pub(super) fn judge(fleet: &Fleet, from: Instant) {
     let server = &fleet.servers[3];
     assert!(!server.seen().is_empty(), "it had requests before");
     let late = Arrivals::of([server]).since(from + GRACE_OVER).len();
--- a/crates/fault-testing/src/lists.rs
+++ b/crates/fault-testing/src/lists.rs
@@ -12,6 +12,7 @@
 /// An empty line says so often that it is there, and a longest head that is read.
 const THERE: Duration = Duration::from_millis(500);
 const HEAD: usize = 8 << 10;
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 /// What it writes in the place of a list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,6 +41,10 @@
 
 struct State {
     manner: Manner,
+    /// Refuses each call so long after it came.
+    refuses_after: Option<Duration>,
+    /// Refuses a call that has waited for so long; its work is done all the same.
+    patience: Option<Duration>,
     waiting: usize,
     down_until: Option<Instant>,
     deaths: Vec<Instant>,
@@ -97,6 +102,8 @@
         let (waiting, deaths, calls, told) = Default::default();
         let state = State {
             manner,
+            refuses_after: None,
+            patience: None,
             waiting,
             down_until: None,
             deaths,
@@ -136,6 +143,22 @@
         die(&self.own, &mut lock(&self.own.state), down);
     }
 
+    /// From now on it answers each call with 503, so long after the call came, and does no work for it. Open watches end.
+    pub fn refuse(&self, after: Duration) {
+        lock(&self.own.state).refuses_after = Some(after);
+        self.own.died.send_modify(|many| *many += 1);
+    }
+
+    /// It takes calls again. Those that it was about to refuse are refused all the same.
+    pub fn take_calls(&self) {
+        lock(&self.own.state).refuses_after = None;
+    }
+
+    /// From now on a call that has waited for so long is answered with 503. Its work is done in its turn all the same.
+    pub fn set_patience(&self, patience: Duration) {
+        lock(&self.own.state).patience = Some(patience);
+    }
+
     /// The calls that it took, from when each was whole until it was answered or lost.
     pub fn calls(&self) -> Arrivals {
         let mut calls = lock(&self.own.state).calls.clone();
@@ -184,7 +207,7 @@
         open.spawn(async move {
             tokio::select! {
                 _ = died.changed() => {}
-                _ = serve(stream, &own) => {}
+                _ = serve(stream, Arc::clone(&own)) => {}
             }
         });
     }
@@ -206,7 +229,31 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, own: &Own) -> Option<()> {
+/// The work for one call, in its turn.
+async fn work(own: Arc<Own>) -> Option<()> {
+    let _waiting = Counted::new(&own, |state| &mut state.waiting);
+    let _turn = own.turn.acquire().await.ok()?;
+    let each = lock(&own.state).manner.each;
+    tokio::time::sleep(each).await;
+    Some(())
+}
+
+/// Whether the call is to be answered with the list: false where it waited in vain.
+async fn worked_through(own: &Arc<Own>) -> Option<bool> {
+    let patience = lock(&own.state).patience;
+    let Some(patience) = patience else {
+        work(Arc::clone(own)).await?;
+        return Some(true);
+    };
+    let work = tokio::spawn(work(Arc::clone(own)));
+    Some(tokio::time::timeout(patience, work).await.is_ok())
+}
+
+async fn refuse(stream: &mut TcpStream) -> Option<()> {
+    stream.write_all(REFUSAL).await.ok()
+}
+
+async fn serve(mut stream: TcpStream, own: Arc<Own>) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
@@ -215,23 +262,24 @@
         }
     }
     let came = Instant::now();
-    let waiting = Counted::new(own, |state| &mut state.waiting);
+    let refuses_after = lock(&own.state).refuses_after;
+    if let Some(after) = refuses_after {
+        tokio::time::sleep(after).await;
+        return refuse(&mut stream).await;
+    }
     {
         let mut state = lock(&own.state);
         // Until it is answered it may as well be answered now.
         state.calls.push((came, came));
-        if state.waiting > state.manner.most {
+        if state.waiting >= state.manner.most {
             let down = state.manner.down;
-            die(own, &mut state, down);
+            die(&own, &mut state, down);
             return None;
         }
     }
-    // In turn, and the work is done whether or not the caller still waits.
-    let turn = own.turn.acquire().await.ok()?;
-    let each = lock(&own.state).manner.each;
-    tokio::time::sleep(each).await;
-    drop(turn);
-    drop(waiting);
+    if !worked_through(&own).await? {
+        return refuse(&mut stream).await;
+    }
     let says = {
         let mut state = lock(&own.state);
         let call = state.calls.iter_mut().rfind(|(at, _)| *at == came);
@@ -256,7 +304,7 @@
     if says == Says::Half {
         return None;
     }
-    let _told = (says == Says::List).then(|| Counted::new(own, |state| &mut state.told));
+    let _told = (says == Says::List).then(|| Counted::new(&own, |state| &mut state.told));
     loop {
         tokio::select! {
             () = tokio::time::sleep(THERE) => stream.write_all(b"1\r\n\n\r\n").await.ok()?,
