Do not let a start's first calls set the times of the calls that follow

Cause: the first calls of a start come within 3 s; that was taken for a time of its own in the span of 4.8 s, and those that called in the first 1.6 s called again 4.8 s later, together. A call before any other of the process no longer counts for that.

--- a/crates/balancer/src/discovery_poll.rs
+++ b/crates/balancer/src/discovery_poll.rs
@@ -220,7 +220,8 @@
         self.span_ends = next_span + self.span;
         let from = next_span.min(latest.saturating_sub(half).max(now));
         let until = latest.min(self.span_ends).max(from + 1);
-        self.has_phase = until - from >= half;
+        // The first call of a process comes soon behind its start, where all of a fleet may have started together.
+        self.has_phase = self.has_called && until - from >= half;
         random.rand_range(from..until)
     }
 }
