--- a/crates/cli/tests/starts/alone.rs
+++ b/crates/cli/tests/starts/alone.rs
@@ -28,7 +28,7 @@
             (servers, millis(1_000)),
             &known,
             (MANNER, Size::said_to_be(many())),
-            |_| (),
+            |_, _| (),
         );
         // Four requests a second of each sidecar.
         let fronts: Vec<_> = fleet.fronts.values().copied().collect();
--- a/crates/cli/tests/starts/cold.rs
+++ b/crates/cli/tests/starts/cold.rs
@@ -1,7 +1,7 @@
 //! Sixty that start beside servers that start too. What a cold server gets of all of them together is counted by itself, and
 //! it falls for good when that is more than the protocol says that it bears.
 
-use super::{Fleet, MANNER, Size, alone, many, millis};
+use super::{DRAIN_GRACE, Fleet, MANNER, Size, alone, many, millis};
 use madderloom_fault_testing::{
     Arrivals, Cold, Got, Link, Load, Server, listing, own_address, served,
 };
@@ -59,7 +59,7 @@
         (servers, COLD.warm_after),
         &known,
         (MANNER, size),
-        |_| (),
+        |_, _| (),
     )
 }
 
@@ -151,6 +151,7 @@
     Size {
         group_size: many() / 2,
         names: many() / 2,
+        drain_grace: DRAIN_GRACE,
     }
 }
 
--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -4,6 +4,7 @@
 mod alone;
 mod cold;
 mod outages;
+mod queue;
 mod told;
 
 use madderloom_fault_testing::{
@@ -42,6 +43,8 @@
 const SILENCE: Duration = millis(4_500);
 /// A call reaches discovery so much later than it was due at most.
 const JITTER: Duration = Duration::from_millis(150);
+/// A server that drains still takes requests for so long after an instance was to know of it.
+const DRAIN_GRACE: Duration = millis(3_000);
 const ZONES: [&str; 3] = ["north", "south", "east"];
 
 /// What discovery bears: some 50 calls a second, of which 16 may wait.
@@ -62,11 +65,13 @@
     ALONE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// How many there are by the settings, and how many names the processes have: several may have one.
+/// How many there are by the settings, how many names the processes have, of which several may have one, and the time that the
+/// settings give for hearing of a drain.
 #[derive(Clone, Copy)]
 struct Size {
     group_size: usize,
     names: usize,
+    drain_grace: Duration,
 }
 
 impl Size {
@@ -75,6 +80,7 @@
         Size {
             group_size,
             names: many(),
+            drain_grace: DRAIN_GRACE,
         }
     }
 }
@@ -98,8 +104,13 @@
     discovery: SocketAddr,
     known: &str,
     warm_after: Duration,
-    group_size: usize,
+    size: Size,
 ) -> String {
+    let Size {
+        group_size,
+        drain_grace,
+        ..
+    } = size;
     let known: serde_json::Value = serde_json::from_str(known).expect("a list");
     let config = serde_json::json!({
         "name": format!("n{number}"), "listen": front.to_string(), "discovery": discovery.to_string(),
@@ -112,19 +123,19 @@
             "limits": {"cancel": true, "conn_idle": 60000000, "connect_timeout": 250000, "max_attempts": 6,
                 "retry_after": true, "max_retry_after": 1500000, "probes": false},
             "safety": {"ask_within": 10000000, "cold": warm_after.as_micros() as u64, "cold_from": 0.05,
-                "fall": 1000000, "drain_grace": 3000000}}});
+                "fall": 1000000, "drain_grace": drain_grace.as_micros() as u64}}});
     config.to_string()
 }
 
 impl Fleet {
     /// Sixty that start as fast as they can be. The list that they know is old: half of it has gone, and half of what
     /// there is is not in it.
-    fn start(manner: Manner, before: impl FnOnce(&Stage)) -> Self {
-        Fleet::start_among(many(), manner, before)
+    fn start(manner: Manner, before: impl FnOnce(&Stage, &Lists)) -> Self {
+        Fleet::start_among(Size::said_to_be(many()), manner, before)
     }
 
     /// The same, of a fleet that is said to be of this size.
-    fn start_among(group_size: usize, manner: Manner, before: impl FnOnce(&Stage)) -> Self {
+    fn start_among(size: Size, manner: Manner, before: impl FnOnce(&Stage, &Lists)) -> Self {
         let alone = alone();
         let servers: Vec<Server> = (0..6)
             .map(|number| Server::that_takes(&format!("w{number}"), millis(5)))
@@ -134,7 +145,6 @@
             .collect();
         let known = listing(1, &gone.iter().chain(&servers[..3]).collect::<Vec<_>>());
         drop(gone);
-        let size = Size::said_to_be(group_size);
         Fleet::start_with(
             alone,
             (servers, millis(1_000)),
@@ -149,8 +159,8 @@
         alone: MutexGuard<'static, ()>,
         (servers, warm_after): (Vec<Server>, Duration),
         known: &str,
-        (manner, Size { group_size, names }): (Manner, Size),
-        before: impl FnOnce(&Stage),
+        (manner, size): (Manner, Size),
+        before: impl FnOnce(&Stage, &Lists),
     ) -> Self {
         let directory = TempDir::new().expect("a directory");
         let lists = Lists::new(manner, &servers.iter().collect::<Vec<_>>());
@@ -160,7 +170,7 @@
                 .links
                 .insert(format!("{zone}>lists"), Link::new(lists.address));
         }
-        before(&stage);
+        before(&stage, &lists);
         let began = Instant::now();
         let mut fronts = BTreeMap::new();
         for number in 0..many() {
@@ -171,12 +181,12 @@
             std::fs::write(
                 &file,
                 config(
-                    number % names,
+                    number % size.names,
                     front,
                     discovery,
                     known,
                     warm_after,
-                    group_size,
+                    size,
                 ),
             )
             .expect("written");
@@ -284,7 +294,7 @@
 
 #[test]
 fn sixty_that_start_at_once_serve_from_an_old_list_and_their_calls_are_spread() {
-    let fleet = Fleet::start(MANNER, |_| ());
+    let fleet = Fleet::start(MANNER, |_, _| ());
     let load = fleet.load();
     let took = fleet.all_told();
     assert!(
@@ -310,7 +320,7 @@
 /// A third is cut off meanwhile, and comes back to a discovery at a tenth of its speed.
 #[test]
 fn a_list_service_that_dies_under_the_first_wave_is_spared_when_it_is_back() {
-    let fleet = Fleet::start(MANNER, |stage| stage.links["east>lists"].cut_both());
+    let fleet = Fleet::start(MANNER, |stage, _| stage.links["east>lists"].cut_both());
     let load = fleet.load();
     std::thread::sleep(millis(500));
     fleet.lists.die(millis(2_000));
@@ -344,7 +354,7 @@
         says: Says::Nonsense,
         ..MANNER
     };
-    let fleet = Fleet::start(manner, |_| ());
+    let fleet = Fleet::start(manner, |_, _| ());
     let load = fleet.load();
     std::thread::sleep(millis(2_000));
     fleet.lists.behave(|manner| manner.says = Says::Half);
@@ -363,7 +373,7 @@
 /// Those of one zone die and start ten times within some seconds.
 #[test]
 fn a_crash_loop_keeps_to_the_ceiling() {
-    let mut fleet = Fleet::start(MANNER, |_| ());
+    let mut fleet = Fleet::start(MANNER, |_, _| ());
     let load = fleet.load();
     for _ in 0..10 {
         fleet
--- a/crates/cli/tests/starts/outages.rs
+++ b/crates/cli/tests/starts/outages.rs
@@ -14,8 +14,9 @@
 //! From the beginning of one call to the next may be 8 s: a change counts as told 6 s after discovery had it and could be reached,
 //! the grace is 3 s, and an answer may take one.
 
-use super::{Fleet, MANNER, Manner, many, millis};
+use super::{Fleet, MANNER, Manner, Size, many, millis};
 use crate::told::{GRACE_OVER, drain, judge};
+use madderloom_fault_testing::Refuses;
 use std::time::{Duration, Instant};
 
 /// Discovery refuses a call after this, whether it is down or has too many callers.
@@ -34,7 +35,7 @@
 
 #[test]
 fn a_drain_is_heard_of_in_time_behind_an_outage_in_which_calls_were_refused() {
-    let fleet = Fleet::start_among(169, MANNER, |_| ());
+    let fleet = Fleet::start_among(Size::said_to_be(169), MANNER, |_, _| ());
     let load = fleet.load();
     fleet.all_told();
     std::thread::sleep(millis(1_500));
@@ -53,11 +54,11 @@
         most: 10_000,
         ..MANNER
     };
-    let fleet = Fleet::start(manner, |_| ());
+    let fleet = Fleet::start(manner, |_, _| ());
     let load = fleet.load();
     fleet.all_told();
     fleet.lists.behave(|manner| manner.each = millis(100));
-    fleet.lists.set_patience(REFUSED_AFTER);
+    fleet.lists.set_patience(REFUSED_AFTER, Refuses::Sharply);
     let back = outage(&fleet, millis(15_000));
     while fleet.lists.told() != many() && back.elapsed() < GRACE_OVER + ANSWERED {
         std::thread::sleep(millis(20));
--- a/crates/cli/tests/starts/told.rs
+++ b/crates/cli/tests/starts/told.rs
@@ -1,7 +1,7 @@
 //! What discovery has to tell counts as told 6 s after it had it and could be reached, and from the end of the grace on nothing
 //! new goes to a server that drains: whatever became of watches and calls before.
 
-use super::{Fleet, MANNER, ZONES, millis};
+use super::{Fleet, MANNER, Size, ZONES, millis};
 use madderloom_fault_testing::{Act, Arrivals};
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,7 @@
 #[test]
 fn behind_watches_that_fell_silent_together_a_drain_is_heard_of_in_time() {
     // All of a fleet of 300 would call, of which these are some.
-    let mut fleet = Fleet::start_among(300, MANNER, |_| ());
+    let mut fleet = Fleet::start_among(Size::said_to_be(300), MANNER, |_, _| ());
     let load = fleet.load();
     fleet.all_told();
     std::thread::sleep(millis(1_500));
@@ -49,7 +49,7 @@
 /// Discovery is out of reach for so long that each has called again and again. The drain is listed meanwhile.
 #[test]
 fn a_drain_is_heard_of_in_time_once_discovery_is_back_in_reach() {
-    let mut fleet = Fleet::start(MANNER, |_| ());
+    let mut fleet = Fleet::start(MANNER, |_, _| ());
     let load = fleet.load();
     fleet.all_told();
     std::thread::sleep(millis(1_500));
--- a/crates/fault-testing/src/lib.rs
+++ b/crates/fault-testing/src/lib.rs
@@ -22,7 +22,7 @@
 mod stage;
 
 pub use link::{Direction, Link};
-pub use lists::{Lists, Manner, Says, listing};
+pub use lists::{Lists, Manner, Refuses, Says, listing};
 pub use load::{Got, Load, served};
 pub use plan::{Act, Fault, Menu, Plan, shrink};
 pub use program::{MOST_PROGRAMS, Program, Signal, built};
--- a/crates/fault-testing/src/lists.rs
+++ b/crates/fault-testing/src/lists.rs
@@ -26,6 +26,15 @@
     Half,
 }
 
+/// When it refuses a call that has waited for too long. Its work is done in its turn all the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refuses {
+    /// In the moment in which the call has waited for so long.
+    Sharply,
+    /// When the turn of the call has come, and its work is done.
+    InTurn,
+}
+
 /// What it bears, and how it answers.
 #[derive(Clone, Copy, Debug)]
 pub struct Manner {
@@ -43,8 +52,8 @@
     manner: Manner,
     /// Refuses each call so long after it came.
     refuses_after: Option<Duration>,
-    /// Refuses a call that has waited for so long; its work is done all the same.
-    patience: Option<Duration>,
+    /// Refuses a call that has waited for so long.
+    patience: Option<(Duration, Refuses)>,
     waiting: usize,
     down_until: Option<Instant>,
     deaths: Vec<Instant>,
@@ -155,8 +164,8 @@
     }
 
     /// From now on a call that has waited for so long is answered with 503. Its work is done in its turn all the same.
-    pub fn set_patience(&self, patience: Duration) {
-        lock(&self.own.state).patience = Some(patience);
+    pub fn set_patience(&self, patience: Duration, refuses: Refuses) {
+        lock(&self.own.state).patience = Some((patience, refuses));
     }
 
     /// The calls that it took, from when each was whole until it was answered or lost.
@@ -229,24 +238,29 @@
     }
 }
 
-/// The work for one call, in its turn.
-async fn work(own: Arc<Own>) -> Option<()> {
+/// The work for one call, in its turn; gives how long the call waited for that.
+async fn work(own: Arc<Own>) -> Option<Duration> {
+    let came = Instant::now();
     let _waiting = Counted::new(&own, |state| &mut state.waiting);
     let _turn = own.turn.acquire().await.ok()?;
+    let waited = came.elapsed();
     let each = lock(&own.state).manner.each;
     tokio::time::sleep(each).await;
-    Some(())
+    Some(waited)
 }
 
 /// Whether the call is to be answered with the list: false where it waited in vain.
 async fn worked_through(own: &Arc<Own>) -> Option<bool> {
     let patience = lock(&own.state).patience;
-    let Some(patience) = patience else {
+    let Some((patience, refuses)) = patience else {
         work(Arc::clone(own)).await?;
         return Some(true);
     };
     let work = tokio::spawn(work(Arc::clone(own)));
-    Some(tokio::time::timeout(patience, work).await.is_ok())
+    match refuses {
+        Refuses::Sharply => Some(tokio::time::timeout(patience, work).await.is_ok()),
+        Refuses::InTurn => Some(work.await.ok()?? <= patience),
+    }
 }
 
 async fn refuse(stream: &mut TcpStream) -> Option<()> {
