--- a/crates/cli/tests/promises.rs
+++ b/crates/cli/tests/promises.rs
@@ -104,7 +104,7 @@
                     text.contains("run = \"exec target/release/madderloom serve\""),
                     "{text}"
                 );
-                for (list, of) in [("policy", 2), ("node", 2)] {
+                for (list, of) in [("policy", 3), ("node", 2)] {
                     let line = text
                         .lines()
                         .find_map(|line| line.strip_prefix(list))
