Do not take watches that end one after the other for a discovery that dies of its callers

Callers saw: requests to servers that drained, up to some seconds behind the grace, where watches ended in place of telling changes behind a new configuration: the next call was due 7.6 to 13.7 s later.

Cause: two young watches lost in a row counted as a death if the last answer had been late, and the wait of a call that a new configuration had made was counted from the last call of the module. A watch's end is no evidence by itself.

Change: only a call that is broken off behind a young watch, or behind a connection closed at once, tells of a death.

--- a/crates/balancer/src/discovery_evidence.rs
+++ b/crates/balancer/src/discovery_evidence.rs
@@ -12,7 +12,7 @@
 //!   again soon after that, dies of its callers.
 //! - What waits in vain for longer than an outage is likely to last is taken for a discovery with too many callers.
 
-use crate::interface::{Micros, Rules};
+use crate::interface::Micros;
 
 /// A call whose connection breaks, or that is refused, later than this has waited for its turn. What ends sooner costs
 /// discovery nothing.
@@ -88,10 +88,10 @@
 /// What one instance has seen of discovery.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Evidence {
-    /// The last watch: when it was opened, and how long its call had waited for that.
-    watch: Option<OpenedWatch>,
-    /// Watches in a row that were lost young.
-    young_watches_lost: u32,
+    /// When the watch was opened that is open.
+    watch_opened_at: Option<Micros>,
+    /// The last watch was lost young.
+    lost_young_watch: bool,
     /// Discovery dies of its callers.
     dies: bool,
     /// The last call failed in a way that is not known.
@@ -99,12 +99,6 @@
     calls: FailedCalls,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct OpenedWatch {
-    at: Micros,
-    waited: Micros,
-}
-
 /// The calls that failed since the last list.
 #[derive(Clone, Copy, Debug, Default)]
 struct FailedCalls {
@@ -123,9 +117,9 @@
 }
 
 impl Evidence {
-    /// A call was answered after so long, and its watch is open.
-    pub(crate) fn watch_opened(&mut self, now: Micros, waited: Micros) {
-        self.watch = Some(OpenedWatch { at: now, waited });
+    /// A call was answered, and its watch is open.
+    pub(crate) fn watch_opened(&mut self, now: Micros) {
+        self.watch_opened_at = Some(now);
     }
 
     /// A list has come.
@@ -136,18 +130,12 @@
 
     /// A watch has ended.
     pub(crate) fn watch_lost(&mut self, now: Micros) {
-        let young = self
-            .watch
-            .take()
-            .filter(|watch| now.saturating_sub(watch.at) < YOUNG_WATCH);
-        let Some(watch) = young else {
-            self.young_watches_lost = 0;
-            self.dies = false;
-            return;
-        };
-        self.young_watches_lost += 1;
-        // Watches may end for many reasons; where lists are late besides, all instances are about to call again.
-        self.dies |= self.young_watches_lost > 1 && watch.waited > Rules::ANSWERED;
+        let opened_at = self.watch_opened_at.take();
+        let young = opened_at.filter(|at| now.saturating_sub(*at) < YOUNG_WATCH);
+        // Watches may end one after the other for many reasons, also in place of telling a change: only a call that fails
+        // behind one says more.
+        self.lost_young_watch = young.is_some();
+        self.dies &= self.lost_young_watch;
     }
 
     /// A call has failed.
@@ -180,7 +168,7 @@
     fn broken_off(&mut self, now: Micros, waited: Micros) {
         let waited_for_its_turn = waited >= WAITED_FOR_ITS_TURN;
         let came_back_and_died = waited_for_its_turn && self.calls.closed_at_once;
-        self.dies |= self.young_watches_lost > 0 || came_back_and_died;
+        self.dies |= self.lost_young_watch || came_back_and_died;
         if waited_for_its_turn {
             self.calls.waited_in_vain(now, waited);
         } else {
--- a/crates/balancer/src/discovery_poll.rs
+++ b/crates/balancer/src/discovery_poll.rs
@@ -186,8 +186,7 @@
     /// A call was answered and its watch is open: a call that is due is not wanted any more.
     pub(crate) fn watch_opened(&mut self, now: Micros) {
         self.list_came();
-        let waited = now.saturating_sub(self.last_call);
-        self.evidence.watch_opened(now, waited);
+        self.evidence.watch_opened(now);
         self.timer.due = None;
     }
 
--- a/crates/balancer/tests/discovery_queues.rs
+++ b/crates/balancer/tests/discovery_queues.rs
@@ -440,3 +440,50 @@
         );
     }
 }
+
+/// A watch may end in place of telling a change, one after the other. Instances whose calls had been answered late took that for a
+/// discovery that dies of its callers, called 7.6 to 13.7 s later, and sent to servers that had begun to drain:
+///
+/// ```text
+/// 13.823 configuration read again: discovery is at 127.12.0.1:8501
+/// 19.104 discovery at 127.12.0.1:8501: error reading a body from connection, after 4879 ms; list is 878 ms old
+/// 19.104 next call to discovery in 13665 ms
+/// ```
+#[test]
+fn watches_that_end_one_after_the_other_put_no_call_off() {
+    let known = servers(4);
+    for (group_size, ordinal) in [(6, 3), (60, 7), (300, 99), (900, 400)] {
+        let settings = Settings {
+            group_size,
+            ..settings(&[Effect::Safe])
+        };
+        let bound = settings.rules.ask_anew();
+        let mut rig = common::Rig::seeded(settings, 7, &known);
+        rig.balancer.set_ordinal(ordinal);
+        for _ in 0..10 {
+            rig.event(Event::Timer(Timer::Discovery));
+            rig.now += 3 * S;
+            rig.event(Event::Members(Members::Watching));
+            rig.event(Event::Members(Members::Full(&known)));
+            rig.now += 3 * S;
+            rig.actions.clear();
+            let since = rig.now;
+            rig.event(Event::Members(Members::Failed {
+                since,
+                waited: 0,
+                broken_off: false,
+            }));
+            let due = rig.actions.iter().find_map(|action| match action {
+                Action::SetTimer { at, .. } => Some(*at),
+                _ => None,
+            });
+            let due = due.expect("another call is due");
+            assert!(
+                due <= since + bound,
+                "{group_size} instances: {} us from the last word to the call",
+                due - since
+            );
+            rig.now = due;
+        }
+    }
+}
