--- a/crates/balancer/src/discovery_evidence.rs
+++ b/crates/balancer/src/discovery_evidence.rs
@@ -8,8 +8,8 @@
 //! - A call that waits and is refused behind such failures has found a discovery that is back, and its queue.
 //! - An outage refuses each call after the same time. Waits that differ, or are longer than any time limit, are those of calls
 //!   that are refused when their turn has come. They tell how long the queue is.
-//! - Discovery closes connections in an outage as well. One that closes them again soon after it has let calls in, and
-//!   again soon after that, dies of its callers.
+//! - Discovery closes connections in an outage as well. It dies of its callers where a watch is lost soon after it was opened
+//!   and the call behind it is broken off too, or where calls are let in and broken off behind connections closed at once.
 //! - What waits in vain for longer than an outage is likely to last is taken for a discovery with too many callers.
 
 use crate::interface::Micros;
