Charge fair-queue accounts by CPU time of the thread, not by the wall clock

Callers saw: requests of a pool of the operator file failed with 502 after the process had been stopped for longer than their deadline, though their servers had answered within milliseconds; on a busy machine an account with hardly any work waited. Cause: FairTask charged each poll by the wall clock. A stop of 1.2 s within a poll was charged as 1.2 s of work, which is 6,000 rounds of 200 us. All tasks of the account then waited in the fair queue, and with them the responses that lay in their sockets, until the timers of their requests fired. Change: the time that the thread used on the processor. It stands still while the process is stopped or preempted.

--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -17,6 +17,14 @@
         .saturating_add(Micros::try_from(time.tv_nsec / 1_000).unwrap_or(0))
 }
 
+/// The CPU time that this thread has used.
+pub(super) fn thread_cpu_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
+
 /// The monotonic clock, offset so that it equals Unix time at the start. Unix times from discovery can thus be used without
 /// conversion, and later steps of the wall clock have no effect.
 pub(super) struct Clock {
--- a/crates/sidecar/src/fair_scheduler.rs
+++ b/crates/sidecar/src/fair_scheduler.rs
@@ -1,15 +1,16 @@
 //! Fair scheduling of tasks on the one thread: a task is delayed while its account has used up its share of thread time.
 
+use super::clock::thread_cpu_time;
 use super::process_state::ProcessState;
 use madderloom_routing::turns::{AccountId, Spent, Turns};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Thread time per scheduling round of the account with the highest weight; others get proportionally less.
+/// CPU time of the thread per scheduling round of the account with the highest weight; others get proportionally less.
 const QUANTUM: Duration = Duration::from_micros(200);
 
 /// A task that waits for a later round.
@@ -18,7 +19,8 @@
     released: Cell<bool>,
 }
 
-/// Shares the thread's time among accounts by weight, see [`madderloom_routing::turns`].
+/// Shares the thread's CPU time among accounts by weight, see [`madderloom_routing::turns`]. Time in which the thread did not
+/// run, because the process was stopped or preempted, is charged to no account.
 pub(super) struct Scheduler {
     queue: RefCell<Turns<Rc<Waiter>>>,
     task_waiting: Notify,
@@ -143,11 +145,12 @@
             self.waiter = Some(waiter);
             return Poll::Pending;
         }
-        let started_at = Instant::now();
+        let started_at = thread_cpu_time();
         let result = self.poll_task(context);
         // The poll may have determined another account to charge.
         let account = charged_account(&self.charged).unwrap_or(account);
-        let nanos = u64::try_from(started_at.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let used = thread_cpu_time().saturating_sub(started_at);
+        let nanos = u64::try_from(used.as_nanos()).unwrap_or(u64::MAX);
         account
             .scheduler
             .queue
@@ -161,6 +164,7 @@
 mod tests {
     use super::super::process_state::ResourceTotals;
     use super::*;
+    use std::time::Instant;
 
     /// Runs this many steps that each busy-wait for `cost` and then yield.
     async fn work(steps: usize, cost: Duration, done: Rc<Cell<usize>>) {
@@ -174,6 +178,38 @@
         }
     }
 
+    /// Guards against charging an account for time in which the process was stopped or preempted: its tasks would then wait
+    /// for thousands of rounds while their requests time out.
+    #[test]
+    fn time_in_which_the_thread_does_not_run_is_charged_to_no_account() {
+        const STEPS: usize = 5;
+        const BLOCKED: Duration = Duration::from_millis(20);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let process = ProcessState::new(ResourceTotals::new(64, 0, 1 << 20, 8, None), true);
+            let scheduler = Scheduler::new();
+            tokio::task::spawn_local(Rc::clone(&scheduler).run());
+            let account = Rc::new(scheduler.open_account(1));
+            let charged = Rc::new(ChargedAccount::new(Some(Rc::clone(&account))));
+            let task = FairTask::new(&process, charged, async {
+                for _ in 0..STEPS {
+                    std::thread::sleep(BLOCKED);
+                    tokio::task::yield_now().await;
+                }
+            });
+            tokio::task::spawn_local(task).await.expect("it ends");
+            let total_blocked = BLOCKED * STEPS as u32;
+            assert!(
+                u128::from(account.usage().nanos) < total_blocked.as_nanos() / 10,
+                "{:?}",
+                account.usage()
+            );
+        });
+    }
+
     /// Guards against tasks that are polled in order of arrival, which lets one account starve another. Steps are counted
     /// instead of time, since their duration depends on the load of the machine.
     #[test]
