Handle what has arrived before late timers fire, and charge a stall to no server

Callers saw: 502 for requests that their servers had answered, after the process had been stopped (or had got no processor) for longer than their deadline; then, for seconds, an uneven split between equal servers. Cause: three places took the time of our own stop for the servers'. (1) timers::run fired all timers that had come due although no task had seen what lay in the sockets: a stop within a poll lets the timer task run in the same round, and a stop within epoll_wait ends that call with EINTR before any event (seen in a C program of ten lines: EINTR, then the event). (2) An attempt's duration, overdue times and latencies were read from a clock that ran on. (3) has_expired_unsent compared with the time cached before the stop, so a request could be written behind its deadline. Change: late timers let the runtime check its sockets first (and tasks that the fair queue delays run). stall.rs measures by a heartbeat, only while responses are awaited, how long the loop did not run; attempts subtract it, and the balancer excludes it by one event, EventLoopStalled. Deadlines are not moved. The check before a write reads the clock.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -278,6 +278,7 @@
             Event::RequestBodyStarted(id) => self.request_body_started(id),
             Event::RequestBodyReceived(id) => self.request_body_received(now, id, actions),
             Event::RetriesDisabled(id) => self.disable_retries(id),
+            Event::EventLoopStalled(duration) => self.exclude_stall(now, duration),
             Event::SettingsChanged(change) => self.apply_settings(now, change),
             Event::DegradationChanged(effects) => {
                 self.degradation = effects.clone();
@@ -821,10 +822,12 @@
         // A failed attempt is no sign of queueing: counted as one, it would reject requests that idle servers
         // could serve.
         let last_outcome = request.attempts.last().and_then(|attempt| attempt.outcome);
-        if !matches!(
+        let attempt_failed = matches!(
             last_outcome,
             Some(Outcome::Error | Outcome::Reset | Outcome::ConnectFailed)
-        ) {
+        );
+        // Nor is one that ran out of time while this process stood still.
+        if !attempt_failed && request.stalled == 0 {
             self.classes[request.class].record_latency(now, 1.0);
         }
         self.close_request(id, actions);
@@ -869,7 +872,7 @@
             return;
         };
         attempt.outcome = Some(result.outcome);
-        let (class, work, received_at) = (request.class, request.work, request.received_at);
+        let (class, work, latency) = (request.class, request.work, request.latency(now));
         let (concluded, in_flight) = (request.concluded, request.attempts_in_flight());
         self.record_result(now, class, work, result, actions);
         if result.outcome == Outcome::Ok && !concluded {
@@ -877,7 +880,7 @@
                 &mut self.classes[class],
                 self.settings.classes[class].latency_objective as f64,
             );
-            let latency_ratio = now.saturating_sub(received_at) as f64 / objective;
+            let latency_ratio = latency as f64 / objective;
             // At most 1: a higher ratio would reject all requests of the class.
             state.record_latency(now, latency_ratio.min(1.0));
             state.served.add(now, 1.0);
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -355,6 +355,8 @@
     pub work: f64,
     /// When it arrived, or when its streamed body was complete.
     pub received_at: Micros,
+    /// How much of the time since then this process did not run.
+    pub stalled: Micros,
     /// When the balancer stops waiting for a response.
     pub timeout_at: Micros,
     /// First function of the hash family for the next selection of a server.
@@ -383,6 +385,7 @@
             key,
             work,
             received_at,
+            stalled: 0,
             timeout_at,
             next_hash: 0,
             probed: SmallVec::new(),
@@ -393,6 +396,12 @@
         }
     }
 
+    /// The time since it was received in which this process ran.
+    pub fn latency(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.received_at)
+            .saturating_sub(self.stalled)
+    }
+
     pub fn attempts_in_flight(&self) -> usize {
         self.attempts
             .iter()
@@ -555,6 +564,7 @@
             return;
         };
         (request.received_at, request.timeout_at) = (now, now.saturating_add(timeout));
+        request.stalled = 0;
         let class = &mut self.classes[request.class];
         class.in_flight += 1;
         let due_at = now.saturating_add((OVERDUE_FACTOR * class.tail_latency.value) as Micros);
@@ -572,6 +582,22 @@
         });
     }
 
+    /// This process did not run for `duration` until now. Moves what servers are measured by past it, and excludes it from the
+    /// latency of the requests in flight.
+    pub(crate) fn exclude_stall(&mut self, now: Micros, duration: Micros) {
+        let after_stall = |time: Micros| time.saturating_add(duration).min(now);
+        for server in self.servers.values_mut() {
+            server.last_response = after_stall(server.last_response);
+            for attempt in &mut server.in_flight {
+                attempt.due_at = attempt.due_at.saturating_add(duration);
+                attempt.sent_at = after_stall(attempt.sent_at);
+            }
+        }
+        for request in self.requests.values_mut() {
+            request.stalled = request.stalled.saturating_add(duration);
+        }
+    }
+
     /// The request cannot be sent again.
     pub(crate) fn disable_retries(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/cli/tests/connections/main.rs
+++ b/crates/cli/tests/connections/main.rs
@@ -17,6 +17,7 @@
 mod ends;
 mod idle;
 mod servers;
+mod stops;
 
 use rig::{Conn, PATIENCE};
 use stand_ins::*;
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -279,6 +279,8 @@
                 self.asking = false;
                 actions.push(Action::PollDiscovery);
             }
+            // Virtual time does not stall.
+            Event::EventLoopStalled(_) => {}
             // Rivals know no levels: the check lets no arm of theirs have any.
             Event::DegradationChanged(_) | Event::SettingsChanged(_) => {}
             // The lab's bodies are whole when they come.
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -8,6 +8,7 @@
 use super::readiness;
 use super::response_body::{ResponseBody, StreamedResponseBody};
 use super::service::Service;
+use super::stall::AwaitedResponse;
 use super::state_writer::{IdempotencyRecord, WriteBarrier};
 use super::transaction::FinalResponse;
 use super::upload::{self, BodyLength, RequestBody};
@@ -102,8 +103,8 @@
     pub(super) class: u32,
     /// The client's estimate of the work, in microseconds.
     pub(super) cost_hint: Option<Micros>,
-    /// When the attempt started; after a streamed request body, when its last byte was written.
-    pub(super) sent_at: Cell<Micros>,
+    /// The wait for the response, since the attempt started; after a streamed request body, since its last byte was written.
+    pub(super) wait: AwaitedResponse,
     /// When the attempt times out. With a streamed request body, its time limit starts over with the last byte.
     pub(super) timeout_at: Micros,
     /// From this time on the last byte of the request must not be written.
@@ -118,7 +119,7 @@
     /// connection was established. The request is not written then, so the client can be told that it was not executed.
     /// The time limit of a streamed body starts with its last byte.
     fn has_expired_unsent(&self, forwarded: &ForwardedRequest) -> bool {
-        forwarded.body.streamed().is_none() && self.service.process.clock.now() >= self.timeout_at
+        forwarded.body.streamed().is_none() && self.service.process.clock.read() >= self.timeout_at
     }
 
     /// Reports the outcome to the service and the balancer, unless one was reported before.
@@ -136,14 +137,14 @@
             attempt: self.number,
             server: self.server,
             outcome,
-            elapsed: now.saturating_sub(self.sent_at.get()),
+            elapsed: self.wait.elapsed(now),
             request_ended: self.transaction_ended.get(),
         };
         let ended = EndedAttempt {
             result: closed,
             class: self.class,
             cost_hint: self.cost_hint,
-            sent_at: self.sent_at.get(),
+            sent_at: self.wait.since(),
         };
         self.service.record_attempt_end(now, &ended);
         self.service.handle(now, Event::AttemptEnded(closed));
@@ -176,7 +177,7 @@
             });
         }
         // The time of the disk write does not count as the server's.
-        attempt.sent_at.set(attempt.service.process.clock.now());
+        attempt.wait.restart(attempt.service.process.clock.now());
     }
     let (outcome, response) = {
         let progress = SendProgress::default();
@@ -187,7 +188,7 @@
             None if progress.complete.get() => {
                 service
                     .connections
-                    .drop_idle_if_silent(attempt.server, attempt.sent_at.get());
+                    .drop_idle_if_silent(attempt.server, attempt.wait.since());
                 (Outcome::Timeout, None)
             }
             // The request was not completely written and never will be, so it cannot have run.
@@ -208,7 +209,7 @@
     let Some(streamed) = forwarded.body.streamed() else {
         return process.timeout_at(attempt.timeout_at, exchange).await;
     };
-    let time_limit = attempt.timeout_at.saturating_sub(attempt.sent_at.get());
+    let time_limit = attempt.timeout_at.saturating_sub(attempt.wait.since());
     let mut exchange = pin!(exchange);
     let mut timer = None;
     poll_fn(|context| {
@@ -251,7 +252,7 @@
     };
     let left_ms = attempt
         .timeout_at
-        .saturating_sub(attempt.sent_at.get())
+        .saturating_sub(attempt.wait.since())
         .div_ceil(1_000);
     // A request that may have run must not run twice. If the connection breaks before the last byte, it has not run.
     let delays_last_byte = forwarded.non_idempotent
@@ -459,7 +460,7 @@
         let now = service.process.clock.now();
         progress.complete.set(true);
         streamed.completed_at.set(Some(now));
-        attempt.sent_at.set(now);
+        attempt.wait.restart(now);
         service.handle(now, Event::RequestBodyReceived(attempt.request));
     } else {
         streamed.return_remainder(reader);
--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -66,6 +66,15 @@
         now
     }
 
+    /// The time as the clock reads now, also within [`Clock::with_cached_time`], where it replaces the cached time. For checks
+    /// right before what must not happen late: the process may have been stopped since the clock was last read.
+    pub(super) fn read(&self) -> Micros {
+        if !matches!(self.cache.get(), CachedTime::Disabled) {
+            self.cache.set(CachedTime::Unread);
+        }
+        self.now()
+    }
+
     /// Runs one poll of a task, in which the clock is read once.
     pub(super) fn with_cached_time<T>(&self, work: impl FnOnce() -> T) -> T {
         let outer = self.cache.replace(CachedTime::Unread);
--- a/crates/sidecar/src/fair_scheduler.rs
+++ b/crates/sidecar/src/fair_scheduler.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether any task waits for a later round.
+    pub(super) fn has_delayed_tasks(&self) -> bool {
+        self.queue.borrow().is_waiting()
+    }
+
     /// Starts rounds while any task waits, each after all tasks that are ready to run.
     pub(super) async fn run(self: Rc<Self>) {
         let mut released = Vec::new();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -50,6 +50,7 @@
 mod routing;
 mod service;
 mod shared_lists;
+mod stall;
 mod state_writer;
 mod supervision;
 mod timers;
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -101,6 +101,8 @@
     actions: Cell<Vec<Action>>,
     /// Whether actions of the balancer are being carried out.
     handling: Cell<bool>,
+    /// Duration of the stalls of the event loop that the balancer was notified of.
+    stalls_reported: Cell<Micros>,
     /// The traffic shares of its servers as last logged.
     traffic_shares: RefCell<TrafficShares>,
 }
@@ -170,6 +172,7 @@
             history_recorder: RefCell::default(),
             actions: Cell::default(),
             handling: Cell::new(false),
+            stalls_reported: Cell::new(0),
             traffic_shares: RefCell::default(),
             process: Rc::clone(process),
             name,
@@ -395,6 +398,7 @@
         {
             controller.attempt_ended(now, result);
         }
+        let stalled = self.unreported_stall(now);
         event_log::event(self, now, &event);
         let nested = self.handling.replace(true);
         debug_assert!(
@@ -402,6 +406,10 @@
             "an event reaches the balancer while its actions are being carried out"
         );
         let mut actions = self.actions.take();
+        if let Some(duration) = stalled {
+            let event = Event::EventLoopStalled(duration);
+            self.balancer.borrow_mut().handle(now, event, &mut actions);
+        }
         self.balancer.borrow_mut().handle(now, event, &mut actions);
         for action in actions.drain(..) {
             event_log::action(now, &action);
@@ -411,6 +419,19 @@
         self.handling.set(nested);
     }
 
+    /// Duration of the stalls of the event loop since the balancer was last notified of one.
+    fn unreported_stall(&self, now: Micros) -> Option<Micros> {
+        let (total, reported) = (
+            self.process.timers.stalls.stalled_until(now),
+            self.stalls_reported.get(),
+        );
+        let duration = total
+            .checked_sub(reported)
+            .filter(|duration| *duration > 0)?;
+        self.stalls_reported.set(total);
+        Some(duration)
+    }
+
     /// Calls `record` with the history recorder, where history is enabled.
     pub(super) fn record_history(&self, record: impl FnOnce(&mut HistoryRecorder)) {
         if let Some(recorder) = self.history_recorder.borrow_mut().as_mut() {
--- a/crates/sidecar/src/timers.rs
+++ b/crates/sidecar/src/timers.rs
@@ -4,6 +4,7 @@
 use super::clock::Clock;
 use super::process_state::ProcessState;
 use super::service::Service;
+use super::stall::StallDetector;
 use madderloom_balancer::{Event, Micros, Timer};
 use madderloom_timer_wheel::{Poll as WheelPoll, TimerKey, Wheel};
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,12 @@
 /// same time. Otherwise it would cancel an attempt that has in fact timed out.
 const BALANCER_TIMER_DELAY: Micros = 1_000;
 
+/// If timers are later than this, the sockets may hold data that arrived before the timers were due and that no task has seen.
+const MAX_UNCHECKED_DELAY: Micros = 10_000;
+
+/// For at most this long, late timers wait for tasks that the fair scheduler delays.
+const MAX_FAIR_QUEUE_WAIT: Micros = 50_000;
+
 /// What a timer wakes or notifies when it fires.
 enum TimerTarget {
     Task(Waker),
@@ -29,6 +36,7 @@
 /// The timers of the process.
 pub(super) struct Timers {
     wheel: RefCell<Wheel<TimerTarget>>,
+    pub(super) stalls: StallDetector,
     /// The time until which the timer task sleeps.
     wake_at: Cell<Micros>,
     /// Notified when a timer is set for an earlier time than that.
@@ -50,6 +58,7 @@
     pub(super) fn new(clock: &Clock) -> Self {
         Timers {
             wheel: RefCell::new(Wheel::new(clock.now())),
+            stalls: StallDetector::default(),
             wake_at: Cell::new(0),
             earlier_timer_set: Notify::new(),
             fired: Cell::new(0),
@@ -58,11 +67,35 @@
     }
 
     fn set(&self, at: Micros, target: TimerTarget) -> TimerKey {
+        self.wake_by(at);
+        self.wheel.borrow_mut().set(at, target)
+    }
+
+    /// Makes the timer task run at this time at the latest.
+    fn wake_by(&self, at: Micros) {
         if at < self.wake_at.get() {
             self.wake_at.set(at);
             self.earlier_timer_set.notify_one();
         }
-        self.wheel.borrow_mut().set(at, target)
+    }
+
+    /// Makes the timer task run when the next heartbeat is due.
+    pub(super) fn wake_for_heartbeat(&self) {
+        if let Some(due) = self.stalls.heartbeat_due() {
+            self.wake_by(due);
+        }
+    }
+
+    /// Whether timers are so late that the process may have been stopped since it last checked its sockets.
+    fn is_late(&self, now: Micros) -> bool {
+        let first_due = self.wheel.borrow().next_expiry();
+        first_due.is_some_and(|due| now.saturating_sub(due) > MAX_UNCHECKED_DELAY)
+    }
+
+    /// When the timer task has to run next.
+    fn next_run(&self) -> Option<Micros> {
+        let expiry = self.wheel.borrow().next_expiry();
+        expiry.into_iter().chain(self.stalls.heartbeat_due()).min()
     }
 
     /// Sets a timer of a service's balancer.
@@ -101,6 +134,10 @@
     let timers = &process.timers;
     loop {
         let mut now = process.clock.now();
+        timers.stalls.heartbeat(now);
+        if timers.is_late(now) {
+            process.handle_arrived_data(now).await;
+        }
         let mut budget = TIMER_BUDGET;
         let mut task_woken = false;
         let budget_exhausted = loop {
@@ -136,7 +173,7 @@
             tokio::task::yield_now().await;
             continue;
         }
-        let next = timers.wheel.borrow().next_expiry();
+        let next = timers.next_run();
         timers.wake_at.set(next.unwrap_or(Micros::MAX));
         match next {
             Some(at) => tokio::select! {
@@ -186,6 +223,23 @@
 }
 
 impl ProcessState {
+    /// Before timers fire that were due long before `now`: handles what has arrived meanwhile, since the process may have been
+    /// stopped with responses in its sockets. The yield lets the runtime check the sockets, and the tasks that it wakes run
+    /// first, unless the fair scheduler delays them.
+    async fn handle_arrived_data(&self, now: Micros) {
+        tokio::task::yield_now().await;
+        let wait_until = now.saturating_add(MAX_FAIR_QUEUE_WAIT);
+        while self.has_delayed_tasks() && self.clock.now() < wait_until {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn has_delayed_tasks(&self) -> bool {
+        self.scheduler
+            .as_ref()
+            .is_some_and(|scheduler| scheduler.has_delayed_tasks())
+    }
+
     /// Completes at a time.
     pub(super) fn sleep_until(&self, at: Micros) -> Sleep<'_> {
         Sleep {
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -3,6 +3,7 @@
 use super::attempt::{self, Attempt, ForwardedRequest};
 use super::response_body::ResponseBody;
 use super::service::Service;
+use super::stall::{AwaitedResponse, LoopInstant};
 use super::timers::Timers;
 use hyper::Response;
 use madderloom_balancer::{Event, Micros, NewRequest, RequestId, ServerId};
@@ -101,7 +102,7 @@
     /// The server of the latest attempt.
     last_server: Option<ServerId>,
     class: usize,
-    started_at: Micros,
+    started_at: LoopInstant,
     latency_objective: Micros,
     /// The active degradation level has shed the request.
     shed: bool,
@@ -169,7 +170,7 @@
             service: Rc::clone(service),
             id: new_request.id,
             class: new_request.class as usize,
-            started_at: now,
+            started_at: service.process.timers.stalls.instant(now),
             latency_objective: service.latency_objective(new_request),
             shed: false,
             cost_hint: new_request.cost_hint,
@@ -197,7 +198,7 @@
             server,
             class: self.class as u32,
             cost_hint: self.cost_hint,
-            sent_at: Cell::new(sent_at),
+            wait: AwaitedResponse::start(&self.service.process),
             timeout_at,
             write_by,
             transaction_ended: Rc::clone(&self.ended),
@@ -266,7 +267,13 @@
     fn report_end(&self, request_end: impl Fn(Micros) -> Option<RequestEnd>) {
         if let Some(levels) = self.service.level_controller.borrow_mut().as_mut() {
             let now = self.service.process.clock.now();
-            if let Some(end) = request_end(now.saturating_sub(self.started_at)) {
+            let elapsed = self
+                .service
+                .process
+                .timers
+                .stalls
+                .elapsed(self.started_at, now);
+            if let Some(end) = request_end(elapsed) {
                 levels.request_ended(now, self.class, end);
             }
         }
