Give up no call whose response arrived while the process was stopped

Callers saw: a sidecar that went on after a stop gave up a discovery call, or its watch, that had been answered meanwhile, and called again; the same with its agent, and an agent with a handshake or a body. Cause: tokio's timeout polls the call and then its timer. A stop ends epoll_wait with EINTR, so timers fire before the sockets are checked, and the task of the HTTP connection, which reads the response, runs behind the call that waits for it. Change: watchdog::timeout yields once the limit has passed, so that sockets are checked and their tasks run, and polls again. Test: what_arrived_during_a_stop_is_in_time stops its own process for 0.4 s while the response comes.

--- a/crates/agent/src/client/endpoint.rs
+++ b/crates/agent/src/client/endpoint.rs
@@ -7,14 +7,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use madderloom_pki::Keyring;
-use madderloom_watchdog::{self as watchdog, TaskKind};
+use madderloom_watchdog::{self as watchdog, TaskKind, timeout};
 use rustls::pki_types::ServerName;
 use std::error::Error;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use tokio_rustls::TlsConnector;
 
 /// The time limit of opening a connection, TLS handshake included. No measurement behind it: long enough for a busy
--- a/crates/agent/src/client/mod.rs
+++ b/crates/agent/src/client/mod.rs
@@ -5,6 +5,7 @@
 mod lines;
 
 pub use error::ClientError;
+use madderloom_watchdog::timeout;
 
 use crate::dial::Dialer;
 use bytes::Bytes;
@@ -22,7 +23,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Mutex;
-use tokio::time::timeout;
 
 /// The time limit of the head of a response, and again of its body. No measurement behind it: an agent that is busy with
 /// thousands of registrations may take seconds.
--- a/crates/agent/src/http/request.rs
+++ b/crates/agent/src/http/request.rs
@@ -6,9 +6,9 @@
 use hyper::{Method, Request, StatusCode};
 use madderloom_control_plane::protocol::ToAgent;
 use madderloom_pki::Permission;
+use madderloom_watchdog::timeout;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// The time limit of the body of a request. No measurement behind it.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/agent/src/server/listener.rs
+++ b/crates/agent/src/server/listener.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use madderloom_pki::{KeyFiles, Keyring, PresentedCertificate, Role, describe_handshake_error};
-use madderloom_watchdog::{self as watchdog, TaskKind};
+use madderloom_watchdog::{self as watchdog, TaskKind, timeout};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::server::TlsStream;
 
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -272,7 +272,7 @@
     let connection = builder.serve_connection(TokioIo::new(monitored), service);
     tokio::pin!(connection);
     // A follower stays connected while it reads; other connections end at the timeout.
-    while tokio::time::timeout(REQUEST_TIMEOUT, connection.as_mut())
+    while madderloom_watchdog::timeout(REQUEST_TIMEOUT, connection.as_mut())
         .await
         .is_err()
     {
@@ -520,7 +520,7 @@
             _ = connection.as_mut() => response.await,
         }
     };
-    let result = tokio::time::timeout(REQUEST_TIMEOUT, exchange)
+    let result = madderloom_watchdog::timeout(REQUEST_TIMEOUT, exchange)
         .await
         .unwrap_or_else(|_| Err("does not answer".to_string()));
     result.map_err(|problem| format!("{address}: {problem}"))
@@ -575,7 +575,7 @@
             ControlFlow::Continue(())
         }
     });
-    let result = tokio::time::timeout(REQUEST_TIMEOUT, reading).await;
+    let result = madderloom_watchdog::timeout(REQUEST_TIMEOUT, reading).await;
     result.unwrap_or_else(|_| Err(FetchError::Problem(format!("{address}: does not answer"))))?;
     Ok(body.freeze())
 }
--- a/crates/sidecar/src/discovery_watch.rs
+++ b/crates/sidecar/src/discovery_watch.rs
@@ -13,13 +13,11 @@
 use hyper_util::rt::TokioIo;
 use madderloom_balancer::{DiscoveryUpdate, Event, Micros};
 use madderloom_endpoint_sharing::first_discovery_wait;
-use madderloom_watchdog::{self as watchdog, TaskKind};
+use madderloom_watchdog::{self as watchdog, Elapsed, TaskKind, timeout};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::error::Elapsed;
-use tokio::time::timeout;
 
 /// A watch that sends nothing for this long, not even a heartbeat, is closed and opened again. Discovery sends heartbeats every
 /// 2 s; an instance is assumed to know a change after 6 s, whether or not the update has arrived.
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -240,7 +240,7 @@
             }
         };
         tokio::pin!(idle);
-        let drained = tokio::time::timeout(drain, idle.as_mut()).await;
+        let drained = madderloom_watchdog::timeout(drain, idle.as_mut()).await;
         pool::drain_servers(&self);
         if drained.is_err() {
             idle.await;
--- a/crates/sidecar/src/state_writer/mod.rs
+++ b/crates/sidecar/src/state_writer/mod.rs
@@ -225,7 +225,7 @@
             // The receiver may be gone.
             let _ = sender.send(written);
         })?;
-        match tokio::time::timeout(WRITE_TIMEOUT, written).await {
+        match madderloom_watchdog::timeout(WRITE_TIMEOUT, written).await {
             Ok(written) => written.unwrap_or(Err(Error::Closed)),
             Err(_) => Err(Error::Busy),
         }
--- a/crates/watchdog/src/lib.rs
+++ b/crates/watchdog/src/lib.rs
@@ -17,16 +17,20 @@
 //! *busy*. One that hardly used it is *stalled*: the process was stopped, got no CPU time, or a call blocked. The two are
 //! logged and counted separately, so that a stopped process is not mistaken for one that loops.
 //!
+//! [`timeout`] does not give up what arrived while the process was stopped.
+//!
 //! The watchdog belongs to the thread that called [`start`]. On a thread without one, [`spawn`] and [`watch`] add nothing.
 
 mod monitor;
 mod report;
 mod task;
+mod timeout;
 mod watcher;
 
 pub use monitor::LongPollCounts;
 pub use report::Cause;
 pub use task::{Task, TaskKind};
+pub use timeout::{Elapsed, timeout};
 
 use monitor::Monitor;
 use std::cell::RefCell;
