Do not let rates decay while the process stands still; a burst behind a stop is served

Test: a_burst_behind_a_stop_with_requests_in_flight_is_served, all of 20 in three rounds; red on the program as found.

--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -80,6 +80,13 @@
         self.sum * (-(now.saturating_sub(self.updated_at) as f64) / self.time_constant).exp()
     }
 
+    /// The sum does not decay over the `duration` until now.
+    pub fn skip(&mut self, now: Micros, duration: Micros) {
+        let after = |time: Micros| time.saturating_add(duration).min(now);
+        self.updated_at = after(self.updated_at);
+        self.first_added_at = self.first_added_at.map(after);
+    }
+
     /// Amount added per microsecond; infinite until it is known. A sum younger than its time constant covers only its own
     /// age: otherwise every service would appear to serve little after a start.
     pub fn rate_at(&self, now: Micros) -> f64 {
@@ -583,7 +590,7 @@
     }
 
     /// This process did not run for `duration` until now. Moves what servers are measured by past it, and excludes it from the
-    /// latency of the requests in flight.
+    /// latency of the requests in flight and from the rates of what arrives and is served.
     pub(crate) fn exclude_stall(&mut self, now: Micros, duration: Micros) {
         let after_stall = |time: Micros| time.saturating_add(duration).min(now);
         for server in self.servers.values_mut() {
@@ -596,6 +603,15 @@
         for request in self.requests.values_mut() {
             request.stalled = request.stalled.saturating_add(duration);
         }
+        for class in &mut self.classes {
+            class.served.skip(now, duration);
+            class.arrived_work.skip(now, duration);
+        }
+        for rate in &mut self.tenant_arrivals {
+            rate.skip(now, duration);
+        }
+        self.arrivals.skip(now, duration);
+        self.served_work.skip(now, duration);
     }
 
     /// The request cannot be sent again.
--- a/crates/cli/tests/connections/idle.rs
+++ b/crates/cli/tests/connections/idle.rs
@@ -6,7 +6,7 @@
 const IDLE: usize = 1_000;
 
 /// All of these answers, at once: nobody waits for another's.
-fn ask_all(conns: &mut [Conn]) -> Vec<u16> {
+pub fn ask_all(conns: &mut [Conn]) -> Vec<u16> {
     for conn in conns.iter_mut() {
         let (_, head) = submit("papers", 5);
         conn.write(head + "paper");
--- a/crates/cli/tests/connections/stops.rs
+++ b/crates/cli/tests/connections/stops.rs
@@ -139,3 +139,35 @@
         .collect();
     assert!(far.is_empty(), "shares moved: {far:?}");
 }
+
+/// Guards against taking the time of a stop for latency: the requests that were in flight then looked as if the class were
+/// overloaded, and whole bursts behind the stop were refused.
+#[test]
+fn a_burst_behind_a_stop_with_requests_in_flight_is_served() {
+    const IN_FLIGHT: Duration = Duration::from_millis(100);
+    const STOP: Duration = Duration::from_millis(2_500);
+    const ROUNDS: usize = 3;
+    let server = StandIn::new("s", Manner::Serves);
+    let process = process("", &[&server], "");
+    let mut conns: Vec<Conn> = (0..CLIENTS).map(|_| connect(process.at("in"))).collect();
+    for _ in 0..ROUNDS {
+        assert!(idle::ask_all(&mut conns).contains(&200));
+        server.turn_to(Manner::ServesLate(2 * IN_FLIGHT));
+        let asked = std::thread::spawn(move || (idle::ask_all(&mut conns), conns));
+        std::thread::sleep(IN_FLIGHT);
+        process.signal("STOP");
+        std::thread::sleep(STOP);
+        process.signal("CONT");
+        let (answers, asked) = asked.join().expect("no panic");
+        assert!(
+            answers.iter().all(|status| [200, 503].contains(status)),
+            "{answers:?}"
+        );
+        conns = asked;
+        server.turn_to(Manner::Serves);
+        let behind = idle::ask_all(&mut conns);
+        let served = behind.iter().filter(|status| **status == 200).count();
+        eprintln!("in flight: {answers:?}; behind: {served} of {CLIENTS} served");
+        assert_eq!(served, CLIENTS, "served behind the stop");
+    }
+}
