Wait for a descriptor of a listener at the start instead of ending

Callers saw: a process that never served: one call of `socket` that failed for a moment (ENFILE, EMFILE, ENOBUFS) in its first second ended it, where 30 s are allowed for being ready. Cause: the start took each error of a listener's socket as final. Change: at the start, and only there, listening is tried again for up to 10 s while the system has no descriptor or memory for the socket, with one warning at the first failure and the count at the end. A reload fails as before and leaves all as it was. Test: a_start_waits_for_a_descriptor_of_its_listener lets the process start with too few descriptors and then raises its limit; it failed before, since the process ended. Not covered: accept4 that fails one in thirty is still logged each time.

--- a/crates/cli/tests/alone/main.rs
+++ b/crates/cli/tests/alone/main.rs
@@ -10,4 +10,5 @@
 
 mod border;
 mod log;
+mod start_without_descriptors;
 mod writes;
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -25,6 +25,8 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::fs::Permissions;
+use std::io;
+use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
@@ -85,11 +87,14 @@
 
 impl AdminSocket {
     /// Binds the socket. Replaces the file of a Unix socket on which no process listens any more.
-    pub(super) fn bind(address: &Admin) -> Result<Self, String> {
+    pub(super) fn bind(
+        address: &Admin,
+        bind_tcp: fn(SocketAddr) -> io::Result<TcpListener>,
+    ) -> Result<Self, String> {
         let io_error = |e: std::io::Error| format!("admin: {address}: {e}");
         let listener = match address {
             Admin::Listen(socket_address) => {
-                Listener::Tcp(super::listener::bind(*socket_address).map_err(io_error)?)
+                Listener::Tcp(bind_tcp(*socket_address).map_err(io_error)?)
             }
             Admin::Socket(path) => {
                 let is_socket =
--- a/crates/sidecar/src/control_address.rs
+++ b/crates/sidecar/src/control_address.rs
@@ -29,7 +29,7 @@
 
 /// Binds the control address.
 pub(super) fn bind(at: SocketAddr) -> Result<TcpListener, String> {
-    super::listener::bind(at).map_err(|e| format!("RELAY_CONTROL: {at}: {e}"))
+    super::listener::bind_at_start(at).map_err(|e| format!("RELAY_CONTROL: {at}: {e}"))
 }
 
 /// Answers callers until the process ends.
--- a/crates/sidecar/src/discovery_watch.rs
+++ b/crates/sidecar/src/discovery_watch.rs
@@ -181,9 +181,11 @@
 /// Logs that discovery is called, and why the call was not left to another instance of the fleet.
 fn log_call(service: &Service, is_delayed: bool) {
     let log_prefix = &service.log_prefix;
-    let evidence_age = service.process.shared_lists.evidence_age(&service.name);
+    let shared_lists = &service.process.shared_lists;
+    let waited_for_fleet = is_delayed && shared_lists.shares(&service.name);
+    let evidence_age = shared_lists.evidence_age(&service.name);
     match evidence_age.map(|age| age / MICROS_PER_MILLISECOND) {
-        _ if !is_delayed => tracing::info!("{log_prefix}calling discovery: a call is due"),
+        _ if !waited_for_fleet => tracing::info!("{log_prefix}calling discovery: a call is due"),
         Some(age_ms) => tracing::info!(
             age_ms,
             "{log_prefix}calling discovery: the fleet last confirmed the list {age_ms} ms ago"
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -15,7 +15,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, watch};
 
@@ -25,6 +25,11 @@
 pub(super) const CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(650);
 /// Interval at which a listener on a shared socket checks whether it can serve yet, and the first delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Micros = 10_000;
+/// How long the start of the process waits for the system to have room for a socket. A third of what it may take until the
+/// process is ready.
+const MAX_START_DELAY: Duration = Duration::from_secs(10);
+/// Delay between two attempts to listen.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The longest delay between accepts that fail repeatedly.
 const MAX_ACCEPT_RETRY_DELAY: Micros = 1_000_000;
 /// Connections that the kernel queues until they are accepted.
@@ -114,6 +119,35 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
+/// Like [`bind`], for the start of the process: while the system has no descriptor or memory for the socket, tries again for up
+/// to [`MAX_START_DELAY`]. This blocks the thread, which has nothing else to do yet.
+///
+/// # Errors
+/// The socket cannot be bound, or the system had no room for it in all that time.
+pub(super) fn bind_at_start(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let started_at = Instant::now();
+    let mut failures: u32 = 0;
+    loop {
+        match bind(address) {
+            Err(error)
+                if is_resource_exhaustion(&error) && started_at.elapsed() < MAX_START_DELAY =>
+            {
+                if failures == 0 {
+                    tracing::warn!(%address, %error, "cannot listen on {address} yet: {error}; trying again");
+                }
+                failures += 1;
+                std::thread::sleep(BIND_RETRY_DELAY);
+            }
+            result => {
+                if failures > 0 {
+                    tracing::info!(%address, failures, "listening on {address} failed {failures} times before");
+                }
+                return result;
+            }
+        }
+    }
+}
+
 /// Half of the connections that a listener may hold. Without an operator file only the count of the whole process matters.
 fn congestion_threshold_of(limits: Option<ResourceLimits>, shares: ResourceShares) -> usize {
     let half = usize::try_from(shares.connections.most / 2).unwrap_or(usize::MAX);
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -4,7 +4,7 @@
 use super::admin_events::MAX_FOLLOWERS;
 use super::agent_link::AgentLink;
 use super::config::{Config, ConfigKeys, descriptor_limit};
-use super::listener::{BoundSocket, Listener, ListenerSettings, bind};
+use super::listener::{BoundSocket, Listener, ListenerSettings, bind_at_start};
 use super::ordinal::ordinal_in_name;
 use super::process_state::{ProcessState, ResourceTotals};
 use super::routing::Routing;
@@ -321,7 +321,7 @@
         Some(socket) => {
             TcpListener::from_std(socket).map_err(|e| format!("RELAY_ACCEPT_FD: {e}"))?
         }
-        None => bind(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?,
+        None => bind_at_start(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?,
     };
     let routing = Routing::SingleService(Rc::clone(&service));
     let limits = (None, shares(shared_limits.client_connections.total()));
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -4,7 +4,7 @@
 use super::config::Config;
 use super::counts::increment;
 use super::discovery_watch;
-use super::listener::{BoundSocket, Listener, ListenerSettings, bind};
+use super::listener::{BoundSocket, Listener, ListenerSettings, bind, bind_at_start};
 use super::ordinal::ordinal_in_name;
 use super::pool::ListUpdate;
 use super::process::{Sidecar, resource_totals};
@@ -114,6 +114,9 @@
 
     /// Does everything that may fail: binds the sockets that the file adds.
     fn prepare(&self, operator: &OperatorConfig) -> Result<Prepared, String> {
+        // A reload that fails leaves everything as it was; a start that fails ends the process.
+        let is_start = self.process.operator_files_applied.get() == 0;
+        let bind = if is_start { bind_at_start } else { bind };
         let mut sockets = Vec::new();
         let reusable = self.reusable_listeners(operator);
         for (index, listener) in operator
@@ -139,7 +142,7 @@
                 operator
                     .admin
                     .as_ref()
-                    .map(admin::AdminSocket::bind)
+                    .map(|address| admin::AdminSocket::bind(address, bind))
                     .transpose()?,
             )
         };
