Log accepts that fail at first and then once a minute with their count

Operators saw: 145 lines in 15 s where accept4 fails one in thirty. Cause: each failure was logged by itself; the limit of the log is 20 a second. Change: AcceptErrors handles them: the first is logged, and then one a minute with the number between. Test: failures_are_logged_at_first_and_then_once_a_minute_with_their_count. The 145 lines were not played again.

--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -82,9 +82,10 @@
 
     /// The sum does not decay over the `duration` until now.
     pub fn skip(&mut self, now: Micros, duration: Micros) {
-        let after = |time: Micros| time.saturating_add(duration).min(now);
-        self.updated_at = after(self.updated_at);
-        self.first_added_at = self.first_added_at.map(after);
+        self.updated_at = self.updated_at.saturating_add(duration).min(now);
+        if let Some(first_added_at) = &mut self.first_added_at {
+            *first_added_at = first_added_at.saturating_add(duration).min(now);
+        }
     }
 
     /// Amount added per microsecond; infinite until it is known. A sum younger than its time constant covers only its own
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -4,7 +4,7 @@
 use super::connections::is_resource_exhaustion;
 use super::counts::OutcomeCounts;
 use super::fair_scheduler::{self, ChargedAccount, FairTask, SchedulerAccount};
-use super::limits::{LimitShare, RequestLimits};
+use super::limits::{LimitShare, RequestLimits, Reservation};
 use super::process_state::ProcessState;
 use super::routing::Routing;
 use super::service::{ResourceShares, Service};
@@ -12,11 +12,11 @@
 use madderloom_operator_config::ResourceLimits;
 use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 
 /// How long a draining listener still accepts connections. On a shared socket it stops accepting at once, and keeps its idle
@@ -25,6 +25,8 @@
 pub(super) const CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(650);
 /// Interval at which a listener on a shared socket checks whether it can serve yet, and the first delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Micros = 10_000;
+/// Interval between two log lines about accepts that fail.
+const ACCEPT_FAILURE_LOG_INTERVAL: Micros = 60_000_000;
 /// How long the start of the process waits for the system to have room for a socket. A third of what it may take until the
 /// process is ready.
 const MAX_START_DELAY: Duration = Duration::from_secs(10);
@@ -108,7 +110,7 @@
 ///
 /// # Errors
 /// The socket cannot be bound.
-pub(super) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub(super) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()
     } else {
@@ -124,7 +126,7 @@
 ///
 /// # Errors
 /// The socket cannot be bound, or the system had no room for it in all that time.
-pub(super) fn bind_at_start(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub(super) fn bind_at_start(address: SocketAddr) -> io::Result<TcpListener> {
     let started_at = Instant::now();
     let mut failures: u32 = 0;
     loop {
@@ -154,6 +156,73 @@
     limits.map_or(usize::MAX, |_| half.max(1))
 }
 
+/// Failures of a listening socket: the first is logged, and then one in each [`ACCEPT_FAILURE_LOG_INTERVAL`] with the number of
+/// those between.
+#[derive(Default)]
+struct AcceptFailures {
+    logged_at: Option<Micros>,
+    unreported: u64,
+}
+
+impl AcceptFailures {
+    /// Records a failure. The number of failures since the last one that was logged, if this one is to be logged.
+    fn record(&mut self, now: Micros) -> Option<u64> {
+        let is_recent = |at: Micros| now.saturating_sub(at) < ACCEPT_FAILURE_LOG_INTERVAL;
+        if self.logged_at.is_some_and(is_recent) {
+            self.unreported += 1;
+            return None;
+        }
+        self.logged_at = Some(now);
+        Some(std::mem::take(&mut self.unreported))
+    }
+}
+
+/// What is done about errors of a listening socket.
+struct AcceptErrors {
+    exhaustions: AcceptFailures,
+    failures: AcceptFailures,
+    /// Delay before the next attempt. It doubles with each failure.
+    retry_delay: Micros,
+}
+
+impl AcceptErrors {
+    fn new() -> Self {
+        AcceptErrors {
+            exhaustions: AcceptFailures::default(),
+            failures: AcceptFailures::default(),
+            retry_delay: ACCEPT_RETRY_DELAY,
+        }
+    }
+
+    /// Handles an error, and waits until the next attempt may be made.
+    async fn handle(&mut self, listener: &Listener, error: &io::Error) {
+        let (process, prefix) = (&listener.process, listener.log_prefix());
+        let now = process.clock.now();
+        if is_resource_exhaustion(error) {
+            if let Some(unreported) = self.exhaustions.record(now) {
+                tracing::warn!(
+                    unreported,
+                    "{prefix}no descriptor for a client: {error}; {unreported} failures before were not logged"
+                );
+            }
+            return process.free_descriptor().await;
+        }
+        // The client disconnected before its connection was accepted.
+        if error.kind() == ErrorKind::ConnectionAborted {
+            return;
+        }
+        if let Some(unreported) = self.failures.record(now) {
+            tracing::warn!(
+                unreported,
+                "{prefix}no client can be taken: {error}; {unreported} failures before were not logged"
+            );
+        }
+        // A socket that fails every time must not monopolize the thread.
+        process.sleep(self.retry_delay).await;
+        self.retry_delay = (2 * self.retry_delay).min(MAX_ACCEPT_RETRY_DELAY);
+    }
+}
+
 impl Listener {
     /// Starts a listener; must be called within a `LocalSet`. Without limits it may use the whole shared capacity.
     pub(super) fn start(
@@ -313,7 +382,7 @@
         while self.shared && !self.process.can_serve() {
             self.process.sleep(ACCEPT_RETRY_DELAY).await;
         }
-        let mut retry_delay = ACCEPT_RETRY_DELAY;
+        let mut errors = AcceptErrors::new();
         loop {
             self.process.enforce_connection_memory(2);
             // For its client, a connection in the backlog is already accepted. So the connection that has been idle for
@@ -337,35 +406,32 @@
             };
             match socket.accept().await {
                 Ok((stream, peer)) => {
-                    retry_delay = ACCEPT_RETRY_DELAY;
-                    let listener = Rc::clone(self);
-                    let charged = Rc::new(ChargedAccount::new(self.account.clone()));
-                    let charged_account = Rc::clone(&charged);
-                    let connection_task = FairTask::new(&self.process, charged, async move {
-                        client::serve(&listener, stream, charged_account).await;
-                        drop(reservation);
-                        listener.connection_ended.notify_one();
-                    });
-                    watchdog::spawn(TaskKind::ClientConnection.for_peer(peer), connection_task);
-                }
-                Err(error) if is_resource_exhaustion(&error) => {
-                    let prefix = self.log_prefix();
-                    tracing::warn!("{prefix}no descriptor for a client: {error}");
-                    self.process.free_descriptor().await;
-                }
-                // The client disconnected before its connection was accepted.
-                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
-                // A socket that fails every time must not monopolize the thread.
-                Err(error) => {
-                    let prefix = self.log_prefix();
-                    tracing::warn!("{prefix}no client can be taken: {error}");
-                    self.process.sleep(retry_delay).await;
-                    retry_delay = (2 * retry_delay).min(MAX_ACCEPT_RETRY_DELAY);
+                    errors.retry_delay = ACCEPT_RETRY_DELAY;
+                    self.spawn_connection(stream, peer, reservation);
                 }
+                Err(error) => errors.handle(self, &error).await,
             }
         }
     }
 
+    /// Serves a client's connection in a task of its own.
+    fn spawn_connection(
+        self: &Rc<Self>,
+        stream: TcpStream,
+        peer: SocketAddr,
+        reservation: Reservation,
+    ) {
+        let listener = Rc::clone(self);
+        let charged = Rc::new(ChargedAccount::new(self.account.clone()));
+        let charged_account = Rc::clone(&charged);
+        let connection_task = FairTask::new(&self.process, charged, async move {
+            client::serve(&listener, stream, charged_account).await;
+            drop(reservation);
+            listener.connection_ended.notify_one();
+        });
+        watchdog::spawn(TaskKind::ClientConnection.for_peer(peer), connection_task);
+    }
+
     /// Whether connections are scarce, so that responses should close theirs: idle keep-alive connections of some clients would
     /// keep others from connecting. That is so above the process's high watermark, unless this listener stays within its
     /// guaranteed connections, and above the listener's own threshold. All clients together hold at most half of the
@@ -386,3 +452,18 @@
         charged.set(fair_scheduler::charged_account(&service.charged));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a log that is filled by a socket that fails now and then.
+    #[test]
+    fn failures_are_logged_at_first_and_then_once_a_minute_with_their_count() {
+        let mut failures = AcceptFailures::default();
+        let logged: Vec<u64> = (0..300)
+            .filter_map(|second| failures.record(second * 500_000))
+            .collect();
+        assert_eq!(logged, [0, 119, 119]);
+    }
+}
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -138,7 +138,6 @@
             ..
         } = spec;
         let counts = ServiceCounts::default();
-        let charged = Rc::new(ChargedAccount::new(process.account(limits.weight)));
         let shared_limits = &process.shared_limits;
         let slots = shared_limits.server_connections.join(shares.connections);
         let service = Rc::new(Service {
@@ -162,7 +161,7 @@
                 shared_limits.body_bytes_by_pool.join(shares.body_bytes),
                 limits.rate,
             ),
-            charged,
+            charged: Rc::new(ChargedAccount::new(process.account(limits.weight))),
             counts,
             persistence: Cell::new(persistence),
             warm_start: RefCell::default(),
