--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -826,7 +826,7 @@
             last_outcome,
             Some(Outcome::Error | Outcome::Reset | Outcome::ConnectFailed)
         );
-        // Nor is one that ran out of time while this process stood still.
+        // Nor is one that timed out while this process did not run.
         if !attempt_failed && request.stalled == 0 {
             self.classes[request.class].record_latency(now, 1.0);
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -9,6 +9,11 @@
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap};
 
+/// A time, moved past a stall that lasted `duration` until now. Time since then does not include the stall.
+fn after_stall(time: Micros, now: Micros, duration: Micros) -> Micros {
+    time.saturating_add(duration).min(now)
+}
+
 /// Streaming estimate of a quantile. Each sample moves it by a relative step; the step shrinks as samples arrive.
 #[derive(Clone, Copy)]
 pub(crate) struct QuantileEstimate {
@@ -82,10 +87,10 @@
 
     /// The sum does not decay over the `duration` until now.
     pub fn skip(&mut self, now: Micros, duration: Micros) {
-        self.updated_at = self.updated_at.saturating_add(duration).min(now);
-        if let Some(first_added_at) = &mut self.first_added_at {
-            *first_added_at = first_added_at.saturating_add(duration).min(now);
-        }
+        self.updated_at = after_stall(self.updated_at, now, duration);
+        self.first_added_at = self
+            .first_added_at
+            .map(|time| after_stall(time, now, duration));
     }
 
     /// Amount added per microsecond; infinite until it is known. A sum younger than its time constant covers only its own
@@ -593,12 +598,11 @@
     /// This process did not run for `duration` until now. Moves what servers are measured by past it, and excludes it from the
     /// latency of the requests in flight and from the rates of what arrives and is served.
     pub(crate) fn exclude_stall(&mut self, now: Micros, duration: Micros) {
-        let after_stall = |time: Micros| time.saturating_add(duration).min(now);
         for server in self.servers.values_mut() {
-            server.last_response = after_stall(server.last_response);
+            server.last_response = after_stall(server.last_response, now, duration);
             for attempt in &mut server.in_flight {
                 attempt.due_at = attempt.due_at.saturating_add(duration);
-                attempt.sent_at = after_stall(attempt.sent_at);
+                attempt.sent_at = after_stall(attempt.sent_at, now, duration);
             }
         }
         for request in self.requests.values_mut() {
--- a/crates/balancer/tests/event_loop_stalls.rs
+++ b/crates/balancer/tests/event_loop_stalls.rs
@@ -16,23 +16,13 @@
     rig
 }
 
-fn server_of(actions: &[Action]) -> ServerId {
-    actions
-        .iter()
-        .find_map(|action| match action {
-            Action::Send { server, .. } => Some(*server),
-            _ => None,
-        })
-        .expect("a server gets the request")
-}
-
 /// Guards against taking servers for stalled whose responses could not be read, and requests for late.
 #[test]
 fn a_stall_makes_no_server_look_stalled_and_no_class_late() {
     let mut rig = warmed_up();
     let before = rig.balancer.snapshot(rig.now).classes[0].latency_ratio;
     let (id, actions) = rig.request(0);
-    let server = server_of(&actions);
+    let server = sent(&actions).expect("a server gets the request");
     rig.now += STALL;
     assert!(
         rig.balancer.failing_server_share(rig.now) > Some(0.0),
@@ -46,7 +36,7 @@
     assert!(after < 1.1 * before, "{before} to {after}");
 }
 
-/// A deadline is the client's: it does not wait for longer because this process stood still.
+/// Guards against extending a client's deadline by the time in which this process did not run.
 #[test]
 fn a_stall_moves_no_deadline() {
     let mut rig = warmed_up();
--- a/crates/cli/tests/connections/stops.rs
+++ b/crates/cli/tests/connections/stops.rs
@@ -33,7 +33,7 @@
 /// Statuses that clients got, with how long each took.
 type Answers = Arc<Mutex<Vec<(u16, Duration)>>>;
 
-/// Repeats a request that its client allows 900 ms, until it is told to stop.
+/// Repeats a request with a deadline of 900 ms until `over` is set.
 fn client(at: SocketAddr, over: &AtomicBool, answers: &Answers) {
     let mut conn = connect(at);
     while !over.load(Ordering::Relaxed) {
--- a/crates/fault-testing/src/fake_discovery.rs
+++ b/crates/fault-testing/src/fake_discovery.rs
@@ -27,7 +27,7 @@
     Truncated,
 }
 
-/// When it rejects a call that has waited too long. The work for the call is done in order all the same.
+/// When it rejects a call that has waited too long. Discovery still processes the call in its turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RejectTiming {
     /// As soon as the call has waited for the timeout.
@@ -170,7 +170,7 @@
         lock(&self.shared.state).reject_after = None;
     }
 
-    /// From now on, answers a call that has waited this long with 503. The work for the call is done in order all the same.
+    /// From now on, answers a call that has waited this long with 503. Discovery still processes the call in its turn.
     pub fn set_call_timeout(&self, timeout: Duration, timing: RejectTiming) {
         lock(&self.shared.state).timeout = Some((timeout, timing));
     }
--- a/crates/sidecar/src/fair_scheduler.rs
+++ b/crates/sidecar/src/fair_scheduler.rs
@@ -171,6 +171,20 @@
     use super::*;
     use std::time::Instant;
 
+    /// Runs a test beside a scheduler.
+    fn run_scheduled(test: impl AsyncFnOnce(&Rc<ProcessState>, &Rc<Scheduler>)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let process = ProcessState::new(ResourceTotals::new(64, 0, 1 << 20, 8, None), true);
+            let scheduler = Scheduler::new();
+            tokio::task::spawn_local(Rc::clone(&scheduler).run());
+            test(&process, &scheduler).await;
+        });
+    }
+
     /// Runs this many steps that each busy-wait for `cost` and then yield.
     async fn work(steps: usize, cost: Duration, done: Rc<Cell<usize>>) {
         for _ in 0..steps {
@@ -189,17 +203,10 @@
     fn time_in_which_the_thread_does_not_run_is_charged_to_no_account() {
         const STEPS: usize = 5;
         const BLOCKED: Duration = Duration::from_millis(20);
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let process = ProcessState::new(ResourceTotals::new(64, 0, 1 << 20, 8, None), true);
-            let scheduler = Scheduler::new();
-            tokio::task::spawn_local(Rc::clone(&scheduler).run());
+        run_scheduled(async |process, scheduler| {
             let account = Rc::new(scheduler.open_account(1));
             let charged = Rc::new(ChargedAccount::new(Some(Rc::clone(&account))));
-            let task = FairTask::new(&process, charged, async {
+            let task = FairTask::new(process, charged, async {
                 for _ in 0..STEPS {
                     std::thread::sleep(BLOCKED);
                     tokio::task::yield_now().await;
@@ -220,14 +227,7 @@
     #[test]
     fn many_tasks_of_one_account_do_not_delay_the_tasks_of_another() {
         const TASKS: usize = 100;
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let process = ProcessState::new(ResourceTotals::new(64, 0, 1 << 20, 8, None), true);
-            let scheduler = Scheduler::new();
-            tokio::task::spawn_local(Rc::clone(&scheduler).run());
+        run_scheduled(async |process, scheduler| {
             let (busy, light) = (
                 Rc::new(scheduler.open_account(1)),
                 Rc::new(scheduler.open_account(1)),
@@ -237,11 +237,11 @@
             for _ in 0..TASKS {
                 let charged = Rc::new(ChargedAccount::new(Some(Rc::clone(&busy))));
                 let task =
-                    FairTask::new(&process, charged, work(usize::MAX, cost, Rc::clone(&steps)));
+                    FairTask::new(process, charged, work(usize::MAX, cost, Rc::clone(&steps)));
                 busy_tasks.push(tokio::task::spawn_local(task).abort_handle());
             }
             let charged = Rc::new(ChargedAccount::new(Some(Rc::clone(&light))));
-            let task = FairTask::new(&process, charged, work(100, Duration::ZERO, Rc::default()));
+            let task = FairTask::new(process, charged, work(100, Duration::ZERO, Rc::default()));
             tokio::task::spawn_local(task).await.expect("it ends");
             // In order of arrival each of the 100 steps would wait for one step of each other task.
             assert!(
--- a/crates/sidecar/src/stall.rs
+++ b/crates/sidecar/src/stall.rs
@@ -89,8 +89,8 @@
 
 impl AwaitedResponse {
     /// Starts to wait now.
-    pub(super) fn start(process: &Rc<ProcessState>) -> Self {
-        let (now, timers) = (process.clock.now(), &process.timers);
+    pub(super) fn start(process: &Rc<ProcessState>, now: Micros) -> Self {
+        let timers = &process.timers;
         timers.stalls.response_awaited(now);
         timers.wake_for_heartbeat();
         AwaitedResponse {
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -198,7 +198,7 @@
             server,
             class: self.class as u32,
             cost_hint: self.cost_hint,
-            wait: AwaitedResponse::start(&self.service.process),
+            wait: AwaitedResponse::start(&self.service.process, sent_at),
             timeout_at,
             write_by,
             transaction_ended: Rc::clone(&self.ended),
