--- a/crates/cli/tests/acceptance/answers.rs
+++ b/crates/cli/tests/acceptance/answers.rs
@@ -1,8 +1,9 @@
 //! Answers whose length nothing tells: their end is the connection's, and a reset is no end.
 
-use crate::Asked;
 use crate::rig::{Conn, ScriptedServer, Sidecar, accept_any, until};
+use crate::{Asked, LAST_CHUNK};
 use rstest::rstest;
+use std::time::{Duration, Instant};
 
 /// The head of an answer that has neither a length nor chunks.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
@@ -61,7 +62,6 @@
 #[case::ended(true)]
 #[case::reset(false)]
 fn a_long_answer_without_a_length_ends_only_where_its_server_ends_it(#[case] ended: bool) {
-    const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
     let node = ScriptedServer::new();
     let sidecar = Sidecar::start(&[node.address()]);
     let mut client = sidecar.ask("submit-check", 5_900);
@@ -112,14 +112,14 @@
 
     fn piece(self, bytes: &[u8]) -> Vec<u8> {
         match self {
-            End::Chunks => [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat(),
+            End::Chunks => crate::chunk(bytes),
             _ => bytes.to_vec(),
         }
     }
 
     fn last(self) -> &'static [u8] {
         match self {
-            End::Chunks => b"0\r\n\r\n",
+            End::Chunks => LAST_CHUNK,
             _ => b"",
         }
     }
@@ -134,18 +134,18 @@
     #[values("", "half")] body: &'static str,
 ) {
     const TIME_LEFT_MS: u64 = 1_500;
-    const SLACK: std::time::Duration = std::time::Duration::from_millis(300);
+    const SLACK: Duration = Duration::from_millis(300);
     // What has begun without a length may be long, and goes on for as long as its client stays.
     if !matches!(end, End::Length) && !body.is_empty() {
         return;
     }
     let node = ScriptedServer::new();
     let sidecar = Sidecar::start(&[node.address()]);
-    let started_at = std::time::Instant::now();
+    let started_at = Instant::now();
     let mut client = sidecar.ask(class, TIME_LEFT_MS);
     let server = std::thread::spawn(move || {
         let mut conns = Vec::new();
-        while started_at.elapsed() < std::time::Duration::from_secs(3) {
+        while started_at.elapsed() < Duration::from_secs(3) {
             if let Some(mut conn) = node.try_accept() {
                 if conn.read().is_some() {
                     conn.write(end.head(9));
@@ -153,12 +153,12 @@
                 }
                 conns.push(conn);
             }
-            std::thread::sleep(std::time::Duration::from_millis(5));
+            std::thread::sleep(Duration::from_millis(5));
         }
     });
     let bytes = rest_or_answer(&mut client);
     let took = started_at.elapsed();
-    let limit = std::time::Duration::from_millis(TIME_LEFT_MS) + SLACK;
+    let limit = Duration::from_millis(TIME_LEFT_MS) + SLACK;
     assert!(took <= limit, "{took:?}: {bytes:?}");
     assert!(!bytes.ends_with("0\r\n\r\n"), "it looks whole: {bytes:?}");
     assert!(
@@ -186,7 +186,7 @@
     #[values(1_000, LONG)] length: usize,
     #[values(0, 600)] pause_between_ms: u64,
 ) {
-    const PAUSE: std::time::Duration = std::time::Duration::from_millis(600);
+    const PAUSE: Duration = Duration::from_millis(600);
     // A short answer that stops half way, and may be asked for elsewhere, is.
     if class == "recheck" && length < LONG && matches!(end, End::Length) && pause_between_ms > 0 {
         return;
@@ -200,7 +200,7 @@
     conn.write(end.head(length));
     std::thread::sleep(PAUSE);
     conn.write(end.piece(&body[..length / 2]));
-    std::thread::sleep(std::time::Duration::from_millis(pause_between_ms));
+    std::thread::sleep(Duration::from_millis(pause_between_ms));
     conn.write(end.piece(&body[length / 2..]));
     conn.write(end.last());
     if matches!(end, End::Close) {
--- a/crates/cli/tests/acceptance/uploads.rs
+++ b/crates/cli/tests/acceptance/uploads.rs
@@ -25,16 +25,14 @@
     fn piece(self, bytes: &[u8]) -> Vec<u8> {
         match self {
             Framing::Length => bytes.to_vec(),
-            Framing::Chunks => {
-                [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
-            }
+            Framing::Chunks => crate::chunk(bytes),
         }
     }
 
     fn end(self) -> &'static [u8] {
         match self {
             Framing::Length => b"",
-            Framing::Chunks => b"0\r\n\r\n",
+            Framing::Chunks => crate::LAST_CHUNK,
         }
     }
 }
@@ -151,7 +149,7 @@
 #[case::stands_still(0)]
 #[case::reads_slowly(300_000)]
 fn an_upload_to_a_server_that_reads_slowly_is_answered_in_time(
-    #[case] bytes_a_step: usize,
+    #[case] bytes_per_read: usize,
     #[values(Framing::Length, Framing::Chunks)] framing: Framing,
     #[values("submit-check", "recheck")] class: &str,
 ) {
@@ -165,17 +163,16 @@
         let until = Instant::now() + Duration::from_secs(8);
         while Instant::now() < until {
             conns.extend(node.try_accept());
-            let steps = conns.iter_mut();
-            steps.for_each(|conn| {
-                conn.skip_available(bytes_a_step);
-            });
+            for conn in &mut conns {
+                conn.skip_available(bytes_per_read);
+            }
             std::thread::sleep(Duration::from_millis(500));
         }
     });
     let mut client = sidecar.client();
     let head = request(class, TIME_LEFT.as_millis() as u64, "")
         .replace("Content-Length: 5\r\n\r\npaper", &framing.header(LENGTH));
-    let sent = client.write_if_open(
+    client.write(
         [
             head.as_bytes(),
             &framing.piece(&body(LENGTH)),
@@ -184,13 +181,11 @@
         .concat(),
     );
     let last_byte_at = Instant::now();
-    if sent {
-        let answer = client.read();
-        let took = last_byte_at.elapsed();
-        assert!(took <= TIME_LEFT + SLACK, "answered after {took:?}");
-        let status = answer.expect("an answer").status();
-        assert!([502, 503].contains(&status), "{status}");
-    }
+    let answer = client.read();
+    let took = last_byte_at.elapsed();
+    assert!(took <= TIME_LEFT + SLACK, "answered after {took:?}");
+    let status = answer.expect("an answer").status();
+    assert!([502, 503].contains(&status), "{status}");
     drop(sidecar);
     server.join().expect("the server ends");
 }
--- a/crates/cli/tests/connections/crowds.rs
+++ b/crates/cli/tests/connections/crowds.rs
@@ -163,7 +163,7 @@
     address
 }
 
-/// The most anonymous memory that a process has had, in KB, sampled until it is told to stop.
+/// The most anonymous memory that a process has had, in KB, sampled until `stop` is set.
 fn watch_memory(process: u32, stop: Arc<AtomicBool>) -> std::thread::JoinHandle<u64> {
     std::thread::spawn(move || {
         let mut most = 0;
@@ -199,6 +199,27 @@
     (status().unwrap_or(0), started_at.elapsed())
 }
 
+/// The statuses and times of requests that are made one after the other for [`RUN`].
+fn ask_during_run(address: SocketAddr) -> Vec<(u16, Duration)> {
+    let started_at = Instant::now();
+    let mut answers = Vec::new();
+    while started_at.elapsed() < RUN {
+        answers.push(ask_once(address));
+        std::thread::sleep(STEP / 4);
+    }
+    answers
+}
+
+/// A sidecar with the least memory, whose servers are [`start_server`]'s.
+fn small_sidecar() -> Sidecar {
+    let servers = [start_server(), start_server(), start_server()];
+    let options = Options {
+        memory_mb: MEMORY_MB,
+        ..Options::default()
+    };
+    Sidecar::with(&servers, options)
+}
+
 #[rstest]
 #[case::half_of_a_body(400, Habit::StopsInBody)]
 #[case::half_of_a_body_900(900, Habit::StopsInBody)]
@@ -213,35 +234,23 @@
     #[case] habit: Habit,
 ) {
     let _one_crowd = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
-    let servers = [start_server(), start_server(), start_server()];
-    let sidecar = Sidecar::with(
-        &servers,
-        Options {
-            memory_mb: MEMORY_MB,
-            ..Options::default()
-        },
-    );
+    let sidecar = small_sidecar();
     let address = sidecar.address;
     let stop = Arc::new(AtomicBool::new(false));
     let memory = watch_memory(sidecar.child.id(), Arc::clone(&stop));
-    let told = Arc::clone(&stop);
+    let stop_requested = Arc::clone(&stop);
     let crowd = std::thread::spawn(move || {
         let mut crowd: Vec<SlowClient> = (0..clients)
             .map(|_| SlowClient::new(habit, address))
             .collect();
-        while !told.load(Ordering::Relaxed) {
+        while !stop_requested.load(Ordering::Relaxed) {
             let next = Instant::now() + STEP;
             crowd.iter_mut().for_each(SlowClient::step);
             std::thread::sleep(next.saturating_duration_since(Instant::now()));
         }
     });
     std::thread::sleep(STEP * 3);
-    let started_at = Instant::now();
-    let mut answers = Vec::new();
-    while started_at.elapsed() < RUN {
-        answers.push(ask_once(address));
-        std::thread::sleep(STEP / 4);
-    }
+    let answers = ask_during_run(address);
     stop.store(true, Ordering::Relaxed);
     crowd.join().expect("the crowd ends");
     let most_kb = memory.join().expect("the process lives");
@@ -272,18 +281,14 @@
 fn a_client_that_sends_at_full_speed_delays_no_other_and_takes_no_memory(#[case] text: &str) {
     const REQUESTS_AT_ONCE: u32 = 500;
     let _one_crowd = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
-    let options = Options {
-        memory_mb: MEMORY_MB,
-        ..Options::default()
-    };
-    let sidecar = Sidecar::with(&[start_server(), start_server()], options);
+    let sidecar = small_sidecar();
     let address = sidecar.address;
     let stop = Arc::new(AtomicBool::new(false));
     let memory = watch_memory(sidecar.child.id(), Arc::clone(&stop));
-    let (told, text) = (Arc::clone(&stop), text.to_string());
+    let (stop_requested, text) = (Arc::clone(&stop), text.to_string());
     let flood = std::thread::spawn(move || {
         let mut number = 0;
-        while !told.load(Ordering::Relaxed) {
+        while !stop_requested.load(Ordering::Relaxed) {
             let batch: String = (0..REQUESTS_AT_ONCE)
                 .map(|at| text.replace("NUMBER", &(number + at).to_string()))
                 .collect();
@@ -295,12 +300,7 @@
         }
         number
     });
-    let started_at = Instant::now();
-    let mut answers = Vec::new();
-    while started_at.elapsed() < RUN {
-        answers.push(ask_once(address));
-        std::thread::sleep(STEP / 4);
-    }
+    let answers = ask_during_run(address);
     stop.store(true, Ordering::Relaxed);
     let sent = flood.join().expect("the flood ends");
     let most_kb = memory.join().expect("the process lives");
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -239,11 +239,6 @@
             .expect("the peer reads");
     }
 
-    /// Writes these bytes; false if the peer has closed the connection.
-    pub fn write_if_open(&mut self, bytes: impl AsRef<[u8]>) -> bool {
-        self.0.get_mut().write_all(bytes.as_ref()).is_ok()
-    }
-
     /// Reads the next message; none if the connection ends first.
     ///
     /// # Panics
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -13,7 +13,7 @@
 use super::stall::AwaitedResponse;
 use super::state_writer::{IdempotencyRecord, WriteBarrier};
 use super::transaction::FinalResponse;
-use super::upload::{self, BodyLength, RequestBody};
+use super::upload::{BodyLength, RequestBody};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -29,10 +29,6 @@
 use std::task::Poll;
 use tokio::net::TcpStream;
 
-/// A response body of unknown length that is not complete after this time is streamed to the client.
-const MAX_BUFFERING_TIME: Micros = 50_000;
-/// How long a response body may pause while it is being buffered; see [`BufferingPolicy`].
-const MAX_BODY_PAUSE: Micros = 400_000;
 /// A server that accepts no byte of a streamed request body for this time counts as hung.
 const BODY_WRITE_TIMEOUT: Micros = 10_000_000;
 /// How long the last byte of a non-idempotent request is held back after connections have broken. A server in the same zone
@@ -62,8 +58,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: RequestBody,
     pub(super) non_idempotent: bool,
-    /// It was written whole to a server, and nothing has proved that it did not run.
-    pub(super) may_have_run: Cell<bool>,
+    /// It is non-idempotent and was written completely to a server, which has neither responded nor proved that it did not run.
+    pub(super) may_have_run_unanswered: Rc<Cell<bool>>,
     pub(super) protocol: ResponseProtocol,
     /// Set if the pool keeps idempotency records and the request must not run twice.
     pub(super) idempotency_record: Option<IdempotencyRecord>,
@@ -201,9 +197,9 @@
     };
     if matches!(
         outcome,
-        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot
+        Outcome::Ok | Outcome::Full | Outcome::ConnectFailed | Outcome::Moot
     ) {
-        forwarded.may_have_run.set(false);
+        forwarded.may_have_run_unanswered.set(false);
     }
     attempt.report_outcome(outcome);
     response.map(FinalResponse::Served)
@@ -317,16 +313,16 @@
             }
             return (Outcome::Moot, None);
         };
-        if let (Some(streamed), Ok(())) = (forwarded.body.streamed(), &send_result) {
+        if forwarded.body.streamed().is_some() && send_result.is_ok() {
             let buffered_part_sent = progress.complete.replace(false);
             if buffered_part_sent {
                 send_result =
-                    stream_request_body(attempt, forwarded, streamed, &connection.stream, progress)
-                        .await;
+                    stream_request_body(attempt, forwarded, &connection.stream, progress).await;
             }
         }
         if progress.complete.get() {
-            forwarded.may_have_run.set(true);
+            let unanswered = &forwarded.may_have_run_unanswered;
+            unanswered.set(forwarded.non_idempotent);
             increment(&service.counts.attempts_sent);
         }
         let mut response = exchange::ResponseReader::default();
@@ -359,22 +355,12 @@
     let body_read = match response.take_buffered_body(&head) {
         Some(body) => BodyRead::Complete(body),
         None => {
-            let buffer_timer = service.process.sleep(MAX_BUFFERING_TIME);
-            let new_pause_timer = || service.process.sleep(MAX_BODY_PAUSE);
-            let may_retry = !forwarded.non_idempotent;
-            let policy = if forwarded.protocol.allows_streaming() {
-                BufferingPolicy::MayStream { may_retry }
-            } else {
-                BufferingPolicy::WholeBody { may_retry }
+            let policy = BufferingPolicy {
+                may_stream: forwarded.protocol.allows_streaming(),
+                may_retry: !forwarded.non_idempotent,
             };
-            let rest = response.read_body_start(
-                &service.process,
-                &head,
-                &connection.stream,
-                policy,
-                buffer_timer,
-                new_pause_timer,
-            );
+            let rest =
+                response.read_body_start(&service.process, &head, &connection.stream, policy);
             match rest.await {
                 Ok(body_read) => body_read,
                 // The body ended early, or a short one stopped half way.
@@ -435,15 +421,17 @@
 async fn stream_request_body(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
-    streamed: &upload::StreamedRequestBody,
     stream: &TcpStream,
     progress: &SendProgress,
 ) -> Result<(), ExchangeError> {
     let service = &attempt.service;
+    let Some(streamed) = forwarded.body.streamed() else {
+        return Ok(());
+    };
     let Some(mut reader) = streamed.take_remainder() else {
         return Ok(());
     };
-    let chunked = streamed.length == BodyLength::Chunked;
+    let chunked = streamed.progress.length == BodyLength::Chunked;
     let mut result = Ok(());
     let mut bytes_in_turn = 0;
     let request_complete = loop {
@@ -542,7 +530,11 @@
         message.add_header(&header::HOST, &host);
     }
     let body = forwarded.body.buffered().clone();
-    match forwarded.body.streamed().map(|streamed| streamed.length) {
+    match forwarded
+        .body
+        .streamed()
+        .map(|streamed| streamed.progress.length)
+    {
         Some(BodyLength::Known(length)) => {
             message.add_number_header(&header::CONTENT_LENGTH, length)
         }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -11,11 +11,13 @@
 //! bytes ahead of the end nothing reads the socket, so the kernel is asked before each attempt starts
 //! ([`Client::has_disconnected`]).
 
-use super::counts::increment;
+mod unread_request;
+
+use super::client_pace::WritePace;
+use super::counts::CountGuard;
 use super::fair_scheduler::ChargedAccount;
 use super::listener::{CLOSE_GRACE_PERIOD, Listener};
-use super::memory::{ClientLag, MemoryPurpose};
-use super::peeked_request::has_complete_request;
+use super::memory::MemoryPurpose;
 use super::readiness::{self, peek_nonblocking};
 use super::request_framing::RequestFraming;
 use super::virtual_server;
@@ -37,6 +39,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use tokio::net::TcpStream;
+use unread_request::{Unread, reject_unread, wait_for_activation};
 
 /// A connection that was opened, or sent its last response, less than this ago may have a request on the way to it, and is not
 /// evicted.
@@ -47,15 +50,8 @@
 pub(super) const WRITE_STALL_TIMEOUT: Micros = 30_000_000;
 /// How long a lingering close waits for the client to close its side. After that, the close may reset the connection.
 const LINGER_TIMEOUT: Micros = 1_000_000;
-/// What a connection that becomes active may allocate before anything else of it is checked.
-const ACTIVATION_BYTES: usize = 48 << 10;
 /// What one more read for a request may have `hyper` allocate.
 const REQUEST_READ_BYTES: usize = 2 * MAX_HEAD_BYTES;
-/// How long a request may wait unread for memory before it is rejected.
-const MEMORY_WAIT_TIMEOUT: Micros = 250_000;
-/// The response to a request that is rejected unread.
-const UNREAD_REJECTION: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 /// How many bytes a lingering close reads.
 const LINGER_MAX_BYTES: usize = 1 << 20;
 /// As [`LINGER_TIMEOUT`], while connections or file descriptors are scarce.
@@ -103,53 +99,6 @@
     waited_until: Cell<Micros>,
 }
 
-/// How fast a client reads its response.
-#[derive(Default)]
-pub(super) struct WritePace {
-    blocked_since: Cell<Option<Micros>>,
-    lag: ClientLag,
-    /// Waker of the response's body, once the client has taken something.
-    waker: RefCell<Option<Waker>>,
-}
-
-impl WritePace {
-    fn start_response(&self) {
-        self.blocked_since.set(None);
-        self.lag.reset();
-    }
-
-    fn record_blocked(&self, now: Micros) {
-        if self.blocked_since.get().is_none() {
-            self.blocked_since.set(Some(now));
-        }
-    }
-
-    fn record_written(&self, bytes: usize, now: Micros) {
-        if let Some(since) = self.blocked_since.take() {
-            self.lag.record_wait(now.saturating_sub(since));
-        }
-        self.lag.record_bytes(bytes);
-        if let Some(waker) = self.waker.take() {
-            waker.wake();
-        }
-    }
-
-    /// Whether the client has taken nothing since a write blocked. Registers the task to be woken once it has.
-    pub(super) fn poll_blocked(&self, context: &Context<'_>) -> bool {
-        let blocked = self.blocked_since.get().is_some();
-        if blocked {
-            self.waker.replace(Some(context.waker().clone()));
-        }
-        blocked
-    }
-
-    /// How far the client is behind the minimum rate.
-    fn lag(&self, now: Micros) -> Micros {
-        let blocked_since = self.blocked_since.get();
-        self.lag.get() + blocked_since.map_or(0, |since| now.saturating_sub(since))
-    }
-}
-
 impl Client {
     fn request_close(&self) {
         self.close_requested.set(true);
@@ -437,15 +386,6 @@
     }
 }
 
-/// Decrements a counter when it is dropped.
-struct DecrementOnDrop<'a>(&'a Cell<usize>);
-
-impl Drop for DecrementOnDrop<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// How serving a connection has ended; see [`ServeOutcome`].
 enum ServeEnd {
     Idle,
@@ -492,59 +432,6 @@
     lingering_close(listener, client).await;
 }
 
-/// Waits for the memory that an active connection needs. Meanwhile its request stays in the system's buffers. False if there is
-/// none in time.
-async fn wait_for_activation(listener: &Listener, client: &Rc<Client>) -> bool {
-    let process = &listener.process;
-    if process.has_memory(MemoryPurpose::Connection, ACTIVATION_BYTES) {
-        return true;
-    }
-    // It has a request, so it must not be evicted as idle.
-    listener.clients.wake(client);
-    let idle_since = client.idle_since.take();
-    let admitted = process
-        .wait_until_memory(MEMORY_WAIT_TIMEOUT, || {
-            process.has_memory(MemoryPurpose::Connection, ACTIVATION_BYTES)
-                || (process.has_memory(MemoryPurpose::CompleteRequest, ACTIVATION_BYTES)
-                    && READ_BUFFER
-                        .with_borrow_mut(|buffer| has_complete_request(&client.stream, buffer)))
-        })
-        .await;
-    client.idle_since.set(idle_since);
-    admitted
-}
-
-/// What had arrived of a request that was rejected unread.
-enum Unread {
-    /// All of it: nothing follows that a close could cross.
-    Complete,
-    /// A part: the lingering close follows.
-    Incomplete,
-}
-
-/// Rejects a request of which nothing was read, and drops what has arrived of it.
-fn reject_unread(listener: &Listener, client: &Client) -> Unread {
-    increment(&listener.counts.rejected_by_limit);
-    READ_BUFFER.with_borrow_mut(|buffer| {
-        let complete = has_complete_request(&client.stream, buffer);
-        // Closing with unread bytes would reset the connection, and the client could lose its response.
-        let mut remaining = LINGER_MAX_BYTES;
-        while let Ok(count @ 1..) = client.stream.try_read(buffer) {
-            remaining = remaining.saturating_sub(count);
-            if remaining == 0 {
-                break;
-            }
-        }
-        // The send buffer of a connection without a response in flight has room for it.
-        let _ = client.stream.try_write(UNREAD_REJECTION);
-        if complete && remaining > 0 {
-            Unread::Complete
-        } else {
-            Unread::Incomplete
-        }
-    })
-}
-
 /// Shuts down the writing half, then reads and drops what the client still sends.
 async fn lingering_close(listener: &Listener, client: &Client) {
     if shutdown(&client.stream, Shutdown::Write).is_err() {
@@ -609,10 +496,7 @@
 ) -> ServeOutcome {
     let process = &listener.process;
     listener.clients.wake(client);
-    process
-        .active_client_connections
-        .set(process.active_client_connections.get() + 1);
-    let _active = DecrementOnDrop(&process.active_client_connections);
+    let _active = CountGuard::new(&process.active_client_connections);
     process.enforce_connection_memory(2);
     listener
         .clients
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -53,6 +53,22 @@
     }
 }
 
+/// Increments a counter until it is dropped.
+pub(super) struct CountGuard<'a>(&'a Cell<usize>);
+
+impl<'a> CountGuard<'a> {
+    pub(super) fn new(counter: &'a Cell<usize>) -> Self {
+        counter.set(counter.get() + 1);
+        CountGuard(counter)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 pub(super) fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
 }
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -27,6 +27,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
+use std::pin::Pin;
 use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::task::consume_budget;
@@ -38,6 +39,11 @@
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 100;
 
+/// A response body of unknown length that is not complete after this time is streamed to the client.
+const MAX_BUFFERING_TIME: Micros = 50_000;
+/// How long a response body may pause while it is being buffered; see [`BufferingPolicy`].
+const MAX_BODY_PAUSE: Micros = 400_000;
+
 /// Why there is no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExchangeError {
@@ -376,17 +382,11 @@
 
 /// What may be done with a response body that is not complete yet.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum BufferingPolicy {
-    /// The client may get the beginning while the rest arrives.
-    MayStream {
-        /// Another server may be asked instead.
-        may_retry: bool,
-    },
-    /// It has to be interpreted first, so that all of it is buffered.
-    WholeBody {
-        /// As for [`BufferingPolicy::MayStream`].
-        may_retry: bool,
-    },
+pub(super) struct BufferingPolicy {
+    /// The client may get the beginning while the rest arrives. Otherwise the body has to be interpreted first.
+    pub(super) may_stream: bool,
+    /// Another server may be asked instead.
+    pub(super) may_retry: bool,
 }
 
 /// What follows when a body has paused for as long as a byte of it may take.
@@ -405,25 +405,16 @@
 }
 
 impl BufferingPolicy {
-    fn may_stream(self) -> bool {
-        matches!(self, BufferingPolicy::MayStream { .. })
-    }
-
-    /// A short body that stops half way is given up where another server may answer instead. Otherwise giving it up would
-    /// only lose it, and the caller's time limit bounds the wait: passed on, it might never end. One of unknown length may be
-    /// long, and is passed on.
+    /// One of unknown length may be long, and is streamed. The body of an error is not needed. A short body that stops after a
+    /// part fails where another server may answer instead. Otherwise that would only lose it, and the caller's time limit bounds
+    /// the wait: streamed, it might never end.
     fn after_pause(self, head: &ResponseHead, is_empty: bool, is_sized: bool) -> AfterPause {
-        match self {
-            // The body of an error is not needed.
-            BufferingPolicy::MayStream { .. } if head.status != StatusCode::OK => {
-                AfterPause::Stream
-            }
-            BufferingPolicy::MayStream { .. } if is_empty && !is_sized => AfterPause::Stream,
-            _ if is_empty => AfterPause::Wait,
-            BufferingPolicy::MayStream { may_retry: true }
-            | BufferingPolicy::WholeBody { may_retry: true } => AfterPause::Fail,
-            BufferingPolicy::MayStream { .. } if !is_sized => AfterPause::Stream,
-            _ => AfterPause::Wait,
+        if self.may_stream && (!is_sized || head.status != StatusCode::OK) {
+            AfterPause::Stream
+        } else if self.may_retry && !is_empty {
+            AfterPause::Fail
+        } else {
+            AfterPause::Wait
         }
     }
 }
@@ -472,31 +463,28 @@
         head: &ResponseHead,
         stream: &TcpStream,
     ) -> Result<CompleteBody, ExchangeError> {
-        let never = std::future::pending::<()>;
-        let policy = BufferingPolicy::WholeBody { may_retry: true };
-        match self
-            .read_body_start(process, head, stream, policy, never(), never)
-            .await?
-        {
+        let policy = BufferingPolicy {
+            may_stream: false,
+            may_retry: false,
+        };
+        match self.read_body_start(process, head, stream, policy).await? {
             BodyRead::Complete(body) => Ok(body),
             BodyRead::Partial { .. } => Err(ExchangeError::Malformed),
         }
     }
 
     /// Reads the body until it is complete, or known to be too long to be buffered, or until `policy` has the rest streamed:
-    /// once `buffer_timer` has ended for a body of unknown length, which may be a long one that arrives slowly, or when no byte
-    /// arrives before a future made by `new_pause_timer` ends. A body of which nothing has arrived yet is only late: it never
+    /// after [`MAX_BUFFERING_TIME`] for a body of unknown length, which may be a long one that arrives slowly, or when no byte
+    /// arrives for [`MAX_BODY_PAUSE`]. A body of which nothing has arrived yet is only late: it never
     /// fails for a pause, and the caller's time limit bounds the wait.
-    pub(super) async fn read_body_start<P: Future<Output = ()>>(
+    pub(super) async fn read_body_start(
         &mut self,
         process: &ProcessState,
         head: &ResponseHead,
         stream: &TcpStream,
         policy: BufferingPolicy,
-        buffer_timer: impl Future<Output = ()>,
-        new_pause_timer: impl Fn() -> P,
     ) -> Result<BodyRead, ExchangeError> {
-        let mut buffer_timer = std::pin::pin!(buffer_timer);
+        let mut buffer_timer = process.sleep(MAX_BUFFERING_TIME);
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = BytesMut::new();
         // A body of known length that fits the buffer is short, so streaming it gains nothing.
@@ -505,7 +493,7 @@
             return Ok(BodyRead::partial(body, decoder));
         }
         let mut stream_rest = false;
-        let mut buffer_timer_ended = is_sized || !policy.may_stream();
+        let mut buffer_timer_ended = is_sized || !policy.may_stream;
         loop {
             while let Some(piece) = decoder.decode(&mut self.unread)? {
                 body.extend_from_slice(&piece);
@@ -518,23 +506,22 @@
             }
             let wanted = decoder.remaining().map_or(MIN_READ_BYTES, |n| n as usize);
             if !process.has_memory(MemoryPurpose::Response, 2 * (body.len() + wanted)) {
-                if policy.may_stream() {
+                if policy.may_stream {
                     return Ok(BodyRead::partial(body, decoder));
                 }
                 wait_for_piece(process, body.len()).await?;
             }
             let event = {
                 let mut more = std::pin::pin!(self.read_more(stream, wanted));
-                let mut pause_timer = std::pin::pin!(new_pause_timer());
+                let mut pause_timer = process.sleep(MAX_BODY_PAUSE);
                 poll_fn(|context| {
                     if let Poll::Ready(more) = more.as_mut().poll(context) {
                         return Poll::Ready(BodyEvent::Read(more));
                     }
-                    if !buffer_timer_ended && buffer_timer.as_mut().poll(context).is_ready() {
+                    if !buffer_timer_ended && Pin::new(&mut buffer_timer).poll(context).is_ready() {
                         return Poll::Ready(BodyEvent::BufferingTimeOver);
                     }
-                    pause_timer
-                        .as_mut()
+                    Pin::new(&mut pause_timer)
                         .poll(context)
                         .map(|()| BodyEvent::Paused)
                 })
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -26,7 +26,6 @@
     Classed, Fault, Media, Message, Part, PartAnswer, Plan, Rejection, Reply, join, stages,
 };
 use madderloom_routing::request::subject;
-use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -227,7 +226,7 @@
             headers,
             body: RequestBody::Buffered(message.body.clone()),
             non_idempotent,
-            may_have_run: Cell::new(false),
+            may_have_run_unanswered: Rc::default(),
             protocol: ResponseProtocol::Graphql {
                 hash_only: message.hash_only,
             },
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 mod agent_link;
 mod attempt;
 mod client;
+mod client_pace;
 mod clock;
 mod config;
 mod connections;
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -399,9 +399,7 @@
                 if usage.used < usage.part.most {
                     self.process.reclaim_client_connection();
                 }
-                self.process
-                    .memory
-                    .request_release(self.process.clock.now());
+                self.process.request_release();
                 // At the limit, a connection that was too recently active to be evicted is old enough a little later.
                 let _ = self
                     .process
@@ -456,9 +454,7 @@
         let exhausted = available < total / REJECTING_CONNECTIONS_DIVISOR
             && self.clients.are_mostly_held_by_clients();
         if exhausted {
-            self.process
-                .memory
-                .request_release(self.process.clock.now());
+            self.process.request_release();
         }
         exhausted
     }
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -3,11 +3,11 @@
 //!
 //! Purposes have different shares, so that what was begun can end: new work is refused first, and responses may use all of it.
 //!
-//! Whoever waits asks for memory or for a connection to be released ([`MemoryBudget::request_release`]). Clients that are
+//! Whoever waits asks for memory or for a connection to be released ([`ProcessState::request_release`]). Clients that are
 //! slower than they have to be, and hold what others wait for, grant these requests by ending.
 
+use super::counts::CountGuard;
 use super::process_state::ProcessState;
-use super::upload::MIN_BYTES_PER_SECOND;
 use madderloom_balancer::Micros;
 use peak_alloc::PeakAlloc;
 use std::cell::Cell;
@@ -71,11 +71,16 @@
     released: Cell<u64>,
 }
 
+/// What a process with `memory` bytes in all may allocate.
+const fn limit_of(memory: u64) -> u64 {
+    memory / 100 * ALLOCATED_PERCENT
+}
+
 impl MemoryBudget {
     /// The budget of a process with `memory` bytes in all.
     pub(super) fn new(memory: u64) -> Self {
         MemoryBudget {
-            limit: Cell::new(memory / 100 * ALLOCATED_PERCENT),
+            limit: Cell::new(limit_of(memory)),
             release_requests: Cell::new(0),
             release_requested_at: Cell::new(0),
             waiting: Cell::new(0),
@@ -84,7 +89,7 @@
     }
 
     pub(super) fn set_memory(&self, memory: u64) {
-        self.limit.set(memory / 100 * ALLOCATED_PERCENT);
+        self.limit.set(limit_of(memory));
     }
 
     fn has_room(&self, purpose: MemoryPurpose, bytes: usize) -> bool {
@@ -92,8 +97,7 @@
         allocated <= self.limit.get() / 100 * purpose.share_percent()
     }
 
-    /// Asks the slow clients to release what they hold.
-    pub(super) fn request_release(&self, now: Micros) {
+    fn request_release(&self, now: Micros) {
         self.release_requested_at.set(now);
         let requests = self.release_requests.get() + 1;
         self.release_requests
@@ -123,48 +127,6 @@
     }
 }
 
-/// How far a client is behind the minimum rate, [`MIN_BYTES_PER_SECOND`]. Only the time counts in which the client was waited for.
-/// One that was faster has nothing saved up.
-#[derive(Default)]
-pub(super) struct ClientLag(Cell<Micros>);
-
-impl ClientLag {
-    pub(super) fn get(&self) -> Micros {
-        self.0.get()
-    }
-
-    pub(super) fn reset(&self) {
-        self.0.set(0);
-    }
-
-    /// The client was waited for this long.
-    pub(super) fn record_wait(&self, waited: Micros) {
-        self.0.set(self.0.get().saturating_add(waited));
-    }
-
-    /// The client has sent or read so many bytes.
-    pub(super) fn record_bytes(&self, bytes: usize) {
-        let due = (bytes as u64).saturating_mul(1_000_000) / MIN_BYTES_PER_SECOND;
-        self.0.set(self.0.get().saturating_sub(due));
-    }
-}
-
-/// Counts work that waits, until it is dropped.
-struct Waiting<'a>(&'a Cell<usize>);
-
-impl<'a> Waiting<'a> {
-    fn start(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Waiting(count)
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl ProcessState {
     /// Whether so many bytes may be allocated for this purpose now.
     pub(super) fn has_memory(&self, purpose: MemoryPurpose, bytes: usize) -> bool {
@@ -172,6 +134,11 @@
             || self.active_client_connections.get() < MIN_SERVED_CONNECTIONS
     }
 
+    /// Asks the slow clients to release what they hold.
+    pub(super) fn request_release(&self) {
+        self.memory.request_release(self.clock.now());
+    }
+
     /// Waits until so many bytes may be allocated for this purpose. False if they may not within `timeout`.
     pub(super) async fn wait_for_memory(
         &self,
@@ -193,17 +160,16 @@
             return true;
         }
         if self.memory.waiting.get() >= MAX_WAITING {
-            self.memory.request_release(self.clock.now());
+            self.request_release();
             return false;
         }
-        let _waiting = Waiting::start(&self.memory.waiting);
+        let _waiting = CountGuard::new(&self.memory.waiting);
         let deadline = self.clock.now().saturating_add(timeout);
         while !has_memory() {
-            let now = self.clock.now();
-            if now >= deadline {
+            if self.clock.now() >= deadline {
                 return false;
             }
-            self.memory.request_release(now);
+            self.request_release();
             self.sleep(RETRY_DELAY).await;
         }
         true
@@ -229,14 +195,4 @@
         let later = NOW + RELEASE_REQUEST_LIFETIME + 1;
         assert!(!budget.must_release(MAX_CLIENT_LAG, later), "expired");
     }
-
-    #[test]
-    fn a_client_that_was_fast_has_nothing_saved_up() {
-        let lag = ClientLag::default();
-        lag.record_bytes(1 << 20);
-        lag.record_wait(2_000_000);
-        assert_eq!(lag.get(), 2_000_000);
-        lag.record_bytes(MIN_BYTES_PER_SECOND as usize);
-        assert_eq!(lag.get(), 1_000_000);
-    }
 }
--- a/crates/sidecar/src/peeked_request.rs
+++ b/crates/sidecar/src/peeked_request.rs
@@ -1,7 +1,7 @@
 //! Looks at a request that still lies in the system's buffers, without reading it.
 
+use super::readiness::peek_nonblocking_into;
 use rustix::io::ioctl_fionread;
-use rustix::net::{RecvFlags, recv};
 use tokio::net::TcpStream;
 
 /// Maximum number of headers of a request that is looked at.
@@ -10,12 +10,11 @@
 /// Whether a complete request has arrived on this connection: its head, and as many bytes of body as that says. False for a body
 /// in chunks and for a head longer than `buffer`. Consumes nothing and does not block.
 pub(super) fn has_complete_request(stream: &TcpStream, buffer: &mut [u8]) -> bool {
-    let peeked = recv(stream, &mut *buffer, RecvFlags::PEEK | RecvFlags::DONTWAIT);
-    let Ok((count, _)) = peeked else {
+    let Ok(count) = peek_nonblocking_into(stream, buffer) else {
         return false;
     };
     let arrived = ioctl_fionread(stream).unwrap_or(0);
-    message_length(&buffer[..count.min(buffer.len())]).is_some_and(|length| length <= arrived)
+    message_length(&buffer[..count]).is_some_and(|length| length <= arrived)
 }
 
 /// The length of the message at the start of `bytes`, if its head is there and tells it.
--- a/crates/sidecar/src/readiness.rs
+++ b/crates/sidecar/src/readiness.rs
@@ -27,12 +27,15 @@
 /// # Errors
 /// `AGAIN` or `INTR` if there is nothing to read yet, else the error of the connection.
 pub(super) fn peek_nonblocking(stream: &TcpStream) -> Result<usize, Errno> {
-    rustix::net::recv(
-        stream,
-        &mut [0_u8; 1],
-        RecvFlags::PEEK | RecvFlags::DONTWAIT,
-    )
-    .map(|(count, _)| count)
+    peek_nonblocking_into(stream, &mut [0])
+}
+
+/// As [`peek_nonblocking`], with as many of the unread bytes as `buffer` holds. Returns their number.
+///
+/// # Errors
+/// As [`peek_nonblocking`].
+pub(super) fn peek_nonblocking_into(stream: &TcpStream, buffer: &mut [u8]) -> Result<usize, Errno> {
+    rustix::net::recv(stream, buffer, RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(count, _)| count)
 }
 
 /// Whether the connection is open and has no unread bytes, as the kernel sees it now. After the process was suspended, the
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -5,9 +5,10 @@
 //! it. Once any of the remainder has been read, the request cannot be sent again.
 
 use super::client::Client;
+use super::client_pace::ClientLag;
 use super::limits::Reservation;
 use super::listener::Listener;
-use super::memory::{ClientLag, MemoryPurpose};
+use super::memory::MemoryPurpose;
 use super::process_state::ProcessState;
 use super::service::Service;
 use super::virtual_server::{RequestError, bad_request};
@@ -90,7 +91,7 @@
 
 /// How far the reading of a body has come; shared by its reader and the attempt that sends it.
 pub(super) struct UploadProgress {
-    length: BodyLength,
+    pub(super) length: BodyLength,
     bytes_read: Cell<u64>,
     /// The reader waits for the client.
     awaits_client: Cell<bool>,
@@ -273,14 +274,13 @@
 
 /// A body that is streamed from the client to the server.
 pub(super) struct StreamedRequestBody {
-    pub(super) length: BodyLength,
     prefix: Bytes,
     /// `None` while an attempt has taken it.
     remainder: RefCell<Option<BodyReader>>,
     /// Some of the remainder has been read, so the body cannot be sent again.
     pub(super) consumed: Cell<bool>,
     pub(super) progress: Rc<UploadProgress>,
-    /// Set once it has been sent whole: when the client wrote its last byte, as far as can be told.
+    /// Set once it has been sent completely: the earliest time at which the client may have written its last byte.
     pub(super) completed_at: Cell<Option<Micros>>,
     /// Why it will never be complete.
     pub(super) failure: RefCell<Option<RequestError>>,
@@ -411,7 +411,6 @@
             && !matches!(length, BodyLength::Known(size) if size == buffered.len() as u64)
         {
             let streamed = StreamedRequestBody {
-                length,
                 prefix: buffered.freeze(),
                 progress: Rc::clone(&reader.progress),
                 remainder: RefCell::new(Some(reader)),
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -15,7 +15,6 @@
 use super::service::Service;
 use super::state_writer::IdempotencyRecord;
 use super::transaction::{self, FinalResponse};
-use super::unanswered_runs::RunGuard;
 use super::upload::{self, BodyLength, BodyReservations};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -38,10 +37,13 @@
 const SIZE_HINT: HeaderName = HeaderName::from_static("x-size-hint");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Holds the id of a request in flight, unique within its service. Dropping it frees the id.
+/// Holds the id of a request in flight, unique within its service. Dropping it frees the id, unless the request may have run
+/// unanswered.
 pub(super) struct InFlightRequestId<'a> {
     service: &'a Service,
     id: HeaderValue,
+    /// See [`ForwardedRequest::may_have_run_unanswered`].
+    may_have_run_unanswered: Rc<Cell<bool>>,
 }
 
 impl<'a> InFlightRequestId<'a> {
@@ -64,12 +66,17 @@
         Ok(InFlightRequestId {
             service,
             id: id.clone(),
+            may_have_run_unanswered: Rc::default(),
         })
     }
 }
 
 impl Drop for InFlightRequestId<'_> {
     fn drop(&mut self) {
+        if self.may_have_run_unanswered.get() {
+            let now = self.service.process.clock.now();
+            self.service.unanswered_runs.remember(&self.id, now);
+        }
         self.service.release_request_id(&self.id);
     }
 }
@@ -204,12 +211,11 @@
         headers,
         body,
         non_idempotent,
-        may_have_run: Cell::new(false),
+        may_have_run_unanswered: Rc::clone(&id.may_have_run_unanswered),
         protocol,
         idempotency_record,
     };
     let request = Rc::new(request);
-    let run_guard = RunGuard::new(&service, &request, &id.id);
     let response = transaction::run(&service, now, new_request, Rc::clone(&request)).await;
     let started_at = request.body.streamed().map_or(now, |streamed| {
         streamed.completed_at.get().unwrap_or(received_at)
@@ -232,7 +238,6 @@
     }
     match response {
         FinalResponse::Served(mut response) => {
-            run_guard.answered();
             if listener.process.clock.now() - started_at > latency_objective {
                 increment(&counts.late);
             }
