Pass nothing of an answer on before a byte of its body has come, or its end

Now such a body is waited for within the attempt's time, which ends in 502, or in another attempt where that is allowed. `begin_by` is gone. A response that waits for memory meanwhile is not given up because others wait.

--- /dev/null
+++ b/crates/cli/tests/deadlines/main.rs
@@ -0,0 +1,8 @@
+//! One deadline for a request: its final answer is due its client's time behind the client's last byte, whatever the request waits
+//! for on its way.
+
+#[path = "../sidecar/rig.rs"]
+#[allow(dead_code, reason = "each test target uses a part of it")]
+mod rig;
+
+mod answers;
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -244,6 +244,26 @@
     /// # Panics
     /// If the message is malformed.
     pub fn read(&mut self) -> Option<Message> {
+        let mut message = self.read_head()?;
+        self.read_sized_body(&mut message)?;
+        Some(message)
+    }
+
+    /// Reads the next message with its complete body, which may be chunked; none if the connection ends first.
+    ///
+    /// # Panics
+    /// If the message is malformed.
+    pub fn read_complete(&mut self) -> Option<Message> {
+        let mut message = self.read_head()?;
+        self.read_body(&mut message)?;
+        Some(message)
+    }
+
+    /// Reads the head of the next message; none if the connection ends first. [`Conn::read_body`] reads the rest.
+    ///
+    /// # Panics
+    /// If the head is malformed.
+    pub fn read_head(&mut self) -> Option<Message> {
         let start = self.line()?;
         let mut headers = Vec::new();
         loop {
@@ -255,29 +275,31 @@
                 }
             }
         }
-        let mut message = Message {
+        Some(Message {
             start,
             headers,
             body: Vec::new(),
-        };
-        let length = message
-            .header("content-length")
-            .map_or(0, |l| l.parse().expect("a length"));
-        message.body.resize(length, 0);
-        self.0.read_exact(&mut message.body).ok()?;
-        Some(message)
+        })
     }
 
-    /// Reads the next message with its complete body, which may be chunked; none if the connection ends first.
+    /// Reads the body behind a head; none if the connection ends first.
     ///
     /// # Panics
-    /// If the message is malformed.
-    pub fn read_complete(&mut self) -> Option<Message> {
-        let mut message = self.read()?;
-        if message.header("transfer-encoding") == Some("chunked") {
-            while self.chunk(&mut message.body)? {}
+    /// If the body is malformed.
+    pub fn read_body(&mut self, message: &mut Message) -> Option<()> {
+        if message.header("transfer-encoding") != Some("chunked") {
+            return self.read_sized_body(message);
         }
-        Some(message)
+        while self.chunk(&mut message.body)? {}
+        Some(())
+    }
+
+    fn read_sized_body(&mut self, message: &mut Message) -> Option<()> {
+        let length = message
+            .header("content-length")
+            .map_or(0, |l| l.parse().expect("a length"));
+        message.body.resize(length, 0);
+        self.0.read_exact(&mut message.body).ok()
     }
 
     /// Appends a chunk to these bytes and returns whether more chunks follow; none if the connection ends first.
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -387,10 +387,6 @@
             let unread = response.into_unread();
             let (service, server) = (Rc::clone(service), attempt.server);
             let connection = Some(connection);
-            // Nothing tells whether a body of unknown length will ever begin.
-            let is_late = decoded.is_empty() && decoder.remaining().is_none();
-            let begin_by =
-                (is_late && forwarded.body.streamed().is_none()).then_some(attempt.timeout_at);
             let streamed_body = StreamedResponseBody {
                 service,
                 server,
@@ -399,7 +395,6 @@
                 reusable,
                 undecoded: unread,
                 decoder,
-                begin_by,
                 decoded,
                 read_in_turn: TurnBytes::default(),
                 resources: None,
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -405,18 +405,28 @@
 }
 
 impl BufferingPolicy {
-    /// One of unknown length may be long, and is streamed. The body of an error is not needed. A short body that stops after a
-    /// part fails where another server may answer instead. Otherwise that would only lose it, and the caller's time limit bounds
-    /// the wait: streamed, it might never end.
+    /// The body of an error is not needed. One of which nothing has arrived is waited for: once its head is out, the client can get
+    /// no other final response. One of unknown length may be long, and is streamed. A short body that stops after a part fails
+    /// where another server may answer instead. Otherwise that would only lose it, and the caller's time limit bounds the wait:
+    /// streamed, it might never end.
     fn after_pause(self, head: &ResponseHead, is_empty: bool, is_sized: bool) -> AfterPause {
-        if self.may_stream && (!is_sized || head.status != StatusCode::OK) {
+        if self.may_drop_body(head) {
             AfterPause::Stream
-        } else if self.may_retry && !is_empty {
+        } else if is_empty {
+            AfterPause::Wait
+        } else if self.may_stream && !is_sized {
+            AfterPause::Stream
+        } else if self.may_retry {
             AfterPause::Fail
         } else {
             AfterPause::Wait
         }
     }
+
+    /// Whether the response can be handled without its body: that of an error is dropped.
+    fn may_drop_body(self, head: &ResponseHead) -> bool {
+        self.may_stream && head.status != StatusCode::OK
+    }
 }
 
 impl ResponseReader {
@@ -475,8 +485,8 @@
 
     /// Reads the body until it is complete, or known to be too long to be buffered, or until `policy` has the rest streamed:
     /// after [`MAX_BUFFERING_TIME`] for a body of unknown length, which may be a long one that arrives slowly, or when no byte
-    /// arrives for [`MAX_BODY_PAUSE`]. A body of which nothing has arrived yet is only late: it never
-    /// fails for a pause, and the caller's time limit bounds the wait.
+    /// arrives for [`MAX_BODY_PAUSE`]. A body of which nothing has arrived yet is only late: it neither fails for a pause nor is
+    /// any of its response streamed, and the caller's time limit bounds the wait.
     pub(super) async fn read_body_start(
         &mut self,
         process: &ProcessState,
@@ -489,10 +499,12 @@
         let mut body = BytesMut::new();
         // A body of known length that fits the buffer is short, so streaming it gains nothing.
         let is_sized = matches!(head.framing, Framing::Length(_));
-        if matches!(head.framing, Framing::Length(length) if length > MAX_BUFFERED_BODY_BYTES) {
+        let is_long =
+            matches!(head.framing, Framing::Length(length) if length > MAX_BUFFERED_BODY_BYTES);
+        if is_long && (!policy.may_stream || policy.may_drop_body(head)) {
             return Ok(BodyRead::partial(body, decoder));
         }
-        let mut stream_rest = false;
+        let mut stream_rest = is_long;
         let mut buffer_timer_ended = is_sized || !policy.may_stream;
         loop {
             while let Some(piece) = decoder.decode(&mut self.unread)? {
@@ -504,12 +516,17 @@
             if body.len() > MAX_BUFFERED_BODY_BYTES || (stream_rest && !body.is_empty()) {
                 return Ok(BodyRead::partial(body, decoder));
             }
-            let wanted = decoder.remaining().map_or(MIN_READ_BYTES, |n| n as usize);
+            let wanted = match decoder.remaining() {
+                Some(remaining) if !is_long => remaining as usize,
+                _ => MIN_READ_BYTES,
+            };
             if !process.has_memory(MemoryPurpose::Response, 2 * (body.len() + wanted)) {
-                if policy.may_stream {
+                if policy.may_drop_body(head) || (policy.may_stream && !body.is_empty()) {
                     return Ok(BodyRead::partial(body, decoder));
                 }
-                wait_for_piece(process, body.len()).await?;
+                process
+                    .wait_for_response_memory(2 * (body.len() + MIN_READ_BYTES))
+                    .await;
             }
             let event = {
                 let mut more = std::pin::pin!(self.read_more(stream, wanted));
@@ -578,18 +595,6 @@
     }
 }
 
-/// Waits for the memory to buffer another piece of a body; the caller bounds the time.
-///
-/// # Errors
-/// Too many others wait for memory.
-async fn wait_for_piece(process: &ProcessState, buffered: usize) -> Result<(), ExchangeError> {
-    let bytes = 2 * (buffered + MIN_READ_BYTES);
-    let available = process
-        .wait_for_memory(MemoryPurpose::Response, bytes, Micros::MAX)
-        .await;
-    available.then_some(()).ok_or(ExchangeError::Malformed)
-}
-
 /// The headers of a message that concern its framing and its connection.
 #[derive(Default)]
 struct FramingHeaders {
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -150,6 +150,15 @@
             .await
     }
 
+    /// Waits until so many bytes of a response may be allocated. Any number of responses may wait: their requests were admitted.
+    /// The caller bounds the time.
+    pub(super) async fn wait_for_response_memory(&self, bytes: usize) {
+        while !self.has_memory(MemoryPurpose::Response, bytes) {
+            self.request_release();
+            self.sleep(RETRY_DELAY).await;
+        }
+    }
+
     /// Waits until `has_memory` says so. False if it does not within `timeout`, or if [`MAX_WAITING`] others wait.
     pub(super) async fn wait_until_memory(
         &self,
--- a/crates/sidecar/src/response_body.rs
+++ b/crates/sidecar/src/response_body.rs
@@ -66,8 +66,6 @@
     pub(super) decoder: BodyDecoder,
     /// Already decoded, and not yet sent to the client.
     pub(super) decoded: Bytes,
-    /// Its first byte has to come by this time, or the client's connection ends. `None` once it has.
-    pub(super) begin_by: Option<Micros>,
     /// Bytes read in the current turn of its task.
     pub(super) read_in_turn: TurnBytes,
     /// Released when the response ends.
@@ -106,10 +104,6 @@
                 return Poll::Ready(Some(Err(ExchangeError::Connection)));
             };
             let now = self.service.process.clock.now();
-            // The client's connection polls this at each of its checks.
-            if self.begin_by.is_some_and(|begin_by| now >= begin_by) {
-                return Poll::Ready(Some(Err(ExchangeError::Connection)));
-            }
             if self.read_in_turn.at(now) >= MAX_BYTES_PER_TURN {
                 context.waker().wake_by_ref();
                 return Poll::Pending;
@@ -131,10 +125,7 @@
             match ready!(read) {
                 Ok(0) if self.decoder.ends_with_connection() => return Poll::Ready(None),
                 Ok(0) | Err(_) => return Poll::Ready(Some(Err(ExchangeError::Connection))),
-                Ok(count) => {
-                    self.read_in_turn.count += count;
-                    self.begin_by = None;
-                }
+                Ok(count) => self.read_in_turn.count += count,
             }
         }
     }
