Give further attempts of a streamed request a time limit, and end the request when its time is over

A request that was queued meanwhile had no end at all. Now each attempt has the request's time, and a new event, RequestExpired, ends the request: no further attempt, 503 where nothing can have run.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -278,6 +278,7 @@
             Event::RequestBodyStarted(id) => self.request_body_started(id),
             Event::RequestBodyReceived(id) => self.request_body_received(now, id, actions),
             Event::RetriesDisabled(id) => self.disable_retries(id),
+            Event::RequestExpired(id) => self.request_expired(now, id, actions),
             Event::EventLoopStalled(duration) => self.exclude_stall(now, duration),
             Event::SettingsChanged(change) => self.apply_settings(now, change),
             Event::DegradationChanged(effects) => {
@@ -636,7 +637,7 @@
                 sent_at: now,
                 outcome: None,
             });
-            let (server, timeout_at) = (server.entry.server, request.timeout_at);
+            let (server, timeout_at) = (server.entry.server, request.attempt_timeout_at(now));
             actions.push(Action::Send {
                 request: id,
                 server,
@@ -833,6 +834,22 @@
         self.close_request(id, actions);
     }
 
+    /// The time of a request whose body is streamed is over. It ends now, or with its attempt in flight.
+    fn request_expired(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self
+            .requests
+            .get_mut(&id)
+            .filter(|request| !request.concluded)
+        else {
+            return;
+        };
+        request.timeout_at = request.timeout_at.min(now);
+        request.max_attempts = request.attempts.len();
+        if request.attempts_in_flight() == 0 {
+            self.end_unserved(now, id, actions);
+        }
+    }
+
     /// Sends the next attempt if none is in flight, or abandons the request if its time has passed, and sets
     /// the timer for the next check. Called on arrival, while the request is queued or waits for probes, and
     /// at its timeout.
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -194,6 +194,8 @@
     RequestBodyReceived(RequestId),
     /// The request cannot be sent again: it gets no further attempts.
     RetriesDisabled(RequestId),
+    /// The time of a request whose body is streamed is over. It gets no further attempts, and those in flight end.
+    RequestExpired(RequestId),
     /// This process did not run for this long, in microseconds, before this event: it was stopped, got no processor, or was
     /// kept by one task. Responses may have arrived meanwhile, so the time counts neither against a server nor as latency.
     /// Deadlines are not moved: clients do not wait longer.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -429,6 +429,13 @@
             .find(|attempt| attempt.may_have_executed())
     }
 
+    /// When an attempt that starts now times out. With a streamed body the time runs from the client's last byte, which may come
+    /// now.
+    pub fn attempt_timeout_at(&self, now: Micros) -> Micros {
+        self.paused_timeout
+            .map_or(self.timeout_at, |timeout| now.saturating_add(timeout))
+    }
+
     /// When an attempt may start at the latest. A non-idempotent attempt with less time left than a slow response takes may be
     /// executed and still be reported as failed, whereas a rejection tells the client that a retry is safe. At most half of
     /// the request's time is reserved for this, so that no request is rejected on arrival.
--- a/crates/balancer/tests/settings_change.rs
+++ b/crates/balancer/tests/settings_change.rs
@@ -129,3 +129,60 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn a_further_attempt_of_a_request_with_a_streamed_body_has_a_time_limit() {
+    let mut rig = Rig::new(settings(&[KEYED]), &fleet(3));
+    let (id, actions) = rig.request(0);
+    let (server, first_limit) = sent_with_limit(&actions, rig.now).expect("sent");
+    rig.event(Event::RequestBodyStarted(id));
+    rig.now += 300 * MS;
+    let actions = rig.close(id, 0, server, Outcome::ConnectFailed, 300 * MS);
+    let (_, limit) = sent_with_limit(&actions, rig.now).expect("sent again");
+    assert_eq!(limit, first_limit);
+}
+
+/// The server and the time limit of the attempt among these actions.
+fn sent_with_limit(actions: &[Action], now: Micros) -> Option<(ServerId, Micros)> {
+    actions.iter().find_map(|action| match action {
+        Action::Send {
+            server, timeout_at, ..
+        } => Some((*server, timeout_at - now)),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_request_that_expires_while_its_body_is_streamed_gets_no_further_attempt() {
+    let mut rig = Rig::new(settings(&[KEYED]), &fleet(3));
+    let (id, actions) = rig.request(0);
+    let server = sent(&actions).expect("sent");
+    rig.event(Event::RequestBodyStarted(id));
+    rig.now += 300 * MS;
+    let actions = rig.event(Event::RequestExpired(id));
+    assert!(
+        actions.is_empty(),
+        "its attempt tells whether it can have run: {actions:?}"
+    );
+    let actions = rig.close(id, 0, server, Outcome::ConnectFailed, 300 * MS);
+    assert!(sent(&actions).is_none());
+    assert!(
+        matches!(actions[..], [.., Action::Reject { .. }]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_request_that_expires_without_an_attempt_is_rejected_at_once() {
+    let mut rig = Rig::new(settings(&[KEYED]), &[]);
+    let (id, actions) = rig.request(0);
+    assert!(sent(&actions).is_none());
+    rig.event(Event::RequestBodyStarted(id));
+    rig.now += 300 * MS;
+    let actions = rig.event(Event::RequestExpired(id));
+    assert!(
+        matches!(actions[..], [Action::Reject { request, .. }] if request == id),
+        "{actions:?}"
+    );
+    assert!(rig.event(Event::RequestExpired(id)).is_empty(), "twice");
+}
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -286,6 +286,7 @@
             // The lab's bodies are whole when they come.
             Event::RequestBodyStarted(_)
             | Event::RequestBodyReceived(_)
+            | Event::RequestExpired(_)
             | Event::RetriesDisabled(_) => {}
         }
     }
