One deadline for a request, from its client's last byte on, for everything that it waits for

Causes, each confirmed: A. a body waited for memory piece by piece, each time for up to 1 s, while no timer of the request ran, and its attempt then got a whole time limit. C. the time of the client's last byte was taken too late: whatever the reader waited for, memory included, counted as the client's pace, each look moved the time on by a whole limit, and a socket that was empty for an instant passed for a client that had not written, while its bytes waited in its own buffers. 10 MB read proved that the client was unfinished now; they prove it for the time when they began. Now RequestDeadline is made where the head is read. It follows the client's socket (ClientArrivals) and what was read, and says when the answer is due; reading the body, waiting for memory, the transaction and its attempts, and GraphQL's body go by it. Waits for memory share one second. The transaction watches it for streamed bodies and tells the module (RequestExpired). A wait for memory no longer counts against the client's minimum rate, and the quarter of a second before the head is read counts as the request's own time.

Also, as asked: a request that ends 50 ms or more behind its deadline is logged with its id and what it waited for, and each class has counts by lateness in the status (`behind_deadline`; the test of its shape names the two new fields).

--- a/crates/cli/tests/deadlines/main.rs
+++ b/crates/cli/tests/deadlines/main.rs
@@ -6,3 +6,9 @@
 mod rig;
 
 mod answers;
+mod uploads;
+
+use std::time::Duration;
+
+/// An answer that comes later than this behind its time is lost by the operators' rules.
+const LOST_AFTER: Duration = Duration::from_millis(500);
--- a/crates/cli/tests/outputs/admin_view.rs
+++ b/crates/cli/tests/outputs/admin_view.rs
@@ -162,6 +162,8 @@
     listeners[].thread.us whole
     listeners[].thread.waits whole
     name ""
+    pools[].classes[].behind_deadline[].over_ms whole
+    pools[].classes[].behind_deadline[].requests 0
     pools[].classes[].delay fraction
     pools[].classes[].effect "safe" or "unsafe"
     pools[].classes[].name "submit" or "view"
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -8,6 +8,7 @@
 };
 use super::history_recorder::EndedAttempt;
 use super::readiness;
+use super::request_deadline::RequestDeadline;
 use super::response_body::{MAX_BYTES_PER_TURN, ResponseBody, StreamedResponseBody, TurnBytes};
 use super::service::Service;
 use super::stall::AwaitedResponse;
@@ -24,7 +25,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use tokio::net::TcpStream;
@@ -53,6 +54,7 @@
 /// The part of a client's request that is forwarded to a server.
 pub(super) struct ForwardedRequest {
     pub(super) client: Rc<Client>,
+    pub(super) deadline: Rc<RequestDeadline>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
@@ -105,7 +107,7 @@
     pub(super) cost_hint: Option<Micros>,
     /// The wait for the response, since the attempt started; after a streamed request body, since its last byte was written.
     pub(super) wait: AwaitedResponse,
-    /// When the attempt times out. With a streamed request body, its time limit starts over with the last byte.
+    /// When the attempt times out. With a streamed request body, it ends with the deadline of its request instead.
     pub(super) timeout_at: Micros,
     /// From this time on the last byte of the request must not be written.
     pub(super) write_by: Micros,
@@ -117,7 +119,7 @@
 impl Attempt {
     /// Whether the request timed out before any of it was written, for example because the process was suspended while the
     /// connection was established. The request is not written then, so the client can be told that it was not executed.
-    /// The time limit of a streamed body starts with its last byte.
+    /// With a streamed body, the attempt ends with the deadline of its request.
     fn has_expired_unsent(&self, forwarded: &ForwardedRequest) -> bool {
         forwarded.body.streamed().is_none() && self.service.process.clock.read() >= self.timeout_at
     }
@@ -165,7 +167,9 @@
     forwarded: Rc<ForwardedRequest>,
 ) -> Option<FinalResponse> {
     if let Some(record) = &forwarded.idempotency_record {
-        let barrier = record.pass_barrier().await;
+        // Dropped at the deadline, the record lets no attempt through; nothing of the request was sent.
+        let barrier = until_expired(&forwarded, record.pass_barrier()).await;
+        let barrier = barrier.unwrap_or(WriteBarrier::Rejected);
         if barrier != WriteBarrier::Open {
             attempt.transaction_ended.set(true);
             attempt.report_outcome(Outcome::Moot);
@@ -205,40 +209,30 @@
     response.map(FinalResponse::Served)
 }
 
-/// Applies the attempt's time limit. With a streamed request body it runs from the client's last byte, which may lie in the
-/// system's buffers while the server does not take what comes before it.
+/// Applies the attempt's time limit. With a streamed request body that is the deadline of its request.
 async fn with_time_limit<T>(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
     exchange: impl Future<Output = T>,
 ) -> Option<T> {
+    if forwarded.body.streamed().is_some() {
+        return until_expired(forwarded, exchange).await;
+    }
     let process = &attempt.service.process;
-    let Some(streamed) = forwarded.body.streamed() else {
-        return process.timeout_at(attempt.timeout_at, exchange).await;
-    };
-    let time_limit = attempt.timeout_at.saturating_sub(attempt.wait.since());
-    let due_at = |now: Micros| {
-        let finished_at = streamed.completed_at.get();
-        let finished_at = finished_at
-            .unwrap_or_else(|| streamed.progress.client_finished_at(&forwarded.client, now));
-        finished_at.saturating_add(time_limit)
-    };
-    let mut exchange = pin!(exchange);
-    let mut timer = process.sleep_until(due_at(process.clock.now()));
-    poll_fn(|context| {
-        if let Poll::Ready(done) = exchange.as_mut().poll(context) {
-            return Poll::Ready(Some(done));
-        }
-        // The time at which it is due only moves on.
-        while Pin::new(&mut timer).poll(context).is_ready() {
-            let now = process.clock.now();
-            let due_at = due_at(now);
-            if now >= due_at {
-                return Poll::Ready(None);
-            }
-            timer = process.sleep_until(due_at);
-        }
-        Poll::Pending
+    process.timeout_at(attempt.timeout_at, exchange).await
+}
+
+/// The output of a future; `None` once the request's deadline has passed. The transaction, which watches the deadline, polls its
+/// attempts then.
+async fn until_expired<T>(
+    forwarded: &ForwardedRequest,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let mut work = pin!(work);
+    poll_fn(|context| match work.as_mut().poll(context) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending if forwarded.deadline.has_expired() => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
     })
     .await
 }
@@ -267,10 +261,11 @@
     else {
         return (Outcome::Moot, None);
     };
-    let left_ms = attempt
-        .timeout_at
-        .saturating_sub(attempt.wait.since())
-        .div_ceil(1_000);
+    let left = match forwarded.body.streamed() {
+        Some(_) => forwarded.deadline.remaining(attempt.wait.since()),
+        None => attempt.timeout_at.saturating_sub(attempt.wait.since()),
+    };
+    let left_ms = left.div_ceil(1_000);
     // A request that may have run must not run twice. If the connection breaks before the last byte, it has not run.
     let delays_last_byte = forwarded.non_idempotent
         && service.connections.recently_broke()
@@ -426,7 +421,7 @@
     let Some(mut reader) = streamed.take_remainder() else {
         return Ok(());
     };
-    let chunked = streamed.progress.length == BodyLength::Chunked;
+    let chunked = forwarded.deadline.length() == BodyLength::Chunked;
     let mut result = Ok(());
     let mut bytes_in_turn = 0;
     let request_complete = loop {
@@ -485,8 +480,8 @@
     if request_complete {
         let now = service.process.clock.now();
         progress.complete.set(true);
-        let finished_at = streamed.progress.client_finished_at(&forwarded.client, now);
-        streamed.completed_at.set(Some(finished_at));
+        let last_byte_at = forwarded.deadline.record_body_complete();
+        streamed.completed_at.set(Some(last_byte_at));
         attempt.wait.restart(now);
         service.handle(now, Event::RequestBodyReceived(attempt.request));
         reader.finish();
@@ -528,7 +523,7 @@
     match forwarded
         .body
         .streamed()
-        .map(|streamed| streamed.progress.length)
+        .map(|_| forwarded.deadline.length())
     {
         Some(BodyLength::Known(length)) => {
             message.add_number_header(&header::CONTENT_LENGTH, length)
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -13,6 +13,7 @@
 
 mod unread_request;
 
+use super::client_arrivals::ClientArrivals;
 use super::client_pace::WritePace;
 use super::counts::CountGuard;
 use super::fair_scheduler::ChargedAccount;
@@ -93,10 +94,10 @@
     flushed: Cell<bool>,
     /// How fast the client reads what is written to it.
     pub(super) write_pace: WritePace,
-    /// The last read found no bytes.
-    read_waits: Cell<bool>,
-    /// When bytes last arrived that a read had waited for: the client had written none beyond them before.
-    waited_until: Cell<Micros>,
+    /// When the client can have written what arrives.
+    arrivals: ClientArrivals,
+    /// How long its next request has waited unread for memory.
+    activation_wait: Cell<Micros>,
 }
 
 impl Client {
@@ -142,16 +143,24 @@
         poll(&mut polled, Some(&no_wait)).is_ok_and(|_| polled[0].revents().intersects(closed))
     }
 
-    /// When bytes last arrived that a read had waited for. The client may have written all that follows them since then: what
-    /// this process does not read stays in the system's buffers.
-    pub(super) fn waited_until(&self) -> Micros {
-        self.waited_until.get()
+    /// A time at which the client had not written all that was read since. It may have written all of it right after: what this
+    /// process does not read stays in the system's buffers.
+    pub(super) fn unfinished_at(&self) -> Micros {
+        self.arrivals.unfinished_at()
     }
 
-    fn record_read(&self, read_waits: bool, now: Micros) {
-        if self.read_waits.replace(read_waits) && !read_waits {
-            self.waited_until.set(now);
+    /// How long the request that is read now has waited unread for memory.
+    pub(super) fn take_activation_wait(&self) -> Micros {
+        self.activation_wait.take()
+    }
+
+    /// Looks at the socket: whether the client certainly has written nothing beyond what was read.
+    pub(super) fn is_silent(&self, now: Micros) -> bool {
+        match peek_nonblocking(&self.stream) {
+            Err(Errno::AGAIN | Errno::INTR) => self.arrivals.record_empty(now),
+            Ok(_) | Err(_) => self.arrivals.record_unread(now),
         }
+        self.arrivals.is_silent(now)
     }
 
     fn has_unread_bytes(&self) -> bool {
@@ -360,8 +369,8 @@
             last_write_at: Cell::new(now),
             flushed: Cell::new(true),
             write_pace: WritePace::default(),
-            read_waits: Cell::new(false),
-            waited_until: Cell::new(now),
+            arrivals: ClientArrivals::new(now),
+            activation_wait: Cell::new(0),
         });
         clients.park(&client, now);
         listener
@@ -474,7 +483,12 @@
         }
         // Readiness alone does not prove a byte: fresh sockets have been seen to report it without one.
         match readiness::poll_peek(&client.stream, context) {
-            Poll::Ready(Ok(count)) => return Poll::Ready(count > 0),
+            Poll::Ready(Ok(count)) => {
+                client
+                    .arrivals
+                    .record_arrival(0, listener.process.clock.now());
+                return Poll::Ready(count > 0);
+            }
             Poll::Ready(Err(_)) => return Poll::Ready(false),
             Poll::Pending => {}
         }
@@ -704,8 +718,11 @@
             let capacity = buffer.remaining().min(read_buffer.len());
             let polled = io.client.poll_read(context, &mut read_buffer[..capacity]);
             let now = io.listener.process.clock.now();
-            io.client.record_read(polled.is_pending(), now);
+            if polled.is_pending() {
+                io.client.arrivals.record_empty(now);
+            }
             let count = ready!(polled)?;
+            io.client.arrivals.record_arrival(count, now);
             let read = &read_buffer[..count];
             io.client.read_since_response.set(true);
             if !io.framing.follow(read) {
--- a/crates/sidecar/src/client/unread_request.rs
+++ b/crates/sidecar/src/client/unread_request.rs
@@ -26,6 +26,7 @@
     // It has a request, so it must not be evicted as idle.
     listener.clients.wake(client);
     let idle_since = client.idle_since.take();
+    let started_at = process.clock.now();
     let admitted = process
         .wait_until_memory(MEMORY_WAIT_TIMEOUT, || {
             process.has_memory(MemoryPurpose::Connection, ACTIVATION_BYTES)
@@ -35,6 +36,8 @@
         })
         .await;
     client.idle_since.set(idle_since);
+    let waited = process.clock.now().saturating_sub(started_at);
+    client.activation_wait.set(waited);
     admitted
 }
 
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -1,6 +1,7 @@
 //! Outcomes of requests by class. Incremented where a request ends; read by the control address, the admin view and the agent
 //! link.
 
+use super::lateness::LatenessHistogram;
 use madderloom_admin::stats::ResultCounts;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
     pub(super) served: Cell<u64>,
     /// Those of them answered after the latency objective. Not counted for GraphQL operations.
     pub(super) late: Cell<u64>,
+    /// With any outcome, by how much later than their deadline they ended. Not counted for GraphQL operations.
+    pub(super) lateness: LatenessHistogram,
     /// Rejected by the balancer.
     pub(super) rejected: Cell<u64>,
     pub(super) failed: Cell<u64>,
@@ -41,6 +44,7 @@
         ] {
             to.set(to.get() + from.get());
         }
+        self.lateness.add(&other.lateness);
     }
 
     /// The outcomes as the control address reports them.
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -5,15 +5,16 @@
 use super::client::Client;
 use super::counts::increment;
 use super::listener::Listener;
+use super::request_deadline::{CLIENT_DEADLINE_MARGIN, RequestDeadline};
 use super::response_body::ResponseBody as Body;
 use super::service::Service;
 use super::state_writer::IdempotencyRecord;
 use super::transaction::{self, FinalResponse};
-use super::upload::RequestBody;
+use super::upload::{BodyLength, RequestBody};
 use super::virtual_server::{
-    CLIENT_DEADLINE_MARGIN, InFlightRequestId, RequestError, TRACE_ID, admit,
-    admit_by_fleet_limits, bad_request, client_time_left, declared_length, next_request_id,
-    read_complete_body, record_rejection, retry_after_value,
+    InFlightRequestId, RequestError, TRACE_ID, admit, admit_by_fleet_limits, bad_request,
+    client_time_left, declared_length, next_request_id, read_complete_body, record_rejection,
+    retry_after_value,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -36,8 +37,9 @@
     service: &'a Rc<Service>,
     head: Parts,
     received_at: Micros,
-    /// How long the client still waits, if its request says so.
-    time_left: Option<Micros>,
+    deadline: Rc<RequestDeadline>,
+    /// The request says how long its client waits.
+    has_time_left: bool,
     media: Media,
 }
 
@@ -64,14 +66,21 @@
         let id = request_id(&head.headers)?
             .map(|id| InFlightRequestId::new(service, id))
             .transpose()?;
+        let deadline = RequestDeadline::new(
+            &listener.process,
+            client,
+            BodyLength::Known(size as u64),
+            time_left.unwrap_or(Micros::MAX),
+        );
         let body = if size > 0 {
-            read_complete_body(&listener.process, body.take(), settings.body_timeout).await?
+            let timeout = settings.body_timeout;
+            read_complete_body(service, body.take(), &deadline, timeout).await?
         } else {
             Bytes::new()
         };
-        Ok((time_left, body, (permits, id)))
+        Ok((deadline, time_left.is_some(), body, (permits, id)))
     };
-    let (time_left, bytes, _guards) = match admission.await {
+    let (deadline, has_time_left, bytes, _guards) = match admission.await {
         Ok(admitted) => admitted,
         Err(error) => {
             record_rejection(service, None, &error, body.take(), settings);
@@ -95,7 +104,8 @@
         service,
         head,
         received_at,
-        time_left,
+        deadline,
+        has_time_left,
         media,
     };
     match send_plan {
@@ -191,21 +201,17 @@
         }
         let _open = service.counts.track_request();
         let now = service.process.clock.now();
-        let class_deadline = service
-            .active_settings()
-            .class_at(classed.class)
-            .map_or(0, |entry| entry.class.deadline);
+        let time_left = if self.has_time_left {
+            self.deadline.remaining(now)
+        } else {
+            self.class_time_left(classed.class, now)
+        };
         let new_request = NewRequest {
             id: next_request_id(service),
             class: classed.class,
             tenant: 0,
             key: classed.key.or_else(|| subject(&headers)),
-            time_left: service.process.cap_time_left(
-                now,
-                self.time_left
-                    .unwrap_or(class_deadline)
-                    .saturating_sub(CLIENT_DEADLINE_MARGIN + (now - self.received_at)),
-            ),
+            time_left,
             cost_hint: classed.cost,
             client_retry: headers
                 .get("x-second-try")
@@ -221,6 +227,7 @@
             .map_err(|_| Fault::bad("the id of what must not run twice is over 1,024 bytes"))?;
         let forwarded = ForwardedRequest {
             client: Rc::clone(self.client),
+            deadline: Rc::clone(&self.deadline),
             method: self.head.method.clone(),
             uri: self.head.uri.clone(),
             headers,
@@ -248,6 +255,18 @@
         }
     }
 
+    /// How long a client still waits that does not say so: for the deadline of its class.
+    fn class_time_left(&self, class: u32, now: Micros) -> Micros {
+        let deadline = self
+            .service
+            .active_settings()
+            .class_at(class)
+            .map_or(0, |entry| entry.class.deadline);
+        let elapsed = now - self.received_at;
+        let time_left = deadline.saturating_sub(CLIENT_DEADLINE_MARGIN + elapsed);
+        self.service.process.cap_time_left(now, time_left)
+    }
+
     /// Runs a transaction for each operation of a batch and joins their responses.
     async fn run_batch(&self, parts: Vec<Result<ServerMessage, Fault>>) -> Response<Body> {
         let retry_safeties: Vec<RetrySafety> = parts
--- /dev/null
+++ b/crates/sidecar/src/lateness.rs
@@ -0,0 +1,89 @@
+//! Requests that end later than their deadline: how many, by how much, and what they waited for.
+
+use super::counts::increment;
+use madderloom_balancer::Micros;
+use std::cell::Cell;
+
+/// A request that ends later than this behind its deadline is logged.
+pub(super) const MIN_LOGGED_LATENESS: Micros = 50_000;
+
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WaitKind {
+    /// Memory for its connection, before its head is read.
+    Activation,
+    /// Its body, without the wait for memory.
+    Body,
+    /// Memory for its body.
+    Memory,
+    /// The balancer and servers.
+    Servers,
+}
+
+impl WaitKind {
+    const COUNT: usize = 4;
+}
+
+/// How long a request has waited, by kind.
+#[derive(Default)]
+pub(super) struct WaitTimes([Cell<Micros>; WaitKind::COUNT]);
+
+impl WaitTimes {
+    pub(super) fn add(&self, kind: WaitKind, waited: Micros) {
+        let time = &self.0[kind as usize];
+        time.set(time.get().saturating_add(waited));
+    }
+
+    pub(super) fn get(&self, kind: WaitKind) -> Micros {
+        self.0[kind as usize].get()
+    }
+}
+
+/// Counts requests by how much later than their deadline they ended.
+#[derive(Clone, Default)]
+pub(super) struct LatenessHistogram([Cell<u64>; LatenessHistogram::BOUNDS.len()]);
+
+impl LatenessHistogram {
+    /// The bounds, in microseconds.
+    const BOUNDS: [Micros; 5] = [MIN_LOGGED_LATENESS, 150_000, 500_000, 1_500_000, 5_000_000];
+
+    pub(super) fn record(&self, lateness: Micros) {
+        for (bound, count) in Self::BOUNDS.iter().zip(&self.0) {
+            if lateness >= *bound {
+                increment(count);
+            }
+        }
+    }
+
+    /// Each bound in milliseconds, with the number of requests that were later.
+    pub(super) fn counts(&self) -> impl Iterator<Item = (u64, u64)> {
+        Self::BOUNDS
+            .iter()
+            .zip(&self.0)
+            .map(|(bound, count)| (bound / 1_000, count.get()))
+    }
+
+    pub(super) fn add(&self, other: &LatenessHistogram) {
+        for (to, from) in self.0.iter().zip(&other.0) {
+            to.set(to.get() + from.get());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_counts_at_each_bound_that_it_was_later_than() {
+        let histogram = LatenessHistogram::default();
+        for lateness in [0, MIN_LOGGED_LATENESS - 1, MIN_LOGGED_LATENESS, 600_000] {
+            histogram.record(lateness);
+        }
+        let counts: Vec<_> = histogram.counts().collect();
+        assert_eq!(
+            counts,
+            [(50, 2), (150, 1), (500, 1), (1_500, 0), (5_000, 0)]
+        );
+    }
+}
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -111,6 +111,8 @@
     ended: Rc<Cell<bool>>,
     /// By attempt number; `None` once the attempt has ended.
     attempts: SmallVec<[Option<AttemptFuture>; 2]>,
+    /// Completes at the deadline of a request with a streamed body, whose time the balancer does not know.
+    expiry: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
 /// An event that a transaction waits for.
@@ -118,6 +120,8 @@
     Step(Step),
     /// An attempt has ended, with the final response if it decides one.
     AttemptEnded(Option<FinalResponse>),
+    /// The final response is due.
+    Expired,
 }
 
 /// Runs one request's transaction: carries out the balancer's steps until there is a final response.
@@ -127,7 +131,7 @@
     new_request: NewRequest,
     request: Rc<ForwardedRequest>,
 ) -> FinalResponse {
-    let mut transaction = Transaction::start(service, now, &new_request);
+    let mut transaction = Transaction::start(service, now, &new_request, &request);
 
     // The balancer's first step may be to send the request, to reject it, or none yet.
     let shed_before = service.shed_requests();
@@ -145,6 +149,12 @@
                 write_by,
             }) => {
                 request.wait_forever_if_client_gone().await;
+                if request.body.streamed().is_some() {
+                    let sent_at = service.process.clock.now();
+                    request
+                        .deadline
+                        .limit_to(timeout_at.saturating_sub(sent_at));
+                }
                 transaction.send(&request, server, (timeout_at, write_by));
             }
             Next::Step(Step::Cancel { attempt }) => transaction.cancel(attempt),
@@ -155,12 +165,28 @@
             // An attempt reports its outcome to the balancer before it ends; the balancer's next step follows from that.
             Next::AttemptEnded(Some(response)) => return transaction.end(&request, response),
             Next::AttemptEnded(None) => {}
+            Next::Expired => {
+                request.deadline.expire();
+                let now = service.process.clock.now();
+                service.handle(now, Event::RequestExpired(transaction.id));
+            }
         }
     }
 }
 
 impl Transaction {
-    fn start(service: &Rc<Service>, now: Micros, new_request: &NewRequest) -> Self {
+    fn start(
+        service: &Rc<Service>,
+        now: Micros,
+        new_request: &NewRequest,
+        request: &ForwardedRequest,
+    ) -> Self {
+        let expiry = request.body.streamed().map(|_| {
+            let deadline = Rc::clone(&request.deadline);
+            let expiry: Pin<Box<dyn Future<Output = ()>>> =
+                Box::pin(async move { deadline.until_due().await });
+            expiry
+        });
         let steps = Rc::<StepQueue>::default();
         service
             .transactions
@@ -178,6 +204,7 @@
             steps,
             ended: Rc::default(),
             attempts: SmallVec::new(),
+            expiry,
         }
     }
 
@@ -215,7 +242,7 @@
         }
     }
 
-    /// Waits for the next step, or until an attempt ends. Steps have priority.
+    /// Waits for the next step, for the deadline, or until an attempt ends. Steps have priority.
     async fn next(&mut self) -> Next {
         poll_fn(|context: &mut Context<'_>| {
             if let Some(step) = self.steps.pop() {
@@ -223,6 +250,12 @@
             }
             // The waker is registered before the attempts are polled, as polling one may push a step.
             self.steps.register_waker(context);
+            if let Some(expiry) = &mut self.expiry
+                && expiry.as_mut().poll(context).is_ready()
+            {
+                self.expiry = None;
+                return Poll::Ready(Next::Expired);
+            }
             for slot in &mut self.attempts {
                 if let Some(Poll::Ready(response)) =
                     slot.as_mut().map(|attempt| attempt.as_mut().poll(context))
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -4,12 +4,13 @@
 //! longer one only a prefix is buffered, and the remainder is read from the client at the pace at which the server accepts
 //! it. Once any of the remainder has been read, the request cannot be sent again.
 
-use super::client::Client;
 use super::client_pace::ClientLag;
+use super::lateness::WaitKind;
 use super::limits::Reservation;
 use super::listener::Listener;
 use super::memory::MemoryPurpose;
 use super::process_state::ProcessState;
+use super::request_deadline::RequestDeadline;
 use super::service::Service;
 use super::virtual_server::{RequestError, bad_request};
 use bytes::{Bytes, BytesMut};
@@ -30,13 +31,9 @@
 /// How far a client may fall behind [`MIN_BYTES_PER_SECOND`].
 pub(super) const READ_DELAY_ALLOWANCE: Micros = 3_000_000;
 
-/// The most of a body that the system's buffers hold between a client and this process: what Linux allows by default to the
-/// sending and to the receiving side (`tcp_wmem`, `tcp_rmem`).
-const SYSTEM_BUFFER_BYTES: u64 = (4 << 20) + (6 << 20);
-
 /// Interval at which a reader that waits checks whether its client has to give way to others.
 const LAG_CHECK_INTERVAL: Micros = 100_000;
-/// How long a body may wait for memory before its request is rejected.
+/// How long a body may wait for memory, all its pieces together, before its request is rejected.
 const MEMORY_WAIT_TIMEOUT: Micros = 1_000_000;
 
 const BODY_TOO_SLOW: RequestError =
@@ -89,90 +86,26 @@
     }
 }
 
-/// How far the reading of a body has come; shared by its reader and the attempt that sends it.
-pub(super) struct UploadProgress {
-    pub(super) length: BodyLength,
-    bytes_read: Cell<u64>,
-    /// The reader waits for the client.
-    awaits_client: Cell<bool>,
-    /// A time at which the client had not written its last byte.
-    unfinished_at: Cell<Micros>,
-    /// The bytes read when that was last concluded from their number.
-    bytes_at_conclusion: Cell<u64>,
-}
-
-impl UploadProgress {
-    fn new(length: BodyLength, now: Micros) -> Rc<Self> {
-        Rc::new(UploadProgress {
-            length,
-            bytes_read: Cell::new(0),
-            awaits_client: Cell::new(false),
-            unfinished_at: Cell::new(now),
-            bytes_at_conclusion: Cell::new(0),
-        })
-    }
-
-    fn record_read(&self, bytes: u64, now: Micros) {
-        let bytes_read = self.bytes_read.get() + bytes;
-        self.bytes_read.set(bytes_read);
-        if bytes_read - self.bytes_at_conclusion.get() > SYSTEM_BUFFER_BYTES {
-            self.bytes_at_conclusion.set(bytes_read);
-            self.unfinished_at.set(now);
-        }
-    }
-
-    /// The earliest time at which the client may have written its last byte; `now` while it certainly has not. Bytes that are not
-    /// read yet may all lie in the buffers of the system.
-    pub(super) fn client_finished_at(&self, client: &Client, now: Micros) -> Micros {
-        let remaining = match self.length {
-            BodyLength::Known(length) => length.saturating_sub(self.bytes_read.get()),
-            BodyLength::Chunked => 0,
-        };
-        if self.awaits_client.get() || remaining > SYSTEM_BUFFER_BYTES {
-            return now;
-        }
-        client.waited_until().max(self.unfinished_at.get())
-    }
-}
-
-/// Marks that the reader waits for the client, until it is dropped.
-struct AwaitsClient<'a>(&'a UploadProgress);
-
-impl<'a> AwaitsClient<'a> {
-    fn start(progress: &'a UploadProgress) -> Self {
-        progress.awaits_client.set(true);
-        AwaitsClient(progress)
-    }
-}
-
-impl Drop for AwaitsClient<'_> {
-    fn drop(&mut self) {
-        self.0.awaits_client.set(false);
-    }
-}
-
-/// Reads a client's body, at a minimum rate.
+/// Reads a client's body, at a minimum rate and within the deadline of its request.
 pub(super) struct BodyReader {
     body: Incoming,
     /// How long it has waited for the client in all.
     waited: Micros,
     lag: ClientLag,
-    progress: Rc<UploadProgress>,
+    /// How long it may still wait for memory.
+    memory_wait_left: Micros,
+    deadline: Rc<RequestDeadline>,
     max_bytes: u64,
 }
 
 impl BodyReader {
-    pub(super) fn new(
-        process: &ProcessState,
-        body: Incoming,
-        length: BodyLength,
-        max_bytes: usize,
-    ) -> Self {
+    pub(super) fn new(body: Incoming, deadline: &Rc<RequestDeadline>, max_bytes: usize) -> Self {
         BodyReader {
             body,
             waited: 0,
             lag: ClientLag::default(),
-            progress: UploadProgress::new(length, process.clock.now()),
+            memory_wait_left: MEMORY_WAIT_TIMEOUT,
+            deadline: Rc::clone(deadline),
             max_bytes: max_bytes as u64,
         }
     }
@@ -180,7 +113,8 @@
     /// The next piece of the body; `None` at its end.
     ///
     /// # Errors
-    /// The client falls behind the minimum rate, its body ends early, or it is longer than allowed.
+    /// The client falls behind the minimum rate, its body ends early, it is longer than allowed, or there is no memory to read it
+    /// by the deadline.
     pub(super) async fn next(
         &mut self,
         process: &ProcessState,
@@ -196,9 +130,9 @@
                 continue;
             };
             self.lag.record_bytes(data.len());
-            self.progress
+            self.deadline
                 .record_read(data.len() as u64, process.clock.now());
-            if self.progress.bytes_read.get() > self.max_bytes {
+            if self.deadline.bytes_read() > self.max_bytes {
                 return Err(BODY_TOO_LONG);
             }
             if !data.is_empty() {
@@ -207,38 +141,77 @@
         }
     }
 
-    /// Waits for the client within what the minimum rate allows. Only this wait counts: a server that takes the body slowly
-    /// holds up its client.
+    /// Waits for the client within what the minimum rate allows. Only this wait counts: a server that takes the body slowly, or
+    /// memory that is scarce, holds up its client.
     async fn next_frame(
         &mut self,
         process: &ProcessState,
     ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, RequestError> {
-        let started_at = process.clock.now();
         let allowed = READ_DELAY_ALLOWANCE
-            + self.progress.bytes_read.get().saturating_mul(1_000_000) / MIN_BYTES_PER_SECOND;
-        let deadline = started_at + allowed.saturating_sub(self.waited);
-        let progress = Rc::clone(&self.progress);
-        let awaits_client = AwaitsClient::start(&progress);
-        let mut checked_at = started_at;
-        let result = loop {
-            checked_at = deadline.min(checked_at + LAG_CHECK_INTERVAL);
-            if let Some(frame) = process.timeout_at(checked_at, self.body.frame()).await {
-                break Ok(frame);
-            }
+            + self.deadline.bytes_read().saturating_mul(1_000_000) / MIN_BYTES_PER_SECOND;
+        let deadline = Rc::clone(&self.deadline);
+        let _awaits_body = deadline.await_body();
+        let mut checked_at = process.clock.now();
+        let mut check_at = checked_at + LAG_CHECK_INTERVAL;
+        loop {
+            let frame = process.timeout_at(check_at, self.body.frame()).await;
             let now = process.clock.now();
-            if now >= deadline {
-                break Err(BODY_TOO_SLOW);
+            let waited = now.saturating_sub(checked_at);
+            checked_at = now;
+            if let Some(frame) = frame {
+                self.record_wait(waited);
+                return Ok(frame);
             }
-            let lag = self.lag.get() + now.saturating_sub(started_at);
-            if process.memory.must_release(lag, now) {
-                break Err(RequestError::LimitReached("too much is open", None));
+            if deadline.awaits_client(now) {
+                self.record_wait(waited);
             }
-        };
-        drop(awaits_client);
-        let waited = process.clock.now().saturating_sub(started_at);
+            if self.waited >= allowed {
+                return Err(BODY_TOO_SLOW);
+            }
+            let due_at = deadline.due_at(now);
+            if now >= due_at || process.memory.must_release(self.lag.get(), now) {
+                return Err(RequestError::LimitReached("too much is open", None));
+            }
+            let too_slow_at = now + allowed.saturating_sub(self.waited);
+            check_at = due_at.min(too_slow_at).min(now + LAG_CHECK_INTERVAL);
+        }
+    }
+
+    fn record_wait(&mut self, waited: Micros) {
         self.waited += waited;
         self.lag.record_wait(waited);
-        result
+    }
+
+    /// Waits for the memory to buffer so many bytes, until the response is due at the latest.
+    ///
+    /// # Errors
+    /// There is none in time.
+    async fn wait_for_buffer(
+        &mut self,
+        process: &ProcessState,
+        service: &Service,
+        bytes: usize,
+    ) -> Result<(), RequestError> {
+        // The buffer may double when it grows.
+        let bytes = 2 * bytes;
+        if process.has_memory(MemoryPurpose::Request, bytes) {
+            return Ok(());
+        }
+        let started_at = process.clock.now();
+        let timeout = self
+            .deadline
+            .remaining(started_at)
+            .min(self.memory_wait_left);
+        let available = process
+            .wait_for_memory(MemoryPurpose::Request, bytes, timeout)
+            .await;
+        let waited = process.clock.now().saturating_sub(started_at);
+        self.memory_wait_left = self.memory_wait_left.saturating_sub(waited);
+        self.deadline.waits.add(WaitKind::Memory, waited);
+        available.then_some(()).ok_or(RequestError::LimitReached(
+            "too much is open",
+            service.retry_after(),
+        ))
     }
 
     /// The remainder of the body, to be drained.
@@ -279,7 +252,6 @@
     remainder: RefCell<Option<BodyReader>>,
     /// Some of the remainder has been read, so the body cannot be sent again.
     pub(super) consumed: Cell<bool>,
-    pub(super) progress: Rc<UploadProgress>,
     /// Set once it has been sent completely: the earliest time at which the client may have written its last byte.
     pub(super) completed_at: Cell<Option<Micros>>,
     /// Why it will never be complete.
@@ -287,6 +259,16 @@
 }
 
 impl StreamedRequestBody {
+    fn new(prefix: Bytes, remainder: BodyReader) -> Self {
+        StreamedRequestBody {
+            prefix,
+            remainder: RefCell::new(Some(remainder)),
+            consumed: Cell::new(false),
+            completed_at: Cell::new(None),
+            failure: RefCell::default(),
+        }
+    }
+
     /// Lends the remainder to an attempt that sends it; `None` if it was consumed or is taken.
     pub(super) fn take_remainder(&self) -> Option<LentBodyReader<'_>> {
         if self.consumed.get() {
@@ -357,11 +339,12 @@
     listener: &Listener,
     service: &Service,
     body: &mut Option<Incoming>,
-    length: BodyLength,
+    deadline: &Rc<RequestDeadline>,
     max_bytes: usize,
     reservations: &mut BodyReservations,
 ) -> Result<RequestBody, RequestError> {
     let process = &listener.process;
+    let length = deadline.length();
     let mut buffered = BytesMut::new();
     // Only a prefix is buffered of a body that is known to be too long.
     let (buffers_all, mut reserved) = match length {
@@ -383,13 +366,14 @@
     let Some(body) = body.take() else {
         return Ok(RequestBody::Buffered(Bytes::new()));
     };
-    let mut reader = BodyReader::new(process, body, length, max_bytes);
+    let mut reader = BodyReader::new(body, deadline, max_bytes);
     loop {
         let Some(piece) = reader.next(process).await? else {
+            deadline.record_body_complete();
             return Ok(RequestBody::Buffered(buffered.freeze()));
         };
         let size = buffered.len() + piece.len();
-        wait_for_buffer(process, service, size).await?;
+        reader.wait_for_buffer(process, service, size).await?;
         if buffers_all && size > reserved && size <= MAX_BUFFERED_BYTES {
             // The length of a chunked body is unknown, so its reservation grows as chunks arrive.
             let more = size.next_power_of_two().max(STREAM_PREFIX_BYTES) - reserved;
@@ -410,41 +394,12 @@
         if must_stream
             && !matches!(length, BodyLength::Known(size) if size == buffered.len() as u64)
         {
-            let streamed = StreamedRequestBody {
-                prefix: buffered.freeze(),
-                progress: Rc::clone(&reader.progress),
-                remainder: RefCell::new(Some(reader)),
-                consumed: Cell::new(false),
-                completed_at: Cell::new(None),
-                failure: RefCell::default(),
-            };
+            let streamed = StreamedRequestBody::new(buffered.freeze(), reader);
             return Ok(RequestBody::Streamed(streamed));
         }
     }
 }
 
-/// Waits for the memory to buffer so many bytes.
-///
-/// # Errors
-/// There is none in time.
-async fn wait_for_buffer(
-    process: &ProcessState,
-    service: &Service,
-    bytes: usize,
-) -> Result<(), RequestError> {
-    // The buffer may double when it grows.
-    let available = process
-        .wait_for_memory(MemoryPurpose::Request, 2 * bytes, MEMORY_WAIT_TIMEOUT)
-        .await;
-    if !available {
-        return Err(RequestError::LimitReached(
-            "too much is open",
-            service.retry_after(),
-        ));
-    }
-    Ok(())
-}
-
 fn reserve(
     listener: &Listener,
     service: &Service,
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -92,6 +92,13 @@
     })
 }
 
+fn lateness(counts: &OutcomeCounts) -> Value {
+    let bounds = counts.lateness.counts();
+    bounds
+        .map(|(over_ms, requests)| json!({"over_ms": over_ms, "requests": requests}))
+        .collect()
+}
+
 fn cpu_time(spent: Spent) -> Value {
     json!({"us": spent.nanos / 1_000, "waits": spent.waits})
 }
@@ -135,6 +142,7 @@
             },
             "open": seen.in_flight, "usual_us": seen.service_time, "slow_us": seen.tail_latency, "delay": seen.latency_ratio,
             "served_per_s": seen.served_per_second, "refused_ago_us": seen.last_rejected.map(elapsed_since),
+            "behind_deadline": lateness(&class.counts),
         })
     });
     let account =
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -7,9 +7,11 @@
 use super::counts::increment;
 use super::fleet_limits::FleetPermit;
 use super::graphql;
+use super::lateness::WaitKind;
 use super::limits::LimitExceeded;
 use super::listener::{Listener, ListenerSettings};
 use super::process_state::ProcessState;
+use super::request_deadline::{LatenessRecorder, RequestDeadline};
 use super::response_body::{ResponseBody, ResponseResources};
 use super::routing::{ClassSource, Routing};
 use super::service::Service;
@@ -26,10 +28,10 @@
 use madderloom_routing::request::{Asked, Fault, split_key, subject};
 use madderloom_watchdog::{self as watchdog, TaskKind};
 use std::cell::Cell;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
-
-/// Subtracted from a client's remaining time, which counts from when the client sent the request, not from when it was read.
-pub(super) const CLIENT_DEADLINE_MARGIN: Micros = 1_000;
+use std::task::Poll;
 
 pub(super) const TRACE_ID: HeaderName = HeaderName::from_static("x-trace-id");
 const EXPIRES_IN_MS: HeaderName = HeaderName::from_static("x-expires-in-ms");
@@ -137,6 +139,8 @@
     let admission = async {
         let new_request = read_head(&service, class_entry.as_deref(), &head)?;
         let length = BodyLength::from_head(body.as_ref(), &head.headers, settings.max_body_size)?;
+        let deadline =
+            RequestDeadline::new(&listener.process, client, length, new_request.time_left);
         let id = head
             .headers
             .get(TRACE_ID)
@@ -145,25 +149,38 @@
             admit(listener, &service, received_at, 0)?,
             admit_by_fleet_limits(&service, class_entry.as_deref(), &head.headers)?,
         );
+        let lateness = record_lateness(&service, class_entry.as_deref(), &deadline, id);
         let id = InFlightRequestId::new(&service, id)?;
         let body = upload::read_body(
             listener,
             &service,
             &mut body,
-            length,
+            &deadline,
             settings.max_body_size,
             &mut reservations,
         )
         .await?;
+        let elapsed = listener.process.clock.now().saturating_sub(received_at);
+        let waited_for_memory = deadline.waits.get(WaitKind::Memory);
+        deadline
+            .waits
+            .add(WaitKind::Body, elapsed.saturating_sub(waited_for_memory));
+        // The time is over before anything was sent: another client's request can use the memory.
+        if body.streamed().is_some() && deadline.remaining(listener.process.clock.now()) == 0 {
+            return Err(RequestError::LimitReached(
+                "too much is open",
+                service.retry_after(),
+            ));
+        }
         if service.transactions.borrow().len() >= service.active_settings().site.max_open {
             return Err(RequestError::LimitReached(
                 "too many requests are open",
                 service.retry_after(),
             ));
         }
-        Ok((new_request, body, (permits, id)))
+        Ok((new_request, body, lateness, (permits, id)))
     };
-    let (mut new_request, body, (permits, id)) = match admission.await {
+    let (mut new_request, body, lateness, (permits, id)) = match admission.await {
         Ok(admitted) => admitted,
         Err(error) => {
             record_rejection(
@@ -180,11 +197,12 @@
     let in_flight = service.counts.track_request();
     let counts = service.class_counts(new_request.class);
     let now = listener.process.clock.now();
+    let deadline = Rc::clone(&lateness.deadline);
     // A request's time runs from its last byte; the time that its client took to send it does not count.
-    new_request.time_left = listener.process.cap_time_left(
-        now,
-        new_request.time_left.saturating_sub(CLIENT_DEADLINE_MARGIN),
-    );
+    new_request.time_left = match body.streamed() {
+        Some(_) => listener.process.cap_time_left(now, deadline.time_left()),
+        None => deadline.remaining(now),
+    };
     // A target in absolute form names this sidecar; the server gets the path only.
     let target = head.uri.into_parts().path_and_query;
     let uri = target.map_or_else(|| Uri::from_static("/"), Uri::from);
@@ -206,6 +224,7 @@
     let client = Rc::clone(client);
     let request = ForwardedRequest {
         client,
+        deadline,
         method,
         uri,
         headers,
@@ -217,6 +236,9 @@
     };
     let request = Rc::new(request);
     let response = transaction::run(&service, now, new_request, Rc::clone(&request)).await;
+    let elapsed = listener.process.clock.now().saturating_sub(now);
+    request.deadline.waits.add(WaitKind::Servers, elapsed);
+    drop(lateness);
     let started_at = request.body.streamed().map_or(now, |streamed| {
         streamed.completed_at.get().unwrap_or(received_at)
     });
@@ -268,6 +290,24 @@
     }
 }
 
+/// Records, when it is dropped, how late the request is.
+fn record_lateness(
+    service: &Service,
+    class: Option<&ClassEntry>,
+    deadline: &Rc<RequestDeadline>,
+    id: &HeaderValue,
+) -> LatenessRecorder {
+    LatenessRecorder {
+        deadline: Rc::clone(deadline),
+        id: id.clone(),
+        class: class.map_or(String::new(), |class| class.name.to_string()),
+        counts: class.map_or_else(
+            || service.counts.unclassed(),
+            |class| Rc::clone(&class.counts),
+        ),
+    }
+}
+
 /// How long the unread remainder of a body is drained after a response that did not need it.
 pub(super) const BODY_DRAIN_TIMEOUT: Micros = 5_000_000;
 
@@ -474,17 +514,39 @@
         ))
 }
 
+/// Reads a complete body within `timeout` and until the response is due.
+///
+/// # Errors
+/// It ends early, or does not come in time.
 pub(super) async fn read_complete_body(
-    process: &ProcessState,
+    service: &Service,
     body: Option<Incoming>,
+    deadline: &RequestDeadline,
     timeout: Micros,
 ) -> Result<Bytes, RequestError> {
     let Some(body) = body else {
         return Ok(Bytes::new());
     };
-    match process.timeout(timeout, body.collect()).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(_)) => Err(bad_request("the body has broken off")),
+    let read = {
+        let _awaits_body = deadline.await_body();
+        let (mut read, mut due) = (pin!(body.collect()), pin!(deadline.until_due()));
+        let read = poll_fn(|context| match read.as_mut().poll(context) {
+            Poll::Ready(body) => Poll::Ready(Some(body)),
+            Poll::Pending => due.as_mut().poll(context).map(|()| None),
+        });
+        service.process.timeout(timeout, read).await
+    };
+    match read {
+        Some(Some(Ok(body))) => {
+            deadline.record_body_complete();
+            Ok(body.to_bytes())
+        }
+        Some(Some(Err(_))) => Err(bad_request("the body has broken off")),
+        // The client may have written all of it, and there was no memory to read it.
+        Some(None) => Err(RequestError::LimitReached(
+            "too much is open",
+            service.retry_after(),
+        )),
         None => Err(RequestError::Invalid(
             StatusCode::REQUEST_TIMEOUT,
             "the body has not come",
