Tests of gone clients: wait until the system has the clients' ends before a connection comes up

The test closed the clients and in the next call let the connections come up, or reset one: on a busy system the end of one connection arrives some milliseconds behind what is written next on another, and the process, which asks the system before each attempt, could not have known. The tests now wait until the process's system shows the end of each client, and then allow no attempt, as before: no wait of their own, nothing excused.

--- a/crates/cli/tests/acceptance/gone_clients.rs
+++ b/crates/cli/tests/acceptance/gone_clients.rs
@@ -2,8 +2,9 @@
 //! end that it has written.
 
 use crate::rig::{Conn, Options, ScriptedServer, Sidecar, accept_any, request_with, until};
-use crate::{Asked, is_served, late_connections};
+use crate::{Asked, close_all, is_served, late_connections};
 use rstest::rstest;
+use std::time::Instant;
 
 /// What a client has written behind its request, unread when its end comes.
 #[derive(Clone, Copy, Debug)]
@@ -64,14 +65,16 @@
         sidecar.signal("TERM");
         sidecar.wait_for("stopping");
     }
-    drop(waiting);
+    close_all(waiting, sidecar.address.port());
+    let closed_at = Instant::now();
     drop(held);
     let asked = Asked::by(node);
     assert_eq!(stays.read().expect("an answer").status(), 200);
     assert_eq!(
         (asked.times("stays"), asked.all()),
         (1, 1),
-        "an attempt began for a client that had gone"
+        "an attempt began for a client that had gone: {:?}",
+        asked.since(closed_at)
     );
 }
 
@@ -88,7 +91,8 @@
         conn.read().expect("the first attempt").header("x-trace-id"),
         Some("gone")
     );
-    drop(client);
+    close_all(vec![client], sidecar.address.port());
+    let closed_at = Instant::now();
     conn.reset();
     let asked = nodes.map(Asked::by);
     // Two in a row, since the first may find its connection before the repeat would have.
@@ -97,7 +101,8 @@
     assert_eq!(
         asked.iter().map(|asked| asked.times("gone")).sum::<u32>(),
         0,
-        "a second attempt began"
+        "a second attempt began: {:?}",
+        asked.each_ref().map(|asked| asked.since(closed_at))
     );
 }
 
--- a/crates/cli/tests/acceptance/main.rs
+++ b/crates/cli/tests/acceptance/main.rs
@@ -13,12 +13,13 @@
 mod watches;
 
 use rig::{Conn, ScriptedServer};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-/// How often a server was asked, by `X-Trace-Id`.
+/// When a server was asked, by `X-Trace-Id`.
 #[derive(Clone, Default)]
-struct Asked(Arc<Mutex<BTreeMap<String, u32>>>);
+struct Asked(Arc<Mutex<BTreeMap<String, Vec<Instant>>>>);
 
 impl Asked {
     /// Has the server answer all that comes, and counts it.
@@ -34,12 +35,12 @@
     }
 
     fn note(&self, id: &str) {
-        *self
-            .0
+        self.0
             .lock()
             .expect("no thread panics")
             .entry(id.to_string())
-            .or_default() += 1;
+            .or_default()
+            .push(Instant::now());
     }
 
     fn times(&self, id: &str) -> u32 {
@@ -47,12 +48,23 @@
             .lock()
             .expect("no thread panics")
             .get(id)
-            .copied()
-            .unwrap_or(0)
+            .map_or(0, |times| times.len() as u32)
     }
 
     fn all(&self) -> u32 {
-        self.0.lock().expect("no thread panics").values().sum()
+        let asked = self.0.lock().expect("no thread panics");
+        asked.values().map(|times| times.len() as u32).sum()
+    }
+
+    /// How long behind `start` each request came.
+    fn since(&self, start: Instant) -> Vec<(String, Duration)> {
+        let asked = self.0.lock().expect("no thread panics");
+        let times = asked
+            .iter()
+            .flat_map(|(id, times)| times.iter().map(move |at| (id, at)));
+        times
+            .map(|(id, at)| (id.clone(), at.saturating_duration_since(start)))
+            .collect()
     }
 }
 
@@ -94,6 +106,31 @@
     })
 }
 
+/// Closes these clients' connections to a process, and waits until its system has their ends. A busy system may deliver them some
+/// milliseconds later than what is written next on another connection.
+fn close_all(clients: Vec<Conn>, process_port: u16) {
+    let ports: Vec<u16> = clients.iter().map(Conn::local_port).collect();
+    drop(clients);
+    rig::until("the closes have arrived", || {
+        let open = open_peers(process_port);
+        !ports.iter().any(|port| open.contains(port))
+    });
+}
+
+/// The peers' ports of the connections at this local port that the system takes for open in both directions.
+fn open_peers(local_port: u16) -> BTreeSet<u16> {
+    const ESTABLISHED: &str = "01";
+    let all = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of connections");
+    let local_port = format!(":{local_port:04X}");
+    let peer_port = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let is_open = words.len() > 4 && words[1].ends_with(&local_port) && words[3] == ESTABLISHED;
+        let (_, port) = words.get(2).filter(|_| is_open)?.split_once(':')?;
+        u16::from_str_radix(port, 16).ok()
+    };
+    all.lines().filter_map(peer_port).collect()
+}
+
 /// Whether a process has been stopped.
 fn stands_still(id: u32) -> bool {
     let told = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -228,6 +228,14 @@
             .port()
     }
 
+    /// Local port.
+    ///
+    /// # Panics
+    /// If the connection is closed.
+    pub fn local_port(&self) -> u16 {
+        self.ends().0.port()
+    }
+
     /// Writes these bytes.
     ///
     /// # Panics
