--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -20,6 +20,8 @@
 /// The time of the clients of small requests, and the pause between two of them.
 const SMALL_TIME_LEFT_MS: u64 = 900;
 const SMALL_PAUSE: Duration = Duration::from_millis(25);
+/// In which the last uploads are written before the process is told to end.
+const BEFORE_TERMINATION: Duration = Duration::from_millis(150);
 /// How long an answer is awaited behind its time.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Marks an upload for the servers.
@@ -49,6 +51,16 @@
     /// How fast these read then.
     bytes_per_second: usize,
     memory_mb: usize,
+    signal: Option<Signal>,
+}
+
+/// What the process is told while the uploads go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Signal {
+    /// To read its configuration again, after each upload.
+    Reload,
+    /// To end, when the last upload has been written.
+    Terminate,
 }
 
 /// 200 uploads of 1 to 2 MB, one each 20 ms, to servers of which none reads them.
@@ -61,6 +73,7 @@
     slow_servers: SERVERS,
     bytes_per_second: 0,
     memory_mb: 32,
+    signal: None,
 };
 
 /// A request and what became of it.
@@ -246,9 +259,17 @@
                 let length = random.rand_range(self.min_bytes..self.max_bytes + 1);
                 let time_left_ms = random.rand_range(MIN_TIME_LEFT_MS..MAX_TIME_LEFT_MS + 1);
                 std::thread::sleep(self.interval);
+                if self.signal == Some(Signal::Reload) {
+                    sidecar.signal("HUP");
+                }
                 std::thread::spawn(move || upload(address, class, &crowd, length, time_left_ms))
             })
             .collect();
+        if self.signal == Some(Signal::Terminate) {
+            stop.store(true, Ordering::Relaxed);
+            std::thread::sleep(BEFORE_TERMINATION);
+            sidecar.signal("TERM");
+        }
         let uploads = uploads
             .into_iter()
             .map(|upload| upload.join().expect("it ends"))
@@ -298,6 +319,8 @@
 #[case::at_the_same_moment(Crowd { uploads: 40, interval: Duration::ZERO, memory_mb: 192, ..CROWD })]
 #[case::one_after_another(Crowd { uploads: 6, interval: Duration::from_millis(1_000), memory_mb: 192, ..CROWD })]
 #[case::short_and_read_slowly(Crowd { min_bytes: 300_000, max_bytes: 300_000, bytes_per_second: 64_000, ..CROWD })]
+#[case::under_a_termination(Crowd { uploads: 40, interval: Duration::ZERO, signal: Some(Signal::Terminate), ..CROWD })]
+#[case::beside_reloads(Crowd { uploads: 60, signal: Some(Signal::Reload), ..CROWD })]
 fn uploads_to_servers_that_stop_reading_are_answered_in_time(#[case] crowd: Crowd) {
     judge(&crowd, 1);
 }
@@ -328,6 +351,7 @@
             slow_servers: one_of(&[1, SERVERS as u32]) as usize,
             bytes_per_second: one_of(&[0, 16_000, 64_000, 256_000]) as usize,
             memory_mb: one_of(&[16, 32, 64, 192]) as usize,
+            signal: None,
         };
         judge(&crowd, seed);
     }
