--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -19,6 +19,7 @@
 use super::process_state::ProcessState;
 use super::read_buffer::poll_read_append;
 use super::readiness::{SocketEvent, is_open_and_silent, writable_or_peer_readable};
+use super::timers::Sleep;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode};
@@ -27,7 +28,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::task::consume_budget;
@@ -528,23 +529,9 @@
                     .wait_for_response_memory(2 * (body.len() + MIN_READ_BYTES))
                     .await;
             }
-            let event = {
-                let mut more = std::pin::pin!(self.read_more(stream, wanted));
-                let mut pause_timer = process.sleep(MAX_BODY_PAUSE);
-                poll_fn(|context| {
-                    if let Poll::Ready(more) = more.as_mut().poll(context) {
-                        return Poll::Ready(BodyEvent::Read(more));
-                    }
-                    if !buffer_timer_ended && Pin::new(&mut buffer_timer).poll(context).is_ready() {
-                        return Poll::Ready(BodyEvent::BufferingTimeOver);
-                    }
-                    Pin::new(&mut pause_timer)
-                        .poll(context)
-                        .map(|()| BodyEvent::Paused)
-                })
-                .await
-            };
-            match event {
+            let running_timer = (!buffer_timer_ended).then_some(&mut buffer_timer);
+            let event = self.next_body_event(process, stream, wanted, running_timer);
+            match event.await {
                 BodyEvent::Read(more) => {
                     if !more? {
                         return self.at_connection_end(head, body, decoder);
@@ -560,6 +547,32 @@
         }
     }
 
+    /// Waits for more of a body, or until it has paused for [`MAX_BODY_PAUSE`] or `buffer_timer` has ended.
+    async fn next_body_event(
+        &mut self,
+        process: &ProcessState,
+        stream: &TcpStream,
+        wanted: usize,
+        mut buffer_timer: Option<&mut Sleep<'_>>,
+    ) -> BodyEvent {
+        let mut more = pin!(self.read_more(stream, wanted));
+        let mut pause_timer = process.sleep(MAX_BODY_PAUSE);
+        poll_fn(|context| {
+            if let Poll::Ready(more) = more.as_mut().poll(context) {
+                return Poll::Ready(BodyEvent::Read(more));
+            }
+            if let Some(timer) = &mut buffer_timer
+                && Pin::new(&mut **timer).poll(context).is_ready()
+            {
+                return Poll::Ready(BodyEvent::BufferingTimeOver);
+            }
+            Pin::new(&mut pause_timer)
+                .poll(context)
+                .map(|()| BodyEvent::Paused)
+        })
+        .await
+    }
+
     /// The end of the connection completes only a body that ends with it.
     fn at_connection_end(
         &self,
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -218,13 +218,11 @@
                 .is_some_and(|second| second == "1"),
         };
         let non_idempotent = classed.effect == RetrySafety::NonIdempotent;
-        let idempotency_record = if non_idempotent {
-            IdempotencyRecord::for_request(service, &headers, part)
-        } else {
-            Ok(None)
-        };
-        let idempotency_record = idempotency_record
-            .map_err(|_| Fault::bad("the id of what must not run twice is over 1,024 bytes"))?;
+        let idempotency_record = match non_idempotent {
+            true => IdempotencyRecord::for_request(service, &headers, part),
+            false => Ok(None),
+        }
+        .map_err(|_| Fault::bad("the id of what must not run twice is over 1,024 bytes"))?;
         let forwarded = ForwardedRequest {
             client: Rc::clone(self.client),
             deadline: Rc::clone(&self.deadline),
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -4,6 +4,7 @@
 //! the client certainly has not written its last byte, the time does not run. From the earliest moment on at which it may have
 //! been written, it does: bytes that nobody reads lie in the buffers of the system.
 
+use super::active_settings::ClassEntry;
 use super::client::Client;
 use super::counts::OutcomeCounts;
 use super::lateness::{MIN_LOGGED_LATENESS, WaitKind, WaitTimes};
@@ -216,7 +217,8 @@
 pub(super) struct LatenessRecorder {
     pub(super) deadline: Rc<RequestDeadline>,
     pub(super) id: HeaderValue,
-    pub(super) class: String,
+    /// `None` if no class takes the request.
+    pub(super) class: Option<Rc<ClassEntry>>,
     pub(super) counts: Rc<OutcomeCounts>,
 }
 
@@ -230,7 +232,7 @@
         let waited_ms = |kind| self.deadline.waits.get(kind) / 1_000;
         tracing::warn!(
             id = ?self.id,
-            class = self.class,
+            class = self.class.as_ref().map(|class| &*class.name),
             late_ms = lateness / 1_000,
             activation_ms = waited_ms(WaitKind::Activation),
             body_ms = waited_ms(WaitKind::Body),
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -149,7 +149,7 @@
             admit(listener, &service, received_at, 0)?,
             admit_by_fleet_limits(&service, class_entry.as_deref(), &head.headers)?,
         );
-        let lateness = record_lateness(&service, class_entry.as_deref(), &deadline, id);
+        let lateness = record_lateness(&service, class_entry.clone(), &deadline, id);
         let id = InFlightRequestId::new(&service, id)?;
         let body = upload::read_body(
             listener,
@@ -293,18 +293,19 @@
 /// Records, when it is dropped, how late the request is.
 fn record_lateness(
     service: &Service,
-    class: Option<&ClassEntry>,
+    class: Option<Rc<ClassEntry>>,
     deadline: &Rc<RequestDeadline>,
     id: &HeaderValue,
 ) -> LatenessRecorder {
+    let counts = class.as_ref().map_or_else(
+        || service.counts.unclassed(),
+        |class| Rc::clone(&class.counts),
+    );
     LatenessRecorder {
         deadline: Rc::clone(deadline),
         id: id.clone(),
-        class: class.map_or(String::new(), |class| class.name.to_string()),
-        counts: class.map_or_else(
-            || service.counts.unclassed(),
-            |class| Rc::clone(&class.counts),
-        ),
+        class,
+        counts,
     }
 }
 
