Give a server that has started again connections of its own

Seen: a server that starts again at its address and under its name, with a later start in the list, was sent requests on the connections of the process before it; where its machine has gone without a word, each such request is lost to its whole time limit. Cause: connections were compared by address alone when a list came, when an attempt's connection was up, and when one was given back. Now all three compare the process of the server, its address and its start (Incarnation). A new name at an old address was told apart already.

--- a/crates/cli/tests/sidecar/main.rs
+++ b/crates/cli/tests/sidecar/main.rs
@@ -731,6 +731,26 @@
     sidecar.serves(&[&node]);
 }
 
+/// A server that starts again at its address, under its name, is another process: what was open belongs to the one before, whose
+/// machine may not say that it is gone.
+#[test]
+fn a_server_that_has_started_again_gets_connections_of_its_own() {
+    let node = ScriptedServer::new();
+    let sidecar = Sidecar::start(&[node.address()]);
+    let (mut watch, _) = watch(&sidecar.discovery);
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut old = node.accept();
+    assert!(old.read().is_some());
+    old.respond("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let started_again = listing(42, false, &[("n0", node.address(), "in_service")])
+        .to_string()
+        .replace(r#""since_ms":0"#, r#""since_ms":1790000000000"#);
+    tell(&mut watch, &started_again);
+    assert!(old.read().is_none(), "the old one is still open");
+    sidecar.serves(&[&node]);
+}
+
 /// A node that has dropped a connection without a word resets it as the next request comes. Nothing can have run
 /// then, but that was known only if the connection broke before the last byte was written.
 #[test]
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -245,9 +245,10 @@
     progress: &SendProgress,
 ) -> ExchangeResult {
     let service = &attempt.service;
-    let Some(address) = service.pool.address(attempt.server) else {
+    let Some(incarnation) = service.pool.incarnation(attempt.server) else {
         return (Outcome::Moot, None);
     };
+    let address = incarnation.address;
     if forwarded
         .body
         .streamed()
@@ -286,7 +287,7 @@
         };
         if !service.pool.accepts_new_attempts(
             attempt.server,
-            address,
+            incarnation,
             &service.process.server_overrides.borrow(),
         ) {
             return (Outcome::Moot, None);
@@ -367,9 +368,9 @@
     let request_complete = progress.complete.get();
     match body_read {
         BodyRead::Complete(CompleteBody { body, reusable }) => {
-            // Not reused if the server has left or moved, or has not received the complete request.
-            if reusable && request_complete && service.pool.address(attempt.server) == Some(address)
-            {
+            // Not reused if the server has left, moved or started again, or has not received the complete request.
+            let is_current = service.pool.incarnation(attempt.server) == Some(incarnation);
+            if reusable && request_complete && is_current {
                 service.connections.release(connection);
             }
             interpret_response(head.status, head.headers, body, forwarded.protocol)
@@ -385,7 +386,7 @@
             let streamed_body = StreamedResponseBody {
                 service,
                 server,
-                address,
+                incarnation,
                 connection,
                 reusable,
                 undecoded: unread,
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -150,6 +150,23 @@
     unknown_names: Option<Box<(String, String)>>,
 }
 
+/// One process of a server: its address, and when it started according to discovery. A server that starts again at its address is
+/// another process, and connections belong to the one that they were opened to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Incarnation {
+    pub(super) address: SocketAddr,
+    since_ms: u64,
+}
+
+impl Member {
+    fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            address: self.address,
+            since_ms: self.since_ms,
+        }
+    }
+}
+
 /// Converts a start time from discovery, in Unix time, to the balancer's clock. None for 0: the server started long ago.
 fn unix_ms_to_micros(since_ms: u64) -> Option<Micros> {
     Some(since_ms.saturating_mul(1_000)).filter(|at| *at > 0)
@@ -278,19 +295,24 @@
         self.members.borrow().get(&server).map(|m| m.address)
     }
 
-    /// Whether new attempts may be sent to this server at this address. Checked again once a connection is established: the
-    /// server may have started to drain, left or changed its address meanwhile.
+    /// The process that a server is now; `None` if it is not listed.
+    pub(super) fn incarnation(&self, server: ServerId) -> Option<Incarnation> {
+        self.members.borrow().get(&server).map(Member::incarnation)
+    }
+
+    /// Whether new attempts may be sent to this process of a server. Checked again once a connection is established: the server
+    /// may have started to drain, left, changed its address or started again meanwhile.
     pub(super) fn accepts_new_attempts(
         &self,
         server: ServerId,
-        address: SocketAddr,
+        incarnation: Incarnation,
         overrides: &ServerOverrides,
     ) -> bool {
         let members = self.members.borrow();
         let is_ready = |entry| overrides.apply_to(entry).state == ServerState::Ready;
         members
             .get(&server)
-            .is_some_and(|m| m.address == address && is_ready(m.entry))
+            .is_some_and(|m| m.incarnation() == incarnation && is_ready(m.entry))
     }
 
     pub(super) fn name(&self, server: ServerId) -> Box<str> {
@@ -442,7 +464,7 @@
     }
 
     /// Applies an update. Returns its entries with overrides, for the balancer, and the servers that have left, changed their
-    /// address or started to drain: their idle connections are not used any more.
+    /// address, started again or started to drain: their idle connections are not used any more.
     fn merge(
         &self,
         update: ListUpdate,
@@ -458,7 +480,10 @@
             )
         };
         let entries: Vec<ServerEntry> = update.endpoints.iter().map(entry).collect();
-        let former: Vec<_> = members.iter().map(|(id, m)| (*id, m.address)).collect();
+        let former: Vec<_> = members
+            .iter()
+            .map(|(id, member)| (*id, member.incarnation()))
+            .collect();
         if update.snapshot {
             members.clear();
         }
@@ -498,12 +523,14 @@
                 .iter()
                 .any(|entry| entry.server == id && entry.state == ServerState::Draining)
         };
-        let left_or_moved = |(id, address): &(ServerId, SocketAddr)| {
-            members.get(id).is_none_or(|m| m.address != *address)
+        let has_ended = |(id, incarnation): &(ServerId, Incarnation)| {
+            members
+                .get(id)
+                .is_none_or(|member| member.incarnation() != *incarnation)
         };
         let unused = former
             .into_iter()
-            .filter(|m| left_or_moved(m) || is_draining(m.0))
+            .filter(|m| has_ended(m) || is_draining(m.0))
             .map(|m| m.0)
             .collect();
         (entries, unused)
--- a/crates/sidecar/src/response_body.rs
+++ b/crates/sidecar/src/response_body.rs
@@ -8,6 +8,7 @@
 use super::counts::{OutcomeCounts, increment};
 use super::exchange::{BodyDecoder, ExchangeError};
 use super::memory::MemoryPurpose;
+use super::pool::Incarnation;
 use super::process_state::ProcessState;
 use super::read_buffer::poll_read_append;
 use super::service::Service;
@@ -17,7 +18,6 @@
 use madderloom_balancer::{Micros, ServerId};
 use std::any::Any;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -57,7 +57,7 @@
 pub(super) struct StreamedResponseBody {
     pub(super) service: Rc<Service>,
     pub(super) server: ServerId,
-    pub(super) address: SocketAddr,
+    pub(super) incarnation: Incarnation,
     pub(super) connection: Option<PooledConnection>,
     /// The server keeps the connection open and has received the complete request.
     pub(super) reusable: bool,
@@ -135,9 +135,9 @@
         let connection = self.connection.take();
         if complete {
             self.service.connections.record_response(self.server);
-            let address_unchanged = self.service.pool.address(self.server) == Some(self.address);
-            if let Some(connection) = connection
-                .filter(|_| self.reusable && address_unchanged && self.undecoded.is_empty())
+            let is_current = self.service.pool.incarnation(self.server) == Some(self.incarnation);
+            if let Some(connection) =
+                connection.filter(|_| self.reusable && is_current && self.undecoded.is_empty())
             {
                 self.service.connections.release(connection);
             }
