--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -463,6 +463,18 @@
         }
     }
 
+    fn member(&self, endpoint: Endpoint, entry: ServerEntry) -> Member {
+        let (zones, kinds) = &*self.zones_and_kinds.borrow();
+        let are_known = (entry.zone as usize) < zones.len() && (entry.kind as usize) < kinds.len();
+        Member {
+            name: endpoint.name,
+            address: endpoint.address,
+            since_ms: endpoint.since_ms,
+            entry,
+            unknown_names: (!are_known).then(|| Box::new((endpoint.zone, endpoint.kind))),
+        }
+    }
+
     /// Applies an update. Returns its entries with overrides, for the balancer, and the servers that have left, changed their
     /// address, started again or started to drain: their idle connections are not used any more.
     fn merge(
@@ -491,26 +503,7 @@
             if entry.state == ServerState::Gone {
                 members.remove(&entry.server);
             } else if members.len() < MAX_LISTED_SERVERS || members.contains_key(&entry.server) {
-                let Endpoint {
-                    name,
-                    address,
-                    since_ms,
-                    zone,
-                    kind,
-                    ..
-                } = endpoint;
-                let (zones, kinds) = &*self.zones_and_kinds.borrow();
-                let are_known =
-                    (entry.zone as usize) < zones.len() && (entry.kind as usize) < kinds.len();
-                let unknown_names = (!are_known).then(|| Box::new((zone, kind)));
-                let member = Member {
-                    name,
-                    address,
-                    since_ms,
-                    entry: *entry,
-                    unknown_names,
-                };
-                members.insert(entry.server, member);
+                members.insert(entry.server, self.member(endpoint, *entry));
             }
         }
         self.version.set(update.index);
