--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -1,11 +1,11 @@
 //! Large uploads to servers that read slowly or stop reading, alone and in crowds, with small requests beside them.
 
 use crate::LOST_AFTER;
-use crate::rig::{Conn, Options, ScriptedServer, Sidecar, request};
+use crate::rig::{Conn, Options, ScriptedServer, Sidecar, request, until};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 /// The time of the clients of small requests, and the pause between two of them.
 const SMALL_TIME_LEFT_MS: u64 = 900;
 const SMALL_PAUSE: Duration = Duration::from_millis(25);
-/// In which the last uploads are written before the process is told to end.
+/// In which the last uploads are begun before the process is told to end.
 const BEFORE_TERMINATION: Duration = Duration::from_millis(150);
 /// How long an answer is awaited behind its time.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -59,7 +59,7 @@
 enum Signal {
     /// To read its configuration again, after each upload.
     Reload,
-    /// To end, when the last upload has been written.
+    /// To end, when the last upload has begun.
     Terminate,
 }
 
@@ -139,8 +139,8 @@
     address: SocketAddr,
     class: &str,
     crowd: &Crowd,
-    length: u32,
-    time_left_ms: u32,
+    (length, time_left_ms): (u32, u32),
+    connected: &AtomicU32,
 ) -> Asked {
     let body = vec![b'x'; length as usize];
     let head = |framing: &str| {
@@ -164,6 +164,7 @@
         }
     };
     let mut stream = TcpStream::connect(address).expect("it accepts");
+    connected.fetch_add(1, Ordering::Relaxed);
     // An answer may come, and the connection end, before all is written.
     let _ = stream.write_all(&message);
     answer_of(stream, Duration::from_millis(u64::from(time_left_ms)))
@@ -249,6 +250,7 @@
         let small_stop = Arc::clone(&stop);
         let small = std::thread::spawn(move || ask_small(address, &small_stop));
         let crowd = *self;
+        let connected = Arc::new(AtomicU32::new(0));
         let uploads: Vec<_> = (0..self.uploads)
             .map(|number| {
                 let class = if number % 2 == 0 {
@@ -262,11 +264,17 @@
                 if self.signal == Some(Signal::Reload) {
                     sidecar.signal("HUP");
                 }
-                std::thread::spawn(move || upload(address, class, &crowd, length, time_left_ms))
+                let connected = Arc::clone(&connected);
+                std::thread::spawn(move || {
+                    upload(address, class, &crowd, (length, time_left_ms), &connected)
+                })
             })
             .collect();
         if self.signal == Some(Signal::Terminate) {
             stop.store(true, Ordering::Relaxed);
+            until("all have connected", || {
+                connected.load(Ordering::Relaxed) == self.uploads
+            });
             std::thread::sleep(BEFORE_TERMINATION);
             sidecar.signal("TERM");
         }
@@ -351,7 +359,8 @@
             slow_servers: one_of(&[1, SERVERS as u32]) as usize,
             bytes_per_second: one_of(&[0, 16_000, 64_000, 256_000]) as usize,
             memory_mb: one_of(&[16, 32, 64, 192]) as usize,
-            signal: None,
+            signal: [None, Some(Signal::Reload), Some(Signal::Terminate)]
+                [one_of(&[0, 0, 1, 2]) as usize],
         };
         judge(&crowd, seed);
     }
