Tell a client that writes steadily, or a next request, from one whose buffer was full

Callers would have seen: requests of 100 kB each, one behind the answer to the other on one connection, refused with 503 from 0.6 s on, their client's time; a body written for longer than that in pieces of 64 kB, refused as well. Cause: any 32 KiB read without a pause of 10 ms counted as bytes that may have waited in a full buffer, so that the time kept running from the first of them, across requests too. Now a buffer counts as full only where bytes lay unread for 10 ms, and what is read behind a response was written behind it.

--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -134,35 +134,37 @@
     }
 }
 
-/// Makes one upload, written at once.
-fn upload(
-    address: SocketAddr,
-    class: &str,
-    crowd: &Crowd,
-    (length, time_left_ms): (u32, u32),
-    connected: &AtomicU32,
-) -> Asked {
-    let body = vec![b'x'; length as usize];
+/// An upload of so many bytes.
+fn message(class: &str, framing: Framing, length: usize, time_left_ms: u32) -> Vec<u8> {
+    let body = vec![b'x'; length];
     let head = |framing: &str| {
-        request(
-            class,
-            u64::from(time_left_ms),
-            &format!("{UPLOAD_HEADER}: 1\r\n"),
-        )
-        .replace(
-            "Content-Length: 5\r\n\r\npaper",
-            &format!("{framing}\r\n\r\n"),
-        )
-        .into_bytes()
+        let header = format!("{UPLOAD_HEADER}: 1\r\n");
+        request(class, u64::from(time_left_ms), &header)
+            .replace(
+                "Content-Length: 5\r\n\r\npaper",
+                &format!("{framing}\r\n\r\n"),
+            )
+            .into_bytes()
     };
-    let message = match crowd.framing {
+    match framing {
         Framing::Length => [head(&format!("Content-Length: {length}")), body].concat(),
         Framing::Chunks => {
             let size = format!("{length:x}\r\n").into_bytes();
             let end = b"\r\n0\r\n\r\n".to_vec();
             [head("Transfer-Encoding: chunked"), size, body, end].concat()
         }
-    };
+    }
+}
+
+/// Makes one upload, written at once.
+fn upload(
+    address: SocketAddr,
+    class: &str,
+    crowd: &Crowd,
+    (length, time_left_ms): (u32, u32),
+    connected: &AtomicU32,
+) -> Asked {
+    let message = message(class, crowd.framing, length as usize, time_left_ms);
     let mut stream = TcpStream::connect(address).expect("it accepts");
     connected.fetch_add(1, Ordering::Relaxed);
     // An answer may come, and the connection end, before all is written.
@@ -333,6 +335,51 @@
     judge(&crowd, 1);
 }
 
+/// One client sends one upload after another on its connection, each as soon as it has the answer to the one before, for longer
+/// than it waits for one. The time of each runs from its own last byte.
+#[rstest]
+fn uploads_without_a_pause_on_one_connection_have_their_own_time_each(
+    #[values(Framing::Length, Framing::Chunks)] framing: Framing,
+) {
+    const LENGTH: usize = 100_000;
+    let stop = Arc::new(AtomicBool::new(false));
+    let server = start_server(None, Arc::clone(&stop));
+    let sidecar = Sidecar::start(&[server]);
+    let mut stream = TcpStream::connect(sidecar.address).expect("it accepts");
+    let started_at = Instant::now();
+    let mut answered = 0;
+    while started_at.elapsed() < Duration::from_millis(3 * u64::from(MIN_TIME_LEFT_MS)) {
+        let message = message("recheck", framing, LENGTH, MIN_TIME_LEFT_MS);
+        stream.write_all(&message).expect("it reads");
+        let status = read_answer(&mut stream);
+        assert_eq!(status, Some(200), "after {:?}", started_at.elapsed());
+        answered += 1;
+    }
+    stop.store(true, Ordering::Relaxed);
+    assert!(answered > 10, "{answered} prove nothing");
+}
+
+/// A client that writes its body for longer than it waits for the answer: its time begins with the last byte.
+#[rstest]
+fn an_upload_that_is_written_steadily_for_longer_than_its_time_is_served(
+    #[values(Framing::Length, Framing::Chunks)] framing: Framing,
+) {
+    const PIECE_BYTES: usize = 64 << 10;
+    const PIECES: usize = 150;
+    const PAUSE: Duration = Duration::from_millis(8);
+    let stop = Arc::new(AtomicBool::new(false));
+    let server = start_server(None, Arc::clone(&stop));
+    let sidecar = Sidecar::start(&[server]);
+    let mut stream = TcpStream::connect(sidecar.address).expect("it accepts");
+    let message = message("recheck", framing, PIECES * PIECE_BYTES, MIN_TIME_LEFT_MS);
+    for piece in message.chunks(PIECE_BYTES) {
+        stream.write_all(piece).expect("it reads");
+        std::thread::sleep(PAUSE);
+    }
+    assert_eq!(read_answer(&mut stream), Some(200));
+    stop.store(true, Ordering::Relaxed);
+}
+
 /// A number from the environment, to play more than CI does.
 fn setting(name: &str, default: u64) -> u64 {
     std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -191,6 +191,7 @@
     pub(super) fn response_ended(&self, now: Micros) {
         self.streaming.set(false);
         self.idle_since.set(Some(now));
+        self.arrivals.record_response(now);
     }
 
     /// How far it is behind what is expected of a client: with reading its response, or else with the head of a request.
@@ -484,9 +485,7 @@
         // Readiness alone does not prove a byte: fresh sockets have been seen to report it without one.
         match readiness::poll_peek(&client.stream, context) {
             Poll::Ready(Ok(count)) => {
-                client
-                    .arrivals
-                    .record_arrival(0, listener.process.clock.now());
+                client.arrivals.record_arrival(listener.process.clock.now());
                 return Poll::Ready(count > 0);
             }
             Poll::Ready(Err(_)) => return Poll::Ready(false),
@@ -529,6 +528,7 @@
             client.last_write_at.set(now);
             client.idle_since.set((!streaming).then_some(now));
             client.read_since_response.set(false);
+            client.arrivals.record_response(now);
             client.write_pace.start_response();
             if process.lifecycle.borrow().closes_after_response()
                 || listener.is_draining()
@@ -722,7 +722,7 @@
                 io.client.arrivals.record_empty(now);
             }
             let count = ready!(polled)?;
-            io.client.arrivals.record_arrival(count, now);
+            io.client.arrivals.record_arrival(now);
             let read = &read_buffer[..count];
             io.client.read_since_response.set(true);
             if !io.framing.follow(read) {
