Tests: share the coding of chunks, numbers from the environment and a served request

`chunk` and `LAST_CHUNK` move to fault-testing's peer, `number_from_env` to its lib, `serve_one` serves the three tests. No assertion, bound or expectation changes, and nothing outside tests and fault-testing.

--- a/crates/cli/tests/acceptance/answers.rs
+++ b/crates/cli/tests/acceptance/answers.rs
@@ -1,7 +1,7 @@
 //! Answers whose length nothing tells: their end is the connection's, and a reset is no end.
 
-use crate::rig::{Conn, ScriptedServer, Sidecar, accept_any, until};
-use crate::{Asked, LAST_CHUNK};
+use crate::Asked;
+use crate::rig::{Conn, LAST_CHUNK, ScriptedServer, Sidecar, accept_any, chunk, until};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -112,7 +112,7 @@
 
     fn piece(self, bytes: &[u8]) -> Vec<u8> {
         match self {
-            End::Chunks => crate::chunk(bytes),
+            End::Chunks => chunk(bytes),
             _ => bytes.to_vec(),
         }
     }
--- a/crates/cli/tests/acceptance/main.rs
+++ b/crates/cli/tests/acceptance/main.rs
@@ -68,14 +68,6 @@
     }
 }
 
-/// One chunk of the chunked transfer coding.
-fn chunk(bytes: &[u8]) -> Vec<u8> {
-    [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
-}
-
-/// The end of a body in that coding.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
 /// Connections to servers may take nine seconds to come up.
 fn late_connections(config: &mut serde_json::Value) {
     config["settings"]["limits"]["connect_timeout"] = 9_000_000.into();
--- a/crates/cli/tests/acceptance/uploads.rs
+++ b/crates/cli/tests/acceptance/uploads.rs
@@ -1,6 +1,6 @@
 //! A process that is told to stop while a client is still writing its request's body.
 
-use crate::rig::{ScriptedServer, Sidecar, request, until};
+use crate::rig::{LAST_CHUNK, ScriptedServer, Sidecar, chunk, request, until};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -25,14 +25,14 @@
     fn piece(self, bytes: &[u8]) -> Vec<u8> {
         match self {
             Framing::Length => bytes.to_vec(),
-            Framing::Chunks => crate::chunk(bytes),
+            Framing::Chunks => chunk(bytes),
         }
     }
 
     fn end(self) -> &'static [u8] {
         match self {
             Framing::Length => b"",
-            Framing::Chunks => crate::LAST_CHUNK,
+            Framing::Chunks => LAST_CHUNK,
         }
     }
 }
--- a/crates/cli/tests/connections/stops.rs
+++ b/crates/cli/tests/connections/stops.rs
@@ -2,6 +2,7 @@
 //! neither its servers' nor its clients'.
 
 use super::*;
+use madderloom_fault_testing::number_from_env;
 use std::sync::Mutex;
 
 /// Clients, each on a connection that stays open.
@@ -25,11 +26,6 @@
 const MAX_SHARE_MOVE: f64 = 0.05;
 const DEFAULT_SEED: u64 = 1;
 
-/// A number from the environment, to play more than CI does.
-fn setting(name: &str, default: u64) -> u64 {
-    std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
-}
-
 /// Statuses that clients got, with how long each took.
 type Answers = Arc<Mutex<Vec<(u16, Duration)>>>;
 
@@ -106,8 +102,8 @@
         .collect();
     // Until the shares have settled.
     std::thread::sleep(Duration::from_secs(4));
-    let mut random = oorandom::Rand32::new(setting("MADDERLOOM_SEED", DEFAULT_SEED));
-    let stops = setting("MADDERLOOM_STOPS", STOPS.len() as u64) as usize;
+    let mut random = oorandom::Rand32::new(number_from_env("MADDERLOOM_SEED", DEFAULT_SEED));
+    let stops = number_from_env("MADDERLOOM_STOPS", STOPS.len() as u64) as usize;
     let mut moves = Vec::new();
     for number in 0..stops {
         std::thread::sleep(Duration::from_millis(u64::from(random.rand_range(0..200))));
--- a/crates/cli/tests/deadlines/answers.rs
+++ b/crates/cli/tests/deadlines/answers.rs
@@ -1,6 +1,6 @@
 //! Answers whose head comes and whose body does not: while nothing of the body is there, the client can still get a final answer.
 
-use crate::rig::{Conn, Message, ScriptedServer, Sidecar, request, serve};
+use crate::rig::{Conn, LAST_CHUNK, Message, ScriptedServer, Sidecar, chunk, request, serve};
 use rstest::rstest;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -92,16 +92,12 @@
     };
     let pause = Duration::from_millis(pause_ms.parse().expect("a number"));
     conn.write_repeatedly(Framing::Chunks.head().into_bytes(), 1);
-    let piece = [
-        format!("{PIECE_BYTES:x}\r\n").into_bytes(),
-        vec![b'x'; PIECE_BYTES],
-        b"\r\n".to_vec(),
-    ];
+    let piece = chunk(&[b'x'; PIECE_BYTES]);
     for _ in 0..PIECES {
         std::thread::sleep(pause);
-        conn.write_repeatedly(piece.concat(), 1);
+        conn.write_repeatedly(piece.clone(), 1);
     }
-    conn.write_repeatedly(b"0\r\n\r\n".to_vec(), 1);
+    conn.write_repeatedly(LAST_CHUNK.to_vec(), 1);
     true
 }
 
--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -1,7 +1,8 @@
 //! Large uploads to servers that read slowly or stop reading, alone and in crowds, with small requests beside them.
 
 use crate::LOST_AFTER;
-use crate::rig::{Conn, Options, ScriptedServer, Sidecar, request, until};
+use crate::rig::{Conn, LAST_CHUNK, Options, ScriptedServer, Sidecar, chunk, request, until};
+use madderloom_fault_testing::number_from_env;
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -20,7 +21,7 @@
 /// The time of the clients of small requests, and the pause between two of them.
 const SMALL_TIME_LEFT_MS: u64 = 900;
 const SMALL_PAUSE: Duration = Duration::from_millis(25);
-/// In which the last uploads are begun before the process is told to end.
+/// Time for the last uploads to begin before SIGTERM.
 const BEFORE_TERMINATION: Duration = Duration::from_millis(150);
 /// How long an answer is awaited behind its time.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -30,7 +31,7 @@
 /// Crowds are not to disturb each other.
 static ONE_CROWD: Mutex<()> = Mutex::new(());
 
-/// How the length of a body is told.
+/// How a request states the length of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
     Length,
@@ -54,12 +55,12 @@
     signal: Option<Signal>,
 }
 
-/// What the process is told while the uploads go on.
+/// The signals that the process gets while the uploads go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Signal {
-    /// To read its configuration again, after each upload.
+    /// SIGHUP after each upload.
     Reload,
-    /// To end, when the last upload has begun.
+    /// SIGTERM when the last upload has begun.
     Terminate,
 }
 
@@ -149,9 +150,8 @@
     match framing {
         Framing::Length => [head(&format!("Content-Length: {length}")), body].concat(),
         Framing::Chunks => {
-            let size = format!("{length:x}\r\n").into_bytes();
-            let end = b"\r\n0\r\n\r\n".to_vec();
-            [head("Transfer-Encoding: chunked"), size, body, end].concat()
+            let head = head("Transfer-Encoding: chunked");
+            [head, chunk(&body), LAST_CHUNK.to_vec()].concat()
         }
     }
 }
@@ -380,17 +380,12 @@
     stop.store(true, Ordering::Relaxed);
 }
 
-/// A number from the environment, to play more than CI does.
-fn setting(name: &str, default: u64) -> u64 {
-    std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
-}
-
 /// Crowds of which all is drawn from a seed. `MADDERLOOM_SEED` is the first, `MADDERLOOM_SEEDS` their number.
 #[test]
 fn uploads_of_any_crowd_are_answered_in_time() {
     const DEFAULT_SEEDS: u64 = 3;
-    let first = setting("MADDERLOOM_SEED", 1);
-    for seed in first..first + setting("MADDERLOOM_SEEDS", DEFAULT_SEEDS) {
+    let first = number_from_env("MADDERLOOM_SEED", 1);
+    for seed in first..first + number_from_env("MADDERLOOM_SEEDS", DEFAULT_SEEDS) {
         let mut random = oorandom::Rand32::new(seed);
         let mut one_of =
             |values: &[u32]| values[random.rand_range(0..values.len() as u32) as usize];
--- a/crates/cli/tests/sidecar/main.rs
+++ b/crates/cli/tests/sidecar/main.rs
@@ -62,11 +62,7 @@
         ..Options::default()
     };
     let mut sidecar = Sidecar::with(&[node.address()], options);
-    let mut client = sidecar.ask("recheck", 1900);
-    let mut conn = node.accept();
-    assert!(conn.read().is_some());
-    conn.respond("200 OK", "made");
-    assert_eq!(client.read().expect("an answer").status(), 200);
+    let _conn = serve_one(&sidecar, &node);
     for line in ["request 1", "send 1", "open: up true", "ended 1: Ok"] {
         sidecar.wait_for(line);
     }
@@ -711,17 +707,23 @@
     );
 }
 
+/// Has the node serve one request. Returns its connection, which stays open.
+fn serve_one(sidecar: &Sidecar, node: &ScriptedServer) -> Conn {
+    let mut client = sidecar.ask("recheck", 1900);
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    conn.respond("200 OK", "made");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    conn
+}
+
 /// The address of a server that has gone may be given to a new one: what was open belongs to the old machine.
 #[test]
 fn a_new_server_at_an_old_address_gets_connections_of_its_own() {
     let node = ScriptedServer::new();
     let sidecar = Sidecar::start(&[node.address()]);
     let (mut watch, _) = watch(&sidecar.discovery);
-    let mut client = sidecar.ask("recheck", 1900);
-    let mut old = node.accept();
-    assert!(old.read().is_some());
-    old.respond("200 OK", "made");
-    assert_eq!(client.read().expect("an answer").status(), 200);
+    let mut old = serve_one(&sidecar, &node);
     let change = [
         ("n0", node.address(), "terminated"),
         ("n1", node.address(), "in_service"),
@@ -738,11 +740,7 @@
     let node = ScriptedServer::new();
     let sidecar = Sidecar::start(&[node.address()]);
     let (mut watch, _) = watch(&sidecar.discovery);
-    let mut client = sidecar.ask("recheck", 1900);
-    let mut old = node.accept();
-    assert!(old.read().is_some());
-    old.respond("200 OK", "made");
-    assert_eq!(client.read().expect("an answer").status(), 200);
+    let mut old = serve_one(&sidecar, &node);
     let started_again = listing(42, false, &[("n0", node.address(), "in_service")])
         .to_string()
         .replace(r#""since_ms":0"#, r#""since_ms":1790000000000"#);
@@ -808,11 +806,7 @@
         ..Options::default()
     };
     let sidecar = Sidecar::with(&[node.address()], options);
-    let mut client = sidecar.ask("recheck", 1900);
-    let mut conn = node.accept();
-    assert!(conn.read().is_some());
-    conn.respond("200 OK", "made");
-    assert_eq!(client.read().expect("an answer").status(), 200);
+    let mut conn = serve_one(&sidecar, &node);
     std::thread::sleep(std::time::Duration::from_millis(250));
     // It still stands open at the node's end, yet the next request takes a new one.
     sidecar.serves(&[&node]);
--- a/crates/fault-testing/src/lib.rs
+++ b/crates/fault-testing/src/lib.rs
@@ -41,6 +41,14 @@
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// A number from the environment, with which more can be run by hand than CI does.
+///
+/// # Panics
+/// If the variable is set to anything else.
+pub fn number_from_env(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
+}
+
 /// Waits until a check returns a value, for at most [`WAIT_TIMEOUT`].
 ///
 /// # Panics
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -508,6 +508,14 @@
     )
 }
 
+/// One chunk of the chunked transfer coding.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
+}
+
+/// The end of a body in that coding.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
 /// A request as clients send it, with a new id; `more` holds additional header lines.
 pub fn request(class: &str, left_ms: u64, more: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
