Say when to come back with every early 503, and log why requests fail and connections end

A body that was given up while its reader waited (deadline, slow client) was refused by code that does not know the service and so left the advice out; a request that was rejected unread got a fixed message without it. Now a refusal names what is used up (`Exhaustion`), one place adds the advice that the settings allow, and the unread rejection has the shortest of its listener's services. The same 503 stood in five places.

Counted by reason: early 503s (`refused_for`), ends of clients' connections (`connections_ended`). GraphQL requests count in `behind_deadline`, without a class. A streamed body that was refused for a limit counted as a client error.

Of the names in the balancer nothing changed.

--- a/crates/cli/src/logging.rs
+++ b/crates/cli/src/logging.rs
@@ -38,7 +38,7 @@
     /// What a line of the log looks like
     #[arg(long, value_enum, default_value_t = Format::Text, global = true)]
     log_format: Format,
-    /// The least weighty lines that are written; nothing is written for each request above `debug`
+    /// The least weighty lines that are written; above `debug`, nothing is written for a request that is served in time
     #[arg(long, value_enum, default_value_t = Filter::Info, global = true)]
     log_level: Filter,
 }
@@ -397,14 +397,16 @@
     }
 }
 
-/// The crates whose messages are fixed texts, so that a line in text shows the fields as well. The messages of the others
-/// contain the values of their fields.
-const FIXED_MESSAGE_CRATES: [&str; 1] = ["madderloom_agent"];
+/// The crates and modules whose messages are fixed texts, so that a line in text shows the fields as well. The messages of the
+/// others contain the values of their fields.
+const FIXED_MESSAGE_MODULES: [&str; 2] = ["madderloom_agent", "madderloom_sidecar::request_log"];
 
 fn has_fixed_messages(metadata: &Metadata<'_>) -> bool {
     let target = metadata.target();
-    let crate_name = target.split("::").next().unwrap_or(target);
-    FIXED_MESSAGE_CRATES.contains(&crate_name)
+    FIXED_MESSAGE_MODULES.iter().any(|module| {
+        let rest = target.strip_prefix(module);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with("::"))
+    })
 }
 
 /// The parts of a line in text.
--- a/crates/cli/tests/deadlines/main.rs
+++ b/crates/cli/tests/deadlines/main.rs
@@ -6,6 +6,7 @@
 mod rig;
 
 mod answers;
+mod reasons;
 mod uploads;
 
 use std::time::Duration;
--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -82,6 +82,8 @@
 struct Asked {
     /// 0 without an answer.
     status: u16,
+    /// The answer says when to come back.
+    has_retry_after: bool,
     /// From its last byte to its final answer, or to the end of its connection.
     took: Duration,
     time_left: Duration,
@@ -95,6 +97,11 @@
     fn lateness(&self) -> Duration {
         self.took.saturating_sub(self.time_left)
     }
+
+    /// It was refused and not told when to come back.
+    fn is_without_advice(&self) -> bool {
+        self.status == 503 && !self.has_retry_after
+    }
 }
 
 /// Awaits the answer on this connection to a request of which the last byte has just been written.
@@ -103,16 +110,17 @@
     stream
         .set_read_timeout(Some(time_left + PATIENCE))
         .expect("reads end");
-    let status = read_answer(&mut stream).unwrap_or(0);
+    let (status, has_retry_after) = read_answer(&mut stream).unwrap_or((0, false));
     Asked {
         status,
+        has_retry_after,
         took: written_at.elapsed(),
         time_left,
     }
 }
 
-/// The status of a complete answer with a length.
-fn read_answer(stream: &mut TcpStream) -> Option<u16> {
+/// The status of a complete answer with a length, and whether it says when to come back.
+fn read_answer(stream: &mut TcpStream) -> Option<(u16, bool)> {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 1_024]);
     loop {
         let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
@@ -130,7 +138,8 @@
             .parse()
             .ok()?;
         if body.len() >= length {
-            return head.split(' ').nth(1)?.parse().ok();
+            let status = head.split(' ').nth(1)?.parse().ok()?;
+            return Some((status, head.contains("\r\nretry-after: ")));
         }
     }
 }
@@ -320,6 +329,9 @@
     let (uploads, small) = (lost(&outcome.uploads), lost(&outcome.small));
     assert!(uploads.is_empty(), "uploads lost: {uploads:?}");
     assert!(small.is_empty(), "small requests lost: {small:?}");
+    let refused = outcome.uploads.iter().chain(&outcome.small);
+    let without_advice = refused.filter(|asked| asked.is_without_advice()).count();
+    assert_eq!(without_advice, 0, "refused without a Retry-After");
 }
 
 #[rstest]
@@ -351,8 +363,8 @@
     while started_at.elapsed() < Duration::from_millis(3 * u64::from(MIN_TIME_LEFT_MS)) {
         let message = message("recheck", framing, LENGTH, MIN_TIME_LEFT_MS);
         stream.write_all(&message).expect("it reads");
-        let status = read_answer(&mut stream);
-        assert_eq!(status, Some(200), "after {:?}", started_at.elapsed());
+        let (status, _) = read_answer(&mut stream).expect("an answer");
+        assert_eq!(status, 200, "after {:?}", started_at.elapsed());
         answered += 1;
     }
     stop.store(true, Ordering::Relaxed);
@@ -376,7 +388,8 @@
         stream.write_all(piece).expect("it reads");
         std::thread::sleep(PAUSE);
     }
-    assert_eq!(read_answer(&mut stream), Some(200));
+    let (status, _) = read_answer(&mut stream).expect("an answer");
+    assert_eq!(status, 200);
     stop.store(true, Ordering::Relaxed);
 }
 
--- a/crates/cli/tests/outputs/admin_view.rs
+++ b/crates/cli/tests/outputs/admin_view.rs
@@ -140,6 +140,14 @@
     listeners[].connections.parked whole
     listeners[].connections.served whole
     listeners[].connections.woken whole
+    listeners[].connections_ended.client_gone whole
+    listeners[].connections_ended.close_requested whole
+    listeners[].connections_ended.finished whole
+    listeners[].connections_ended.gave_way whole
+    listeners[].connections_ended.idle whole
+    listeners[].connections_ended.incomplete_head whole
+    listeners[].connections_ended.rejected_unread whole
+    listeners[].connections_ended.write_stalled whole
     listeners[].connections_taken whole
     listeners[].limits.bodies.denied whole
     listeners[].limits.bodies.guaranteed whole
@@ -194,6 +202,13 @@
     pools[].name "a"
     pools[].open whole
     pools[].ready true
+    pools[].refused_for.body_bytes 0
+    pools[].refused_for.deadline 0
+    pools[].refused_for.fleet_limit 0
+    pools[].refused_for.memory 0
+    pools[].refused_for.rate 0
+    pools[].refused_for.requests 0
+    pools[].refused_for.slow_client 0
     pools[].requests.failed 0
     pools[].requests.late 0
     pools[].requests.over_rate 0
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -9,12 +9,14 @@
 use super::history_recorder::EndedAttempt;
 use super::readiness;
 use super::request_deadline::RequestDeadline;
+use super::request_log::{self, Written};
 use super::response_body::{MAX_BYTES_PER_TURN, ResponseBody, StreamedResponseBody, TurnBytes};
 use super::service::Service;
 use super::stall::AwaitedResponse;
 use super::state_writer::{IdempotencyRecord, WriteBarrier};
 use super::transaction::FinalResponse;
 use super::upload::{BodyLength, RequestBody};
+use super::virtual_server::TRACE_ID;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -68,6 +70,11 @@
 }
 
 impl ForwardedRequest {
+    /// The id that the client gave it.
+    pub(super) fn id(&self) -> Option<&HeaderValue> {
+        self.headers.get(TRACE_ID)
+    }
+
     /// Returns immediately while the client is connected. Once it has disconnected this never completes, and the request's
     /// task is dropped shortly after. To be awaited before work starts that nobody would use.
     pub(super) async fn wait_forever_if_client_gone(&self) {
@@ -183,8 +190,8 @@
         // The time of the disk write does not count as the server's.
         attempt.wait.restart(attempt.service.process.clock.now());
     }
+    let progress = SendProgress::default();
     let (outcome, response) = {
-        let progress = SendProgress::default();
         let service = &attempt.service;
         let exchange = exchange(&attempt, &forwarded, &progress);
         match with_time_limit(&attempt, &forwarded, exchange).await {
@@ -205,6 +212,11 @@
     ) {
         forwarded.may_have_run_unanswered.set(false);
     }
+    if outcome != Outcome::Ok {
+        let elapsed = attempt.wait.elapsed(attempt.service.process.clock.now());
+        let written = Written::from(&progress);
+        request_log::attempt_failed(&forwarded, &attempt, outcome, (written, elapsed));
+    }
     attempt.report_outcome(outcome);
     response.map(FinalResponse::Served)
 }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -11,6 +11,7 @@
 //! bytes ahead of the end nothing reads the socket, so the kernel is asked before each attempt starts
 //! ([`Client::has_disconnected`]).
 
+mod connection_end;
 mod unread_request;
 
 use super::client_arrivals::ClientArrivals;
@@ -23,6 +24,7 @@
 use super::request_framing::RequestFraming;
 use super::virtual_server;
 use bytes::Bytes;
+use connection_end::{ConnectionEnd, ConnectionEndCounts};
 use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -223,6 +225,7 @@
     accepted: Cell<u64>,
     /// How often a parked connection became active.
     wakeups: Cell<u64>,
+    ends: ConnectionEndCounts,
 }
 
 impl Clients {
@@ -235,6 +238,11 @@
         self.wakeups.get()
     }
 
+    /// Connections that have ended, by the reason.
+    pub(super) fn ends(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.ends.counts()
+    }
+
     /// Open connections.
     pub(super) fn count(&self) -> usize {
         self.parked() + self.active()
@@ -399,8 +407,8 @@
 /// How serving a connection has ended; see [`ServeOutcome`].
 enum ServeEnd {
     Idle,
-    Closed,
-    Lost,
+    Closed(ConnectionEnd),
+    Lost(ConnectionEnd),
 }
 
 /// What to do with a connection after serving it.
@@ -408,9 +416,15 @@
     /// Idle: park it.
     Idle(ClientIo),
     /// Closed by this side or by hyper: the lingering close follows.
-    Closed,
+    Closed(ConnectionEnd),
     /// The client has disconnected or timed out: drop it at once.
-    Lost,
+    Lost(ConnectionEnd),
+}
+
+/// What follows the end of a client's connection.
+enum Closing {
+    Linger,
+    AtOnce,
 }
 
 /// Serves one connection from its accept to its close.
@@ -419,27 +433,40 @@
     let _ = stream.set_nodelay(true);
     let registration = Registration::new(listener, stream, charged);
     let client = &registration.client;
+    let (end, closing) = serve_until_end(listener, client).await;
+    let ends = &listener.clients.ends;
+    ends.record(end, client.stream.peer_addr().ok());
+    if matches!(closing, Closing::Linger) {
+        lingering_close(listener, client).await;
+    }
+}
+
+/// Serves a connection until it has to be closed.
+async fn serve_until_end(listener: &Rc<Listener>, client: &Rc<Client>) -> (ConnectionEnd, Closing) {
     let mut io = ClientIo {
         read_ahead: Bytes::new(),
         client: Rc::clone(client),
         listener: Rc::clone(listener),
         framing: RequestFraming::default(),
     };
-    while wait_while_parked(listener, client).await {
+    loop {
+        if let Err(end) = wait_while_parked(listener, client).await {
+            return (end, Closing::Linger);
+        }
         if listener.must_reject_unread() || !wait_for_activation(listener, client).await {
-            match reject_unread(listener, client) {
-                Unread::Complete => return,
-                Unread::Incomplete => break,
-            }
+            let closing = match reject_unread(listener, client) {
+                Unread::Complete => Closing::AtOnce,
+                Unread::Incomplete => Closing::Linger,
+            };
+            return (ConnectionEnd::RejectedUnread, closing);
         }
         // Boxed, since the future holds everything that a request needs, and parked connections must be small.
         match Box::pin(serve_requests(listener, client, io)).await {
             ServeOutcome::Idle(parked_io) => io = parked_io,
-            ServeOutcome::Closed => break,
-            ServeOutcome::Lost => return,
+            ServeOutcome::Closed(end) => return (end, Closing::Linger),
+            ServeOutcome::Lost(end) => return (end, Closing::AtOnce),
         }
     }
-    lingering_close(listener, client).await;
 }
 
 /// Shuts down the writing half, then reads and drops what the client still sends.
@@ -469,26 +496,33 @@
     let _ = listener.process.timeout(timeout, read_to_end).await;
 }
 
-/// Waits for the first byte of a request. False if the connection is to be closed.
-async fn wait_while_parked(listener: &Listener, client: &Client) -> bool {
+/// Waits for the first byte of a request.
+///
+/// # Errors
+/// The connection is to be closed.
+async fn wait_while_parked(listener: &Listener, client: &Client) -> Result<(), ConnectionEnd> {
     let since = client.idle_since.get().unwrap_or_default();
     let mut timer = pin!(
         listener
             .process
             .sleep_until(since + listener.settings.get().idle_timeout)
     );
+    // Requests that arrived before a close are still served.
+    let unless_unread = |end| match client.has_unread_bytes() {
+        true => Ok(()),
+        false => Err(end),
+    };
     poll_fn(|context| {
-        // Requests that arrived before the close are still served.
         if client.poll_close_requested(context) {
-            return Poll::Ready(client.has_unread_bytes());
+            return Poll::Ready(unless_unread(ConnectionEnd::CloseRequested));
         }
         // Readiness alone does not prove a byte: fresh sockets have been seen to report it without one.
         match readiness::poll_peek(&client.stream, context) {
-            Poll::Ready(Ok(count)) => {
+            Poll::Ready(Ok(1..)) => {
                 client.arrivals.record_arrival(listener.process.clock.now());
-                return Poll::Ready(count > 0);
+                return Poll::Ready(Ok(()));
             }
-            Poll::Ready(Err(_)) => return Poll::Ready(false),
+            Poll::Ready(_) => return Poll::Ready(Err(ConnectionEnd::Finished)),
             Poll::Pending => {}
         }
         // SIGSTOP interrupts tokio's wait for sockets, so after SIGCONT the timer is seen first: the socket may hold bytes that
@@ -496,7 +530,7 @@
         timer
             .as_mut()
             .poll(context)
-            .map(|()| client.has_unread_bytes())
+            .map(|()| unless_unread(ConnectionEnd::Idle))
     })
     .await
 }
@@ -550,13 +584,13 @@
         // Errors of the connection are not reported: the client caused them, and its transaction is dropped with it.
         if Pin::new(&mut connection).poll(context).is_ready() {
             return Poll::Ready(if client.disconnected.get() {
-                ServeEnd::Lost
+                ServeEnd::Lost(ConnectionEnd::ClientGone)
             } else {
-                ServeEnd::Closed
+                ServeEnd::Closed(ConnectionEnd::Finished)
             });
         }
         if client.disconnected.get() {
-            return Poll::Ready(ServeEnd::Lost);
+            return Poll::Ready(ServeEnd::Lost(ConnectionEnd::ClientGone));
         }
         if client.poll_close_requested(context) && close_requested_at.is_none() {
             let now = process.clock.now();
@@ -565,7 +599,7 @@
             // Closes at once if it is idle, else after its response.
             Pin::new(&mut connection).graceful_shutdown();
             if Pin::new(&mut connection).poll(context).is_ready() {
-                return Poll::Ready(ServeEnd::Closed);
+                return Poll::Ready(ServeEnd::Closed(ConnectionEnd::CloseRequested));
             }
         }
         while Pin::new(&mut timer).poll(context).is_ready() {
@@ -576,13 +610,13 @@
                 && streaming
                 && now.saturating_sub(client.last_write_at.get()) >= WRITE_STALL_TIMEOUT
             {
-                return Poll::Ready(ServeEnd::Lost);
+                return Poll::Ready(ServeEnd::Lost(ConnectionEnd::WriteStalled));
             }
             if process
                 .memory
                 .must_release(client.lag(now, activated_at), now)
             {
-                return Poll::Ready(ServeEnd::Lost);
+                return Poll::Ready(ServeEnd::Lost(ConnectionEnd::GaveWay));
             }
             let next = match (idle, close_requested_at) {
                 // A streamed response continues for as long as its client reads it.
@@ -597,7 +631,7 @@
                             max_response_time(listener)
                         };
                     if now >= deadline {
-                        return Poll::Ready(ServeEnd::Closed);
+                        return Poll::Ready(ServeEnd::Closed(ConnectionEnd::CloseRequested));
                     }
                     deadline.min(now + PARK_AFTER_IDLE)
                 }
@@ -611,7 +645,7 @@
                 (Some(since), None) => {
                     let deadline = unparked_deadline(listener, client, since, activated_at);
                     if now >= deadline {
-                        return Poll::Ready(ServeEnd::Lost);
+                        return Poll::Ready(ServeEnd::Lost(ConnectionEnd::IncompleteHead));
                     }
                     deadline.min(now + PARK_AFTER_IDLE)
                 }
@@ -622,12 +656,12 @@
     })
     .await;
     match end {
-        ServeEnd::Closed => ServeOutcome::Closed,
-        ServeEnd::Lost => ServeOutcome::Lost,
+        ServeEnd::Closed(end) => ServeOutcome::Closed(end),
+        ServeEnd::Lost(end) => ServeOutcome::Lost(end),
         ServeEnd::Idle => {
             let parts = connection.into_parts();
             let Some(since) = client.idle_since.get() else {
-                return ServeOutcome::Closed;
+                return ServeOutcome::Closed(ConnectionEnd::Finished);
             };
             listener.clients.park(client, since);
             ServeOutcome::Idle(ClientIo {
--- a/crates/sidecar/src/client/unread_request.rs
+++ b/crates/sidecar/src/client/unread_request.rs
@@ -12,10 +12,6 @@
 const ACTIVATION_BYTES: usize = 48 << 10;
 /// How long a request may wait unread for memory before it is rejected.
 const MEMORY_WAIT_TIMEOUT: Micros = 250_000;
-/// The response to a request that is rejected unread.
-const UNREAD_REJECTION: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-
 /// Waits for the memory that an active connection needs. Meanwhile its request stays in the system's buffers. False if there is
 /// none in time.
 pub(super) async fn wait_for_activation(listener: &Listener, client: &Rc<Client>) -> bool {
@@ -49,6 +45,19 @@
     Incomplete,
 }
 
+/// The response to a request that is rejected unread. No service is known for it: the advice for `Retry-After` is the shortest
+/// that one of the listener's allows.
+fn unread_rejection(listener: &Listener) -> String {
+    let routing = Rc::clone(&listener.routing.borrow());
+    let services = routing.reachable_services();
+    let retry_after = services.iter().filter_map(|service| service.retry_after());
+    let seconds = retry_after.min().map(|span| span as f64 / 1e6);
+    let advice = seconds.map_or_else(String::new, |seconds| format!("Retry-After: {seconds}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{advice}Connection: close\r\n\r\n"
+    )
+}
+
 /// Rejects a request of which nothing was read, and drops what has arrived of it.
 pub(super) fn reject_unread(listener: &Listener, client: &Client) -> Unread {
     increment(&listener.counts.rejected_by_limit);
@@ -63,7 +72,9 @@
             }
         }
         // The send buffer of a connection without a response in flight has room for it.
-        let _ = client.stream.try_write(UNREAD_REJECTION);
+        let _ = client
+            .stream
+            .try_write(unread_rejection(listener).as_bytes());
         if complete && remaining > 0 {
             Unread::Complete
         } else {
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -2,6 +2,7 @@
 //! link.
 
 use super::lateness::LatenessHistogram;
+use super::rejection::ExhaustionCounts;
 use madderloom_admin::stats::ResultCounts;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,7 +19,7 @@
     pub(super) served: Cell<u64>,
     /// Those of them answered after the latency objective. Not counted for GraphQL operations.
     pub(super) late: Cell<u64>,
-    /// With any outcome, by how much later than their deadline they ended. Not counted for GraphQL operations.
+    /// With any outcome, by how much later than their deadline they ended. GraphQL requests are counted without a class.
     pub(super) lateness: LatenessHistogram,
     /// Rejected by the balancer.
     pub(super) rejected: Cell<u64>,
@@ -85,6 +86,8 @@
     unclassed: Rc<OutcomeCounts>,
     /// Attempts that were written completely.
     pub(super) attempts_sent: Cell<u64>,
+    /// Why requests were rejected before they reached the balancer.
+    pub(super) exhaustions: ExhaustionCounts,
     /// Cloned once for each request in flight.
     in_flight: Rc<()>,
 }
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -4,7 +4,9 @@
 use super::attempt::{ForwardedRequest, ResponseProtocol};
 use super::client::Client;
 use super::counts::increment;
+use super::lateness::LatenessRecorder;
 use super::listener::Listener;
+use super::rejection::{Exhaustion, RequestError, bad_request, retry_after_value};
 use super::request_deadline::{CLIENT_DEADLINE_MARGIN, RequestDeadline};
 use super::response_body::ResponseBody as Body;
 use super::service::Service;
@@ -12,9 +14,8 @@
 use super::transaction::{self, FinalResponse};
 use super::upload::{BodyLength, RequestBody};
 use super::virtual_server::{
-    InFlightRequestId, RequestError, TRACE_ID, admit, admit_by_fleet_limits, bad_request,
-    client_time_left, declared_length, next_request_id, read_complete_body, record_rejection,
-    retry_after_value,
+    InFlightRequestId, RejectedRequest, TRACE_ID, admit, admit_by_fleet_limits, client_time_left,
+    declared_length, next_request_id, read_complete_body,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -63,34 +64,41 @@
             admit(listener, service, received_at, size as u64)?,
             admit_by_fleet_limits(service, None, &head.headers)?,
         );
-        let id = request_id(&head.headers)?
-            .map(|id| InFlightRequestId::new(service, id))
-            .transpose()?;
         let deadline = RequestDeadline::new(
             &listener.process,
             client,
             BodyLength::Known(size as u64),
             time_left.unwrap_or(Micros::MAX),
         );
+        let id = request_id(&head.headers)?;
+        let lateness = LatenessRecorder::new(service, None, &deadline, id);
+        let id = id
+            .map(|id| InFlightRequestId::new(service, id))
+            .transpose()?;
         let body = if size > 0 {
             let timeout = settings.body_timeout;
             read_complete_body(service, body.take(), &deadline, timeout).await?
         } else {
             Bytes::new()
         };
-        Ok((deadline, time_left.is_some(), body, (permits, id)))
+        Ok((deadline, time_left.is_some(), body, (permits, id, lateness)))
     };
     let (deadline, has_time_left, bytes, _guards) = match admission.await {
         Ok(admitted) => admitted,
         Err(error) => {
-            record_rejection(service, None, &error, body.take(), settings);
-            return rejected(error, media);
+            let rejected_request = RejectedRequest {
+                service,
+                class: None,
+                id: head.headers.get(TRACE_ID),
+            };
+            rejected_request.record(&error, body.take(), settings);
+            return rejected(error, service.retry_after(), media);
         }
     };
     client.body_complete.set(true);
     let send_plan = match plan(service, &head, &bytes) {
         Ok(send_plan) => send_plan,
-        Err(None) => return rejected(NO_ROUTE, media),
+        Err(None) => return rejected(NO_ROUTE, None, media),
         Err(Some(rejection)) => {
             increment(&service.counts.unclassed().client_errors);
             return response(rejection.reply(media));
@@ -197,6 +205,7 @@
         let (service, classed) = (self.service, &message.classed);
         if service.transactions.borrow().len() >= service.active_settings().site.max_open {
             increment(&service.class_counts(classed.class).rejected_by_limit);
+            service.counts.exhaustions.record(Exhaustion::Requests);
             return Err(Fault::refused(service.retry_after()));
         }
         let _open = service.counts.track_request();
@@ -365,10 +374,11 @@
     outputs.into_iter().flatten().collect()
 }
 
-fn rejected(error: RequestError, media: Media) -> Response<Body> {
+fn rejected(error: RequestError, max_retry_after: Option<Micros>, media: Media) -> Response<Body> {
     match error {
-        RequestError::LimitReached(_, retry_after) => {
-            response(Reply::of(&Fault::refused(retry_after), None, media))
+        RequestError::Exhausted(exhaustion) => {
+            let fault = Fault::refused(exhaustion.retry_after(max_retry_after));
+            response(Reply::of(&fault, None, media))
         }
         RequestError::Invalid(status, message) => {
             let reply = Reply {
--- a/crates/sidecar/src/lateness.rs
+++ b/crates/sidecar/src/lateness.rs
@@ -1,8 +1,14 @@
 //! Requests that end later than their deadline: how many, by how much, and what they waited for.
 
-use super::counts::increment;
+use super::active_settings::ClassEntry;
+use super::counts::{OutcomeCounts, increment};
+use super::request_deadline::RequestDeadline;
+use super::request_log;
+use super::service::Service;
+use hyper::header::HeaderValue;
 use madderloom_balancer::Micros;
 use std::cell::Cell;
+use std::rc::Rc;
 
 /// A request that ends later than this behind its deadline is logged.
 pub(super) const MIN_LOGGED_LATENESS: Micros = 50_000;
@@ -70,6 +76,47 @@
     }
 }
 
+/// Records by how much a request is later than its deadline when it ends: when its final response begins, or when its client
+/// leaves.
+pub(super) struct LatenessRecorder {
+    pub(super) deadline: Rc<RequestDeadline>,
+    id: Option<HeaderValue>,
+    class: Option<Rc<ClassEntry>>,
+    counts: Rc<OutcomeCounts>,
+}
+
+impl LatenessRecorder {
+    /// Records a request when it is dropped. `class` is `None` if no class takes the request, or several do.
+    pub(super) fn new(
+        service: &Service,
+        class: Option<Rc<ClassEntry>>,
+        deadline: &Rc<RequestDeadline>,
+        id: Option<&HeaderValue>,
+    ) -> Self {
+        let counts = class.as_ref().map_or_else(
+            || service.counts.unclassed(),
+            |class| Rc::clone(&class.counts),
+        );
+        LatenessRecorder {
+            deadline: Rc::clone(deadline),
+            id: id.cloned(),
+            class,
+            counts,
+        }
+    }
+}
+
+impl Drop for LatenessRecorder {
+    fn drop(&mut self) {
+        let lateness = self.deadline.lateness();
+        self.counts.lateness.record(lateness);
+        if lateness >= MIN_LOGGED_LATENESS {
+            let class = self.class.as_ref().map(|class| &*class.name);
+            request_log::late(self.id.as_ref(), class, lateness, &self.deadline.waits);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -50,9 +50,11 @@
 mod readiness;
 #[cfg(test)]
 mod readiness_tests;
+mod rejection;
 mod reload;
 mod request_deadline;
 mod request_framing;
+mod request_log;
 mod response_body;
 mod routing;
 mod service;
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -4,13 +4,10 @@
 //! the client certainly has not written its last byte, the time does not run. From the earliest moment on at which it may have
 //! been written, it does: bytes that nobody reads lie in the buffers of the system.
 
-use super::active_settings::ClassEntry;
 use super::client::Client;
-use super::counts::OutcomeCounts;
-use super::lateness::{MIN_LOGGED_LATENESS, WaitKind, WaitTimes};
+use super::lateness::{WaitKind, WaitTimes};
 use super::process_state::ProcessState;
 use super::upload::BodyLength;
-use hyper::header::HeaderValue;
 use madderloom_balancer::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -157,7 +154,8 @@
     }
 
     /// How much later than due it is now.
-    fn lateness(&self, now: Micros) -> Micros {
+    pub(super) fn lateness(&self) -> Micros {
+        let now = self.process.clock.now();
         now.saturating_sub(self.due_at(now))
     }
 
@@ -212,33 +210,3 @@
         self.0.awaits_body.set(false);
     }
 }
-
-/// Records by how much a request is later than its deadline when it ends: when its final response begins, or when its client leaves.
-pub(super) struct LatenessRecorder {
-    pub(super) deadline: Rc<RequestDeadline>,
-    pub(super) id: HeaderValue,
-    /// `None` if no class takes the request.
-    pub(super) class: Option<Rc<ClassEntry>>,
-    pub(super) counts: Rc<OutcomeCounts>,
-}
-
-impl Drop for LatenessRecorder {
-    fn drop(&mut self) {
-        let lateness = self.deadline.lateness(self.deadline.process.clock.now());
-        self.counts.lateness.record(lateness);
-        if lateness < MIN_LOGGED_LATENESS {
-            return;
-        }
-        let waited_ms = |kind| self.deadline.waits.get(kind) / 1_000;
-        tracing::warn!(
-            id = ?self.id,
-            class = self.class.as_ref().map(|class| &*class.name),
-            late_ms = lateness / 1_000,
-            activation_ms = waited_ms(WaitKind::Activation),
-            body_ms = waited_ms(WaitKind::Body),
-            memory_ms = waited_ms(WaitKind::Memory),
-            servers_ms = waited_ms(WaitKind::Servers),
-            "request ended later than its deadline"
-        );
-    }
-}
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -1,6 +1,7 @@
 //! A transaction: one client's request, from its hand-over to the balancer to its final response.
 
 use super::attempt::{self, Attempt, ForwardedRequest};
+use super::request_log::{self, UnservedEnd};
 use super::response_body::ResponseBody;
 use super::service::Service;
 use super::stall::{AwaitedResponse, LoopInstant};
@@ -98,6 +99,7 @@
 struct Transaction {
     service: Rc<Service>,
     id: RequestId,
+    request: Rc<ForwardedRequest>,
     cost_hint: Option<Micros>,
     /// The server of the latest attempt.
     last_server: Option<ServerId>,
@@ -131,7 +133,7 @@
     new_request: NewRequest,
     request: Rc<ForwardedRequest>,
 ) -> FinalResponse {
-    let mut transaction = Transaction::start(service, now, &new_request, &request);
+    let mut transaction = Transaction::start(service, now, &new_request, Rc::clone(&request));
 
     // The balancer's first step may be to send the request, to reject it, or none yet.
     let shed_before = service.shed_requests();
@@ -155,15 +157,15 @@
                         .deadline
                         .limit_to(timeout_at.saturating_sub(sent_at));
                 }
-                transaction.send(&request, server, (timeout_at, write_by));
+                transaction.send(server, (timeout_at, write_by));
             }
             Next::Step(Step::Cancel { attempt }) => transaction.cancel(attempt),
             Next::Step(Step::Reject { retry_after }) => {
-                return transaction.end(&request, FinalResponse::Rejected { retry_after });
+                return transaction.end(FinalResponse::Rejected { retry_after });
             }
-            Next::Step(Step::Fail) => return transaction.end(&request, FinalResponse::Failed),
+            Next::Step(Step::Fail) => return transaction.end(FinalResponse::Failed),
             // An attempt reports its outcome to the balancer before it ends; the balancer's next step follows from that.
-            Next::AttemptEnded(Some(response)) => return transaction.end(&request, response),
+            Next::AttemptEnded(Some(response)) => return transaction.end(response),
             Next::AttemptEnded(None) => {}
             Next::Expired => {
                 request.deadline.expire();
@@ -179,7 +181,7 @@
         service: &Rc<Service>,
         now: Micros,
         new_request: &NewRequest,
-        request: &ForwardedRequest,
+        request: Rc<ForwardedRequest>,
     ) -> Self {
         let expiry = request.body.streamed().map(|_| {
             let deadline = Rc::clone(&request.deadline);
@@ -195,6 +197,7 @@
         Transaction {
             service: Rc::clone(service),
             id: new_request.id,
+            request,
             class: new_request.class as usize,
             started_at: service.process.timers.stalls.instant(now),
             latency_objective: service.latency_objective(new_request),
@@ -208,12 +211,7 @@
         }
     }
 
-    fn send(
-        &mut self,
-        request: &Rc<ForwardedRequest>,
-        server: ServerId,
-        (timeout_at, write_by): (Micros, Micros),
-    ) {
+    fn send(&mut self, server: ServerId, (timeout_at, write_by): (Micros, Micros)) {
         let (sent_at, number) = (self.service.process.clock.now(), self.attempts.len() as u32);
         self.last_server = Some(server);
         self.service
@@ -231,8 +229,10 @@
             transaction_ended: Rc::clone(&self.ended),
             outcome_reported: false,
         };
-        self.attempts
-            .push(Some(Box::pin(attempt::run(attempt, Rc::clone(request)))));
+        self.attempts.push(Some(Box::pin(attempt::run(
+            attempt,
+            Rc::clone(&self.request),
+        ))));
     }
 
     /// Dropping the attempt closes its connection and reports to the balancer that it was cancelled.
@@ -269,8 +269,13 @@
         .await
     }
 
-    fn end(&mut self, request: &ForwardedRequest, response: FinalResponse) -> FinalResponse {
+    fn end(&mut self, response: FinalResponse) -> FinalResponse {
         self.ended.set(true);
+        match response {
+            FinalResponse::Served(_) => {}
+            FinalResponse::Rejected { .. } => self.log_unserved(UnservedEnd::Rejected),
+            FinalResponse::Failed => self.log_unserved(UnservedEnd::Failed),
+        }
         // A request that ends unserved after an attempt is attributed to the server of the latest one.
         if let Some(server) = self
             .last_server
@@ -280,7 +285,7 @@
                 history.record_rejection(self.service.process.clock.now(), server)
             });
         }
-        if let Some(record) = &request.idempotency_record {
+        if let Some(record) = &self.request.idempotency_record {
             record.answered(&response);
         }
         let (latency_objective, shed) = (self.latency_objective, self.shed);
@@ -296,17 +301,21 @@
         response
     }
 
+    fn elapsed(&self, now: Micros) -> Micros {
+        let stalls = &self.service.process.timers.stalls;
+        stalls.elapsed(self.started_at, now)
+    }
+
+    fn log_unserved(&self, end: UnservedEnd) {
+        let elapsed = self.elapsed(self.service.process.clock.now());
+        request_log::unserved(&self.request, end, self.attempts.len(), elapsed);
+    }
+
     /// Reports the end of the request to the service's degradation levels; `request_end` gets the elapsed time.
     fn report_end(&self, request_end: impl Fn(Micros) -> Option<RequestEnd>) {
         if let Some(levels) = self.service.level_controller.borrow_mut().as_mut() {
             let now = self.service.process.clock.now();
-            let elapsed = self
-                .service
-                .process
-                .timers
-                .stalls
-                .elapsed(self.started_at, now);
-            if let Some(end) = request_end(elapsed) {
+            if let Some(end) = request_end(self.elapsed(now)) {
                 levels.request_ended(now, self.class, end);
             }
         }
@@ -318,6 +327,7 @@
     /// flight are dropped, or it would take their cancellation for a failure and retry.
     fn drop(&mut self) {
         if !self.ended.replace(true) {
+            self.log_unserved(UnservedEnd::Abandoned);
             self.report_end(|elapsed| RequestEnd::abandoned(elapsed, self.latency_objective));
             let now = self.service.process.clock.now();
             self.service.handle(now, Event::ClientDisconnected(self.id));
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -10,9 +10,9 @@
 use super::listener::Listener;
 use super::memory::MemoryPurpose;
 use super::process_state::ProcessState;
+use super::rejection::{Exhaustion, RequestError, bad_request};
 use super::request_deadline::RequestDeadline;
 use super::service::Service;
-use super::virtual_server::{RequestError, bad_request};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -169,8 +169,11 @@
                 return Err(BODY_TOO_SLOW);
             }
             let due_at = deadline.due_at(now);
-            if now >= due_at || process.memory.must_release(self.lag.get(), now) {
-                return Err(RequestError::LimitReached("too much is open", None));
+            if now >= due_at {
+                return Err(RequestError::Exhausted(Exhaustion::Deadline));
+            }
+            if process.memory.must_release(self.lag.get(), now) {
+                return Err(RequestError::Exhausted(Exhaustion::SlowClient));
             }
             let too_slow_at = now + allowed.saturating_sub(self.waited);
             check_at = due_at.min(too_slow_at).min(now + LAG_CHECK_INTERVAL);
@@ -189,7 +192,6 @@
     async fn wait_for_buffer(
         &mut self,
         process: &ProcessState,
-        service: &Service,
         bytes: usize,
     ) -> Result<(), RequestError> {
         // The buffer may double when it grows.
@@ -208,10 +210,9 @@
         let waited = process.clock.now().saturating_sub(started_at);
         self.memory_wait_left = self.memory_wait_left.saturating_sub(waited);
         self.deadline.waits.add(WaitKind::Memory, waited);
-        available.then_some(()).ok_or(RequestError::LimitReached(
-            "too much is open",
-            service.retry_after(),
-        ))
+        available
+            .then_some(())
+            .ok_or(RequestError::Exhausted(Exhaustion::Memory))
     }
 
     /// The remainder of the body, to be drained.
@@ -353,10 +354,7 @@
             let buffers_all = reserve(listener, service, size, reservations);
             // Limits of an operator file reject a body that does not fit, rather than streaming it.
             if !buffers_all && listener.settings.get().drains_rejected_bodies {
-                return Err(RequestError::LimitReached(
-                    "too much is open",
-                    service.retry_after(),
-                ));
+                return Err(RequestError::Exhausted(Exhaustion::BodyBytes));
             }
             (buffers_all, size as usize)
         }
@@ -373,7 +371,7 @@
             return Ok(RequestBody::Buffered(buffered.freeze()));
         };
         let size = buffered.len() + piece.len();
-        reader.wait_for_buffer(process, service, size).await?;
+        reader.wait_for_buffer(process, size).await?;
         if buffers_all && size > reserved && size <= MAX_BUFFERED_BYTES {
             // The length of a chunked body is unknown, so its reservation grows as chunks arrive.
             let more = size.next_power_of_two().max(STREAM_PREFIX_BYTES) - reserved;
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -14,6 +14,7 @@
 use madderloom_routing::shares::Held;
 use madderloom_routing::turns::Spent;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// The format version of the JSON objects.
@@ -109,6 +110,7 @@
         "address": listener.address.to_string(),
         "state": if listener.is_draining() { "leaving" } else { "serving" },
         "connections_taken": listener.clients.accepted(),
+        "connections_ended": listener.clients.ends().collect::<BTreeMap<_, _>>(),
         "connections": {
             "parked": listener.clients.parked(), "served": listener.clients.active(), "woken": listener.clients.wakeups(),
         },
@@ -156,6 +158,7 @@
         "classes": classes.collect::<Value>(),
         "servers": snapshot.servers.iter().map(|s| server(service, s, now)).collect::<Value>(),
         "requests": counts(&service.counts.total()),
+        "refused_for": service.counts.exhaustions.counts().collect::<BTreeMap<_, _>>(),
         "open": service.transactions.borrow().len(),
         "retry_budget": snapshot.retry_budget,
         "service_level": levels::view(service, now),
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -7,11 +7,15 @@
 use super::counts::increment;
 use super::fleet_limits::FleetPermit;
 use super::graphql;
-use super::lateness::WaitKind;
+use super::lateness::{LatenessRecorder, WaitKind};
 use super::limits::LimitExceeded;
 use super::listener::{Listener, ListenerSettings};
 use super::process_state::ProcessState;
-use super::request_deadline::{LatenessRecorder, RequestDeadline};
+use super::rejection::{
+    Exhaustion, RequestError, bad_request, text_response, unavailable_response,
+};
+use super::request_deadline::RequestDeadline;
+use super::request_log;
 use super::response_body::{ResponseBody, ResponseResources};
 use super::routing::{ClassSource, Routing};
 use super::service::Service;
@@ -19,7 +23,7 @@
 use super::transaction::{self, FinalResponse};
 use super::upload::{self, BodyLength, BodyReservations};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -83,23 +87,11 @@
     }
 }
 
-/// Why a request is rejected before it reaches the balancer.
-pub(super) enum RequestError {
-    /// The request is invalid. Further bytes on the connection may belong to it, so the connection is closed.
-    Invalid(StatusCode, &'static str),
-    /// A limit is reached; with the advice for `Retry-After`, if any.
-    LimitReached(&'static str, Option<Micros>),
-}
-
 /// The id of a non-idempotent request that is too long to be recorded, so that the request could never be sent.
 const ID_TOO_LONG: RequestError = bad_request(
     "the id of a request that must not run twice is over 1,024 bytes with its header's name",
 );
 
-pub(super) const fn bad_request(message: &'static str) -> RequestError {
-    RequestError::Invalid(StatusCode::BAD_REQUEST, message)
-}
-
 /// Handles one request.
 pub(super) async fn handle_request(
     listener: &Rc<Listener>,
@@ -109,7 +101,7 @@
     let received_at = listener.process.clock.now();
     if client.ambiguous_framing.get() {
         increment(&listener.counts.client_errors);
-        return rejected(bad_request("it is not certain where the message ends"));
+        return bad_request("it is not certain where the message ends").into_response(None);
     }
     if request.uri().path() == "/ready" && request.method() == Method::GET {
         return ready(listener, request.uri().query());
@@ -119,7 +111,7 @@
         Ok(routed) => routed,
         Err(error) => {
             increment(&listener.counts.client_errors);
-            return rejected(error);
+            return error.into_response(None);
         }
     };
     listener.charge(&client.charged, &service);
@@ -149,7 +141,7 @@
             admit(listener, &service, received_at, 0)?,
             admit_by_fleet_limits(&service, class_entry.as_deref(), &head.headers)?,
         );
-        let lateness = record_lateness(&service, class_entry.clone(), &deadline, id);
+        let lateness = LatenessRecorder::new(&service, class_entry.clone(), &deadline, Some(id));
         let id = InFlightRequestId::new(&service, id)?;
         let body = upload::read_body(
             listener,
@@ -167,30 +159,23 @@
             .add(WaitKind::Body, elapsed.saturating_sub(waited_for_memory));
         // The time is over before anything was sent: another client's request can use the memory.
         if body.streamed().is_some() && deadline.remaining(listener.process.clock.now()) == 0 {
-            return Err(RequestError::LimitReached(
-                "too much is open",
-                service.retry_after(),
-            ));
+            return Err(RequestError::Exhausted(Exhaustion::Deadline));
         }
         if service.transactions.borrow().len() >= service.active_settings().site.max_open {
-            return Err(RequestError::LimitReached(
-                "too many requests are open",
-                service.retry_after(),
-            ));
+            return Err(RequestError::Exhausted(Exhaustion::Requests));
         }
         Ok((new_request, body, lateness, (permits, id)))
     };
     let (mut new_request, body, lateness, (permits, id)) = match admission.await {
         Ok(admitted) => admitted,
         Err(error) => {
-            record_rejection(
-                &service,
-                class_entry.as_deref(),
-                &error,
-                body.take(),
-                settings,
-            );
-            return rejected(error);
+            let rejected = RejectedRequest {
+                service: &service,
+                class: class_entry.as_deref(),
+                id: head.headers.get(TRACE_ID),
+            };
+            rejected.record(&error, body.take(), settings);
+            return error.into_response(service.retry_after());
         }
     };
     client.body_complete.set(body.streamed().is_none());
@@ -218,7 +203,7 @@
     };
     let Ok(idempotency_record) = idempotency_record else {
         increment(&counts.client_errors);
-        return rejected(ID_TOO_LONG);
+        return ID_TOO_LONG.into_response(None);
     };
     let (method, headers) = (head.method, head.headers);
     let client = Rc::clone(client);
@@ -254,8 +239,13 @@
                 .set(streamed.completed_at.get().is_some()),
         }
         if let Some(error) = streamed.failure.take() {
-            increment(&counts.client_errors);
-            return rejected(error);
+            let rejected = RejectedRequest {
+                service: &service,
+                class: class_entry.as_deref(),
+                id: request.id(),
+            };
+            rejected.record(&error, None, settings);
+            return error.into_response(service.retry_after());
         }
     }
     match response {
@@ -290,48 +280,39 @@
     }
 }
 
-/// Records, when it is dropped, how late the request is.
-fn record_lateness(
-    service: &Service,
-    class: Option<Rc<ClassEntry>>,
-    deadline: &Rc<RequestDeadline>,
-    id: &HeaderValue,
-) -> LatenessRecorder {
-    let counts = class.as_ref().map_or_else(
-        || service.counts.unclassed(),
-        |class| Rc::clone(&class.counts),
-    );
-    LatenessRecorder {
-        deadline: Rc::clone(deadline),
-        id: id.clone(),
-        class,
-        counts,
-    }
-}
-
 /// How long the unread remainder of a body is drained after a response that did not need it.
 pub(super) const BODY_DRAIN_TIMEOUT: Micros = 5_000_000;
 
-/// Counts a rejected request, and drains its unread body if a limit was reached and the listener drains rejected bodies.
-pub(super) fn record_rejection(
-    service: &Service,
-    class: Option<&ClassEntry>,
-    error: &RequestError,
-    unread: Option<Incoming>,
-    settings: ListenerSettings,
-) {
-    let limit_reached = matches!(error, RequestError::LimitReached(..));
-    let counts = class.map_or_else(
-        || service.counts.unclassed(),
-        |class| Rc::clone(&class.counts),
-    );
-    increment(if limit_reached {
-        &counts.rejected_by_limit
-    } else {
-        &counts.client_errors
-    });
-    if let Some(unread) = unread.filter(|_| limit_reached && settings.drains_rejected_bodies) {
-        drain(&service.process, unread, settings.body_timeout);
+/// A request that is rejected before it reaches the balancer.
+pub(super) struct RejectedRequest<'a> {
+    pub(super) service: &'a Service,
+    /// `None` if no class takes the request.
+    pub(super) class: Option<&'a ClassEntry>,
+    pub(super) id: Option<&'a HeaderValue>,
+}
+
+impl RejectedRequest<'_> {
+    /// Counts and logs it, and drains its unread body if something is used up and the listener drains rejected bodies.
+    pub(super) fn record(
+        &self,
+        error: &RequestError,
+        unread: Option<Incoming>,
+        settings: ListenerSettings,
+    ) {
+        let counts = self.class.map_or_else(
+            || self.service.counts.unclassed(),
+            |class| Rc::clone(&class.counts),
+        );
+        let RequestError::Exhausted(exhaustion) = error else {
+            return increment(&counts.client_errors);
+        };
+        increment(&counts.rejected_by_limit);
+        self.service.counts.exhaustions.record(*exhaustion);
+        let class = self.class.map(|class| &*class.name);
+        request_log::rejected(self.id, class, *exhaustion);
+        if let Some(unread) = unread.filter(|_| settings.drains_rejected_bodies) {
+            drain(&self.service.process, unread, settings.body_timeout);
+        }
     }
 }
 
@@ -389,23 +370,14 @@
         .admit(now, size)
         .and_then(|of_service| Ok([of_service, listener.request_limits.admit(now, size)?]));
     reservations.map_err(|exceeded| {
-        let max_retry_after = service.retry_after();
-        match exceeded {
-            LimitExceeded::InFlight => {
-                RequestError::LimitReached("too many requests are open", max_retry_after)
-            }
-            LimitExceeded::BodyBytes => {
-                RequestError::LimitReached("too much is open", max_retry_after)
-            }
+        RequestError::Exhausted(match exceeded {
+            LimitExceeded::InFlight => Exhaustion::Requests,
+            LimitExceeded::BodyBytes => Exhaustion::BodyBytes,
             LimitExceeded::Rate(retry_after) => {
                 increment(&service.counts.unclassed().over_rate_limit);
-                // Clients honour no advice that is longer than the settings allow.
-                RequestError::LimitReached(
-                    "too many requests have come",
-                    max_retry_after.map(|max| retry_after.min(max)),
-                )
+                Exhaustion::Rate(retry_after)
             }
-        }
+        })
     })
 }
 
@@ -425,17 +397,10 @@
         .admit(&service.name, class, headers)
         .map_err(|denied| {
             increment(&service.counts.unclassed().over_rate_limit);
-            let message = if denied.without_lease {
-                "a fleet limit lets no more in, and no lease of it holds"
-            } else {
-                "a fleet limit lets no more in"
-            };
-            // Clients honour no advice that is longer than the settings allow.
-            let max_retry_after = service.retry_after();
-            RequestError::LimitReached(
-                message,
-                max_retry_after.map(|max| denied.retry_after.map_or(max, |after| after.min(max))),
-            )
+            RequestError::Exhausted(Exhaustion::FleetLimit {
+                retry_after: denied.retry_after,
+                without_lease: denied.without_lease,
+            })
         })
 }
 
@@ -450,41 +415,6 @@
     });
 }
 
-fn rejected(error: RequestError) -> Response<ResponseBody> {
-    match error {
-        RequestError::LimitReached(message, retry_after) => {
-            unavailable_response(message, retry_after)
-        }
-        RequestError::Invalid(status, message) => {
-            let mut response = text_response(status, message);
-            response
-                .headers_mut()
-                .insert(header::CONNECTION, HeaderValue::from_static("close"));
-            response
-        }
-    }
-}
-
-fn text_response(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::Buffered(Full::from(text)));
-    *response.status_mut() = status;
-    response
-}
-
-fn unavailable_response(text: &'static str, retry_after: Option<Micros>) -> Response<ResponseBody> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, text);
-    if let Some(retry_after) = retry_after.and_then(retry_after_value) {
-        response
-            .headers_mut()
-            .insert(header::RETRY_AFTER, retry_after);
-    }
-    response
-}
-
-pub(super) fn retry_after_value(span: Micros) -> Option<HeaderValue> {
-    HeaderValue::from_maybe_shared(Bytes::from((span as f64 / 1e6).to_string())).ok()
-}
-
 /// The length of the body, before any of it is read. Chunked bodies are rejected: if a request has both a length and chunked
 /// coding, hyper shows the chunked coding only, while another reader may find a request hidden in the body.
 ///
@@ -544,10 +474,7 @@
         }
         Some(Some(Err(_))) => Err(bad_request("the body has broken off")),
         // The client may have written all of it, and there was no memory to read it.
-        Some(None) => Err(RequestError::LimitReached(
-            "too much is open",
-            service.retry_after(),
-        )),
+        Some(None) => Err(RequestError::Exhausted(Exhaustion::Deadline)),
         None => Err(RequestError::Invalid(
             StatusCode::REQUEST_TIMEOUT,
             "the body has not come",
