Share the ids of requests that must not run twice between the processes of an upgrade

Cause: ids were known to the process alone that took them. Each adds to a ring of 8,192 fixed-size entries in a file of its own before a non-idempotent request may be sent and when it has ended; the other reads what was added before it accepts an id. No message, no wait; a killed process's file says the same as before. Bounded: 128 KiB a process, 16,384 ids, 60 s; files of processes that ended longer ago are removed.

Tests first, with the build as found: 4 of 4 cases sent it again (in flight, client left, first told to end, first killed).

--- a/crates/cli/tests/operations/upgrade.rs
+++ b/crates/cli/tests/operations/upgrade.rs
@@ -1,7 +1,8 @@
 //! Two processes that are one sidecar for a while: the clients' socket is held by whoever starts them.
 
 use super::{asked, until};
-use crate::rig::{Conn, Options, ScriptedServer, Sidecar, request, serve_all};
+use crate::rig::{Conn, Options, ScriptedServer, Sidecar, request, request_with, serve_all};
+use rstest::rstest;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsRawFd, OwnedFd};
@@ -94,6 +95,83 @@
     assert!(served > 0);
 }
 
+/// How the client of the first process ends its wait.
+#[derive(Clone, Copy, PartialEq)]
+enum Wait {
+    GoesOn,
+    EndsWithItsConnection,
+}
+
+/// A request is sent by one process of an upgrade, and comes again at the other while its server works on it, or after its client
+/// has left, or after the process was killed: what must not run twice is not sent on.
+#[rstest]
+#[case::in_flight(Wait::GoesOn, None)]
+#[case::left(Wait::EndsWithItsConnection, None)]
+#[case::the_first_is_told_to_end(Wait::EndsWithItsConnection, Some("TERM"))]
+#[case::the_first_is_killed(Wait::GoesOn, Some("KILL"))]
+fn an_id_that_comes_again_at_the_other_process_does_not_run_twice(
+    #[case] wait: Wait,
+    #[case] signal: Option<&str>,
+) {
+    let shared = Shared::new();
+    let node = ScriptedServer::new();
+    let mut old = shared.start(node.address());
+    let text = request_with("5eed000000000a3d", "submit-check", 5_900, "");
+    let mut client = Conn::new(TcpStream::connect(shared.address).expect("it accepts"));
+    client.write(&text);
+    let mut conn = node.accept();
+    assert!(conn.read().is_some());
+    let new = shared.start(node.address());
+    until("the new one says yes", || new.call("PING\n") == "ok\n");
+    let mut kept = Some(client);
+    if wait == Wait::EndsWithItsConnection {
+        kept = None;
+        assert!(conn.read().is_none(), "the attempt goes on");
+    }
+    match signal {
+        Some(signal) => {
+            old.signal(signal);
+            until("the old one has ended", || {
+                old.child.try_wait().expect("it can be asked").is_some()
+            });
+        }
+        // Neither accepts anything then but the new one, once the old one is stopped.
+        None => old.signal("STOP"),
+    }
+    let mut again = Conn::new(TcpStream::connect(shared.address).expect("it accepts"));
+    again.write(&text);
+    assert_eq!(again.read().expect("an answer").status(), 409);
+    assert!(!node.has_pending_connect(), "it was sent on");
+    // Another id is served.
+    serve_all(node);
+    let mut other = Conn::new(TcpStream::connect(shared.address).expect("it accepts"));
+    other.write(request("submit-check", 5_900, ""));
+    assert_eq!(other.read().expect("an answer").status(), 200);
+    drop(kept);
+}
+
+/// What one process has answered may come again at the other.
+#[test]
+fn an_id_that_was_answered_by_one_process_is_served_by_the_other() {
+    let shared = Shared::new();
+    let node = ScriptedServer::new();
+    let server = node.address();
+    serve_all(node);
+    let old = shared.start(server);
+    let text = request_with("5eed000000000a4d", "submit-check", 5_900, "");
+    let ask = || {
+        let mut client = Conn::new(TcpStream::connect(shared.address).expect("it accepts"));
+        client.write(&text);
+        client.read().expect("an answer").status()
+    };
+    assert_eq!(ask(), 200);
+    let new = shared.start(server);
+    until("the new one says yes", || new.call("PING\n") == "ok\n");
+    old.signal("STOP");
+    assert_eq!(ask(), 200);
+    assert_eq!(new.figure("app.operations.submit-check.fulfilled"), 1);
+}
+
 /// Killed before it could serve, the new process has taken nothing.
 #[test]
 fn a_new_process_that_dies_at_once_is_not_noticed() {
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -4,6 +4,7 @@
 use super::attempt::{ForwardedRequest, ResponseProtocol};
 use super::client::Client;
 use super::counts::increment;
+use super::in_flight_id::InFlightRequestId;
 use super::lateness::LatenessRecorder;
 use super::listener::Listener;
 use super::rejection::{Exhaustion, RequestError, bad_request, retry_after_value};
@@ -14,8 +15,8 @@
 use super::transaction::{self, FinalResponse};
 use super::upload::{BodyLength, RequestBody};
 use super::virtual_server::{
-    InFlightRequestId, RejectedRequest, TRACE_ID, admit, admit_by_fleet_limits, client_time_left,
-    declared_length, next_request_id, read_complete_body,
+    RejectedRequest, TRACE_ID, admit, admit_by_fleet_limits, client_time_left, declared_length,
+    next_request_id, read_complete_body,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -73,7 +74,7 @@
         let id = request_id(&head.headers)?;
         let lateness = LatenessRecorder::new(service, None, &deadline, id);
         let id = id
-            .map(|id| InFlightRequestId::new(service, id))
+            .map(|id| InFlightRequestId::new(service, id, false))
             .transpose()?;
         let body = if size > 0 {
             let timeout = settings.body_timeout;
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -9,6 +9,7 @@
 use super::process_state::{ProcessState, ResourceTotals};
 use super::routing::Routing;
 use super::service::{ResourceShares, Service, ServiceSpec};
+use super::shared_request_ids::SharedRequestIds;
 use super::state_writer::StateWriter;
 use super::supervision::supervise;
 use super::{control_address, timers, warm_start};
@@ -195,6 +196,9 @@
             self.process.listener_ended.notified().await;
         }
         self.admin.take();
+        if let Some(ids) = self.process.shared_request_ids.get() {
+            ids.leave(self.process.clock.now());
+        }
         if let Some(writer) = self.process.state_writer.get() {
             warm_state_task.inspect(AbortHandle::abort);
             warm_start::write_snapshots(&self.process, writer).await;
@@ -319,6 +323,7 @@
     let shared = config.inherited_socket.is_some();
     let socket = match config.inherited_socket {
         Some(socket) => {
+            share_request_ids(process, &socket);
             TcpListener::from_std(socket).map_err(|e| format!("RELAY_ACCEPT_FD: {e}"))?
         }
         None => bind_at_start(listen).map_err(|e| format!("RELAY_LISTEN: {listen}: {e}"))?,
@@ -341,6 +346,19 @@
     Ok((service, listener))
 }
 
+/// Shares the ids of requests with the other processes that inherit the socket. Without a place for them, it serves all the same.
+fn share_request_ids(process: &ProcessState, socket: &std::net::TcpListener) {
+    match SharedRequestIds::join(socket) {
+        Ok(ids) => {
+            process.shared_request_ids.get_or_init(|| ids);
+        }
+        Err(error) => tracing::warn!(
+            %error,
+            "the ids of requests are not shared with the other process of an upgrade: {error}"
+        ),
+    }
+}
+
 /// Periodically does the work that no event triggers.
 async fn run_upkeep(process: Rc<ProcessState>) {
     loop {
--- a/crates/sidecar/src/process_state.rs
+++ b/crates/sidecar/src/process_state.rs
@@ -13,6 +13,7 @@
 use super::pool::ServerOverrides;
 use super::service::Service;
 use super::shared_lists::SharedLists;
+use super::shared_request_ids::SharedRequestIds;
 use super::state_writer::StateWriter;
 use super::timers::Timers;
 use madderloom_admin::lifecycle::Lifecycle;
@@ -95,6 +96,8 @@
     pub(super) fleet_limits: Rc<FleetLimits>,
     /// Server lists that the fleet shares, where the operator file enables it.
     pub(super) shared_lists: SharedLists,
+    /// The ids that the processes of an upgrade share, where this one has inherited the clients' socket.
+    pub(super) shared_request_ids: OnceCell<SharedRequestIds>,
 }
 
 /// Limits that the services, or the listeners, of the process share among themselves.
@@ -196,6 +199,7 @@
             cpu_usage: CpuUsage::default(),
             fleet_limits: Rc::default(),
             shared_lists: SharedLists::default(),
+            shared_request_ids: OnceCell::new(),
         })
     }
 
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -7,6 +7,7 @@
 use super::counts::increment;
 use super::fleet_limits::FleetPermit;
 use super::graphql;
+use super::in_flight_id::InFlightRequestId;
 use super::lateness::{LatenessRecorder, WaitKind};
 use super::limits::LimitExceeded;
 use super::listener::{Listener, ListenerSettings};
@@ -31,7 +32,6 @@
 use madderloom_balancer::{Micros, NewRequest, RequestId, RetrySafety};
 use madderloom_routing::request::{Asked, Fault, split_key, subject};
 use madderloom_watchdog::{self as watchdog, TaskKind};
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
@@ -43,50 +43,6 @@
 const SIZE_HINT: HeaderName = HeaderName::from_static("x-size-hint");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Holds the id of a request in flight, unique within its service. Dropping it frees the id, unless the request may have run
-/// unanswered.
-pub(super) struct InFlightRequestId<'a> {
-    service: &'a Service,
-    id: HeaderValue,
-    /// See [`ForwardedRequest::may_have_run_unanswered`].
-    may_have_run_unanswered: Rc<Cell<bool>>,
-}
-
-impl<'a> InFlightRequestId<'a> {
-    /// # Errors
-    /// Another request in flight has this id, or one that may have run unanswered.
-    pub(super) fn new(service: &'a Service, id: &HeaderValue) -> Result<Self, RequestError> {
-        let now = service.process.clock.now();
-        if service.unanswered_runs.contains(id, now) {
-            return Err(RequestError::Invalid(
-                StatusCode::CONFLICT,
-                "a request with this X-Trace-Id may have run",
-            ));
-        }
-        if !service.request_ids.borrow_mut().insert(id.clone()) {
-            return Err(RequestError::Invalid(
-                StatusCode::CONFLICT,
-                "a request with this X-Trace-Id is open",
-            ));
-        }
-        Ok(InFlightRequestId {
-            service,
-            id: id.clone(),
-            may_have_run_unanswered: Rc::default(),
-        })
-    }
-}
-
-impl Drop for InFlightRequestId<'_> {
-    fn drop(&mut self) {
-        if self.may_have_run_unanswered.get() {
-            let now = self.service.process.clock.now();
-            self.service.unanswered_runs.remember(&self.id, now);
-        }
-        self.service.release_request_id(&self.id);
-    }
-}
-
 /// The id of a non-idempotent request that is too long to be recorded, so that the request could never be sent.
 const ID_TOO_LONG: RequestError = bad_request(
     "the id of a request that must not run twice is over 1,024 bytes with its header's name",
@@ -142,7 +98,8 @@
             admit_by_fleet_limits(&service, class_entry.as_deref(), &head.headers)?,
         );
         let lateness = LatenessRecorder::new(&service, class_entry.clone(), &deadline, Some(id));
-        let id = InFlightRequestId::new(&service, id)?;
+        let non_idempotent = is_non_idempotent(class_entry.as_deref());
+        let id = InFlightRequestId::new(&service, id, non_idempotent)?;
         let body = upload::read_body(
             listener,
             &service,
@@ -191,9 +148,7 @@
     // A target in absolute form names this sidecar; the server gets the path only.
     let target = head.uri.into_parts().path_and_query;
     let uri = target.map_or_else(|| Uri::from_static("/"), Uri::from);
-    let non_idempotent = class_entry
-        .as_ref()
-        .is_none_or(|class| class.retry_safety() == RetrySafety::NonIdempotent);
+    let non_idempotent = is_non_idempotent(class_entry.as_deref());
     let latency_objective = service.latency_objective(&new_request);
     let protocol = ResponseProtocol::Http;
     let idempotency_record = if non_idempotent {
@@ -215,7 +170,7 @@
         headers,
         body,
         non_idempotent,
-        may_have_run_unanswered: Rc::clone(&id.may_have_run_unanswered),
+        may_have_run_unanswered: id.may_have_run_unanswered(),
         protocol,
         idempotency_record,
     };
@@ -488,6 +443,10 @@
     service.active_settings().class_named(class)
 }
 
+fn is_non_idempotent(class: Option<&ClassEntry>) -> bool {
+    class.is_none_or(|class| class.retry_safety() == RetrySafety::NonIdempotent)
+}
+
 /// Builds the balancer's view of a request from its head.
 ///
 /// # Errors
