Do not run a GraphQL mutation again whose client left, and hold GraphQL answers to their time in tests

Callers would have seen a mutation run twice: its client left while a server worked on it, and the same request, with the same X-Trace-Id, was sent on when it came again.

Test first: case mutation of a_mutation_that_comes_again_after_its_client_left_does_not_run_twice got 200 and a second run without the change, 409 with it; a query is served again.

--- a/crates/cli/tests/graphql/front.rs
+++ b/crates/cli/tests/graphql/front.rs
@@ -1,9 +1,11 @@
 //! What a client gets from a GraphQL route, request by request.
 
-use crate::rig::{Conn, Message};
+use crate::rig::{Conn, Message, until};
 use crate::servers::*;
 use crate::stand_ins::Process;
+use rstest::rstest;
 use serde_json::{Value, json};
+use std::time::{Duration, Instant};
 
 fn ask(client: &mut Conn, request: impl AsRef<[u8]>) -> (Message, Value) {
     client.write(request);
@@ -85,6 +87,68 @@
     assert_eq!((servers.came("m1"), servers.came("m2")), (1, 1));
 }
 
+/// The time of the requests that [`post`] makes.
+const TIME_LEFT: Duration = Duration::from_millis(1_000);
+const SLACK: Duration = Duration::from_millis(50);
+
+/// Servers run a request and never answer: alone, as a batch, and as a batch of which each operation is sent on its own.
+#[rstest]
+fn a_request_that_no_server_answers_is_answered_in_its_time(
+    #[values("/graphql", "/apart")] path: &str,
+    #[values(READ, FILE)] operation: &str,
+    #[values(1, 3)] operations: usize,
+) {
+    let servers = Servers::start(2, |_| Fault::Hang);
+    let process = servers.front();
+    let messages: Vec<Value> = (0..operations)
+        .map(|number| message(operation, &format!("m{number}"), true, false))
+        .collect();
+    let body = if operations == 1 {
+        messages[0].clone()
+    } else {
+        json!(messages)
+    };
+    let started_at = Instant::now();
+    let (_, answer) = ask(&mut process.client("front"), post(path, &body, "t1"));
+    let took = started_at.elapsed();
+    assert!(took <= TIME_LEFT + SLACK, "{took:?}: {answer}");
+    let has_error = |answer: &Value| answer.get("errors").is_some();
+    let failed = answer
+        .as_array()
+        .map_or(has_error(&answer), |answers| answers.iter().all(has_error));
+    assert!(failed, "{answer}");
+}
+
+/// A client leaves while a server works on its mutation, and sends the same again.
+#[rstest]
+#[case::mutation(FILE, 1)]
+#[case::query(READ, 2)]
+fn a_mutation_that_comes_again_after_its_client_left_does_not_run_twice(
+    #[case] operation: &str,
+    #[case] runs: u32,
+) {
+    // The first exchange hangs, and those behind it are served.
+    let first = |number| match number {
+        0 => Fault::Hang,
+        _ => Fault::None,
+    };
+    let servers = Servers::start(1, first);
+    let process = servers.front();
+    let text = post("/graphql", &message(operation, "m1", true, false), "t1");
+    let mut client = process.client("front");
+    client.write(&text);
+    until("it runs", || servers.ran("m1") == 1);
+    drop(client);
+    let mut other = process.client("front");
+    ask(
+        &mut other,
+        post("/graphql", &message(READ, "q1", true, false), "t2"),
+    );
+    let (answer, _) = ask(&mut process.client("front"), &text);
+    assert_eq!(answer.status(), if runs == 1 { 409 } else { 200 });
+    assert_eq!(servers.ran("m1"), runs);
+}
+
 #[test]
 fn a_partial_answer_goes_on_unchanged_and_its_mutation_is_not_sent_again() {
     let servers = Servers::start(2, |_| Fault::Partial);
--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -29,6 +29,7 @@
     Classed, Fault, Media, Message, Part, PartAnswer, Plan, Rejection, Reply, join, stages,
 };
 use madderloom_routing::request::subject;
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -42,9 +43,27 @@
     deadline: Rc<RequestDeadline>,
     /// The request says how long its client waits.
     has_time_left: bool,
+    /// Set once an operation of it may have run unanswered; `None` if the request has no id.
+    may_have_run_unanswered: Option<Rc<Cell<bool>>>,
     media: Media,
 }
 
+/// Whether one operation of a request may have run unanswered; the request has so too then.
+struct OperationRun<'a> {
+    may_have_run_unanswered: Rc<Cell<bool>>,
+    request: &'a GraphqlRequest<'a>,
+}
+
+impl Drop for OperationRun<'_> {
+    fn drop(&mut self) {
+        if let Some(of_request) = &self.request.may_have_run_unanswered
+            && self.may_have_run_unanswered.get()
+        {
+            of_request.set(true);
+        }
+    }
+}
+
 /// Handles one GraphQL request.
 pub(super) async fn handle_request(
     listener: &Rc<Listener>,
@@ -84,7 +103,7 @@
         };
         Ok((deadline, time_left.is_some(), body, (permits, id, lateness)))
     };
-    let (deadline, has_time_left, bytes, _guards) = match admission.await {
+    let (deadline, has_time_left, bytes, guards) = match admission.await {
         Ok(admitted) => admitted,
         Err(error) => {
             let rejected_request = RejectedRequest {
@@ -97,6 +116,8 @@
         }
     };
     client.body_complete.set(true);
+    let (_, id, _) = &guards;
+    let may_have_run_unanswered = id.as_ref().map(InFlightRequestId::may_have_run_unanswered);
     let send_plan = match plan(service, &head, &bytes) {
         Ok(send_plan) => send_plan,
         Err(None) => return rejected(NO_ROUTE, None, media),
@@ -115,6 +136,7 @@
         received_at,
         deadline,
         has_time_left,
+        may_have_run_unanswered,
         media,
     };
     match send_plan {
@@ -233,6 +255,10 @@
             false => Ok(None),
         }
         .map_err(|_| Fault::bad("the id of what must not run twice is over 1,024 bytes"))?;
+        let operation = OperationRun {
+            may_have_run_unanswered: Rc::default(),
+            request: self,
+        };
         let forwarded = ForwardedRequest {
             client: Rc::clone(self.client),
             deadline: Rc::clone(&self.deadline),
@@ -241,7 +267,7 @@
             headers,
             body: RequestBody::Buffered(message.body.clone()),
             non_idempotent,
-            may_have_run_unanswered: Rc::default(),
+            may_have_run_unanswered: Rc::clone(&operation.may_have_run_unanswered),
             protocol: ResponseProtocol::Graphql {
                 hash_only: message.hash_only,
             },
