Call discovery in time after an outage soon after a start, also if it is taken for a crash

The one call made meanwhile was reset, and the next came 13.7 s later; a server that drained got submissions beyond 9.1 s and was ended with them. Cause: one young watch that was lost, with one broken call behind it, was taken for a discovery that crashes under load, whose callers come back spread over 16 s at least, in a fleet of four as in one of 900. Open: the second such outage within 20 s from 26 instances on.

--- a/crates/balancer/src/discovery_poll.rs
+++ b/crates/balancer/src/discovery_poll.rs
@@ -226,7 +226,7 @@
                 after_queued_failure(now, waited, rejections, intervals)
             }
             Diagnosis::Overloaded => self.with_backoff(now, failed, (rules, intervals), random),
-            Diagnosis::CrashesUnderLoad => self.after_crash(now, intervals, random),
+            Diagnosis::CrashesUnderLoad => self.after_crash(now, failed, intervals, random),
             Diagnosis::Unspecified => self.in_growing_interval(now, intervals, random),
         };
         self.timer.set(due);
@@ -329,13 +329,22 @@
         self.time_between(now + earliest, now + self.interval, random)
     }
 
-    /// A time in a long interval: all instances have lost their watches or their calls at the same moment.
+    /// A time in a long interval: all instances have lost their watches or their calls at the same moment. The calls of a small
+    /// fleet are spread as far within the freshness bound.
     fn after_crash(
         &mut self,
         now: Micros,
+        failed: FailedCall,
         intervals: PollIntervals,
         random: &mut Rand64,
     ) -> Micros {
+        if intervals.longest_after_crash <= intervals.bound {
+            let latest = failed.list_known_at.saturating_add(intervals.bound);
+            self.interval = intervals.bound;
+            self.interval_end = latest.max(now + MIN_POLL_INTERVAL);
+            self.has_phase = false;
+            return self.time_between(now, self.interval_end, random);
+        }
         let shortest = 2 * intervals.bound;
         self.interval =
             (2 * self.interval).clamp(shortest, intervals.longest_after_crash.max(shortest));
--- a/crates/balancer/tests/discovery_queues.rs
+++ b/crates/balancer/tests/discovery_queues.rs
@@ -539,3 +539,67 @@
         }
     }
 }
+
+/// Discovery goes down for a moment soon after a watch was opened: the watch ends, and the next call's connection is reset. That
+/// was taken for a discovery that crashes under load, whose next call is spread over 16 s in a fleet of any size, and instances went
+/// on sending to servers that had begun to drain. In a small fleet it may happen any number of times.
+#[test]
+fn outages_soon_after_a_watch_was_opened_postpone_no_call() {
+    const CALL_RESET_AFTER: Micros = 300 * MS;
+    let server_list = servers(4);
+    let fleets = [(1, 4), (4, 4), (6, 4), (25, 4), (60, 1), (300, 1), (900, 1)];
+    for (group_size, outages) in fleets {
+        let settings = Settings {
+            group_size,
+            ..settings(&[RetrySafety::Idempotent])
+        };
+        let bound = settings.rules.poll_again_within();
+        for ordinal in (0..group_size).step_by(1 + group_size as usize / 25) {
+            let mut rig = common::Rig::seeded(settings.clone(), 7, &server_list);
+            rig.balancer.set_ordinal(ordinal);
+            rig.event(Event::TimerFired(Timer::Discovery));
+            for _ in 0..outages {
+                rig.now += 100 * MS;
+                rig.event(Event::DiscoveryUpdated(DiscoveryUpdate::WatchOpened));
+                rig.event(Event::DiscoveryUpdated(DiscoveryUpdate::FullList(
+                    &server_list,
+                )));
+                rig.now += 5 * S;
+                let watch_ended_at = rig.now;
+                let first_due = next_call_after(&mut rig, watch_ended_at, 0, false);
+                rig.now = first_due;
+                rig.event(Event::TimerFired(Timer::Discovery));
+                let called_at = rig.now;
+                rig.now += CALL_RESET_AFTER;
+                let due = next_call_after(&mut rig, called_at, CALL_RESET_AFTER, true);
+                assert!(
+                    due <= called_at + bound,
+                    "instance {ordinal} of {group_size}: {} us from a call that was reset to the next",
+                    due - called_at
+                );
+                rig.now = due;
+                rig.event(Event::TimerFired(Timer::Discovery));
+            }
+        }
+    }
+}
+
+/// When the next call is due after one that has failed, or a watch that has ended.
+fn next_call_after(
+    rig: &mut common::Rig,
+    list_known_at: Micros,
+    waited: Micros,
+    connection_broken: bool,
+) -> Micros {
+    rig.actions.clear();
+    rig.event(Event::DiscoveryUpdated(DiscoveryUpdate::CallFailed {
+        list_known_at,
+        waited,
+        connection_broken,
+    }));
+    let due = rig.actions.iter().find_map(|action| match action {
+        Action::SetTimer { at, .. } => Some(*at),
+        _ => None,
+    });
+    due.expect("a call is scheduled")
+}
