Keep a pool's list and its ids when a reload gives it new settings

Cause: new settings make a new pool, which began with the file, while what the process shares with the fleet still said that it had the fleet's list. The new pool begins with what the former one knows from the same discovery, so that both are true again.

--- a/crates/cli/tests/services/reload.rs
+++ b/crates/cli/tests/services/reload.rs
@@ -1,7 +1,8 @@
 //! A new file takes effect whole or not at all, and costs no request its one answer.
 
-use crate::rig::PATIENCE;
+use crate::rig::{PATIENCE, ScriptedServer, chunk, listing};
 use crate::stand_ins::*;
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -63,6 +64,113 @@
     all
 }
 
+/// The text with another latency objective of all classes: their pools have new settings.
+fn with_new_settings(text: &str) -> String {
+    let retuned = text.replace("on_time = 2_000_000", "on_time = 2_500_000");
+    assert_ne!(retuned, text);
+    retuned
+}
+
+/// The pool of these servers, whose list comes from a discovery.
+fn discovered_pool(discovery: &ScriptedServer, known: &[&StandIn]) -> String {
+    let servers: Vec<String> = known
+        .iter()
+        .map(|s| format!("{{ name = \"{}\", address = \"{}\" }}", s.name, s.address))
+        .collect();
+    format!(
+        "[[pools]]\nname = \"a\"\ndiscovery = \"{}\"\nservers = [{}]\n{}",
+        discovery.address(),
+        servers.join(", "),
+        settings()
+    )
+}
+
+/// Answers a call of a pool with this list, and keeps the watch open.
+fn answer_watch(discovery: &ScriptedServer, servers: &[(&StandIn, &str)]) -> crate::rig::Conn {
+    let mut conn = discovery.accept();
+    conn.read().expect("a call");
+    let entries: Vec<_> = servers
+        .iter()
+        .map(|(server, status)| (server.name.as_str(), server.address, *status))
+        .collect();
+    let list = listing(7, true, &entries).to_string() + "\n";
+    let list = chunk(list.as_bytes());
+    conn.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    conn.write(list);
+    conn
+}
+
+/// Other settings make a new pool of it, which calls discovery at its time: until then it goes by what the former one knew, and
+/// neither sends to a server that drains nor refuses all.
+#[rstest]
+#[case::with_servers_in_the_file(true)]
+#[case::with_none(false)]
+fn a_pool_with_new_settings_keeps_the_list_that_discovery_told(#[case] in_file: bool) {
+    let discovery = ScriptedServer::new();
+    let (stays, drains) = (
+        StandIn::new("stays", Manner::Serves),
+        StandIn::new("drains", Manner::Serves),
+    );
+    let known: &[&StandIn] = if in_file { &[&stays, &drains] } else { &[] };
+    let pool = discovered_pool(&discovery, known);
+    let text = file(&[&listener("front", ""), &pool, &host_route("a")]);
+    let mut process = Process::start(&text);
+    let _watch = answer_watch(
+        &discovery,
+        &[(&stays, "in_service"), (&drains, "terminating")],
+    );
+    let ask = |process: &Process| {
+        let mut client = process.client("front");
+        client.write(submit("a", 0).1);
+        let answer = client.read().expect("an answer");
+        (
+            answer.status(),
+            String::from_utf8_lossy(&answer.body).into_owned(),
+        )
+    };
+    crate::rig::until("the list is known", || {
+        let status = process.status();
+        status["pools"][0]["list_version"] == 7
+    });
+    process.reload(&with_new_settings(&text));
+    for number in 0..40 {
+        let served = ask(&process);
+        assert_eq!(
+            served,
+            (200, "stays".to_string()),
+            "request {number} after the reload"
+        );
+    }
+}
+
+/// A client leaves while a server works on its request, the pool gets new settings, and the same request comes again.
+#[rstest]
+#[case::client_left(true)]
+#[case::client_waits(false)]
+fn an_id_that_may_have_run_is_not_sent_again_by_a_pool_with_new_settings(#[case] leaves: bool) {
+    let server = StandIn::new("hangs", Manner::Hangs);
+    let pool = pool("a", &[&server], "");
+    let text = file(&[&listener("front", ""), &pool, &host_route("a")]);
+    let mut process = Process::start(&text);
+    let (id, request) = submit("a", 0);
+    let mut client = Some(process.client("front"));
+    client.as_mut().expect("it is there").write(&request);
+    crate::rig::until("it runs", || server.seen().contains_key(&id));
+    if leaves {
+        client = None;
+        crate::rig::until("its client's departure is noticed", || {
+            process.status()["pools"][0]["open"] == 0
+        });
+    }
+    process.reload(&with_new_settings(&text));
+    server.turn_to(Manner::Serves);
+    let mut again = process.client("front");
+    again.write(&request);
+    assert_eq!(again.read().expect("an answer").status(), 409);
+    assert_eq!(server.seen()[&id], 1);
+    drop(client);
+}
+
 /// Pools come, go, are renamed and swap their servers, ten times in a second, while requests are open.
 #[test]
 fn ten_reloads_in_a_second_cost_no_request_its_one_answer() {
--- a/crates/sidecar/src/in_flight_id.rs
+++ b/crates/sidecar/src/in_flight_id.rs
@@ -46,9 +46,10 @@
             Some(IdConflict::InFlight) => return Err(IS_OPEN),
             None => {}
         }
-        if !service.request_ids.borrow_mut().insert(id.clone()) {
+        if service.has_request(id) {
             return Err(IS_OPEN);
         }
+        service.request_ids.borrow_mut().insert(id.clone());
         let shared = shared.filter(|_| non_idempotent);
         if let Some(shared) = shared {
             shared.record_started(&service.name, id);
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -165,6 +165,31 @@
             since_ms: self.since_ms,
         }
     }
+
+    /// As it is listed; `names` are those of the zones and the kinds of the settings.
+    fn endpoint(&self, names: &(Vec<String>, Vec<String>)) -> Endpoint {
+        let entry = &self.entry;
+        let status = match entry.state {
+            ServerState::Ready => Status::InService,
+            ServerState::Draining => Status::Terminating,
+            ServerState::Gone => Status::Terminated,
+        };
+        let (zone, kind) = self
+            .unknown_names
+            .as_deref()
+            .cloned()
+            .unwrap_or_else(|| zone_and_kind_names(names, entry));
+        Endpoint {
+            name: self.name.clone(),
+            address: self.address,
+            zone,
+            kind,
+            group: entry.cell,
+            status,
+            weight: entry.capacity,
+            since_ms: self.since_ms,
+        }
+    }
 }
 
 /// Converts a start time from discovery, in Unix time, to the balancer's clock. None for 0: the server started long ago.
@@ -405,31 +430,33 @@
         ready.map(snapshot).collect()
     }
 
+    /// The list as it is known now, for another pool of the same discovery service.
+    pub(super) fn current_list(&self) -> ListUpdate {
+        let (members, names) = (self.members.borrow(), self.zones_and_kinds.borrow());
+        ListUpdate {
+            index: self.version.get(),
+            snapshot: true,
+            endpoints: members
+                .values()
+                .map(|member| member.endpoint(&names))
+                .collect(),
+        }
+    }
+
     /// The complete list as it is shared with the fleet. Equal lists have equal texts.
     pub(super) fn shared_text(&self) -> String {
         let (members, names) = (self.members.borrow(), self.zones_and_kinds.borrow());
         let server = |member: &Member| {
-            let entry = &member.entry;
-            let status = match entry.state {
-                ServerState::Ready => Status::InService,
-                ServerState::Draining => Status::Terminating,
-                ServerState::Gone => Status::Terminated,
-            };
-            let (zone, kind) = member
-                .unknown_names
-                .as_deref()
-                .cloned()
-                .unwrap_or_else(|| zone_and_kind_names(&names, entry));
-            let weight = entry.capacity;
+            let listed = member.endpoint(&names);
             SharedServer(
-                member.name.clone(),
-                member.address,
-                zone,
-                kind,
-                entry.cell,
-                status,
-                weight,
-                member.since_ms,
+                listed.name,
+                listed.address,
+                listed.zone,
+                listed.kind,
+                listed.group,
+                listed.status,
+                listed.weight,
+                listed.since_ms,
             )
         };
         let mut servers: Vec<SharedServer> = members.values().map(server).collect();
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -307,6 +307,7 @@
         site: config.settings,
         discovery: Some(config.discovery),
         initial_list: config.known,
+        unanswered_runs: Rc::default(),
         limits: ResourceLimits::default(),
         levels: None,
         graphql: None,
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -360,13 +360,35 @@
         reusable
     }
 
+    /// The service that a new one with this pool's name replaces: the pool has other settings.
+    fn replaced_service(&self, pool: &Pool) -> Option<Rc<Service>> {
+        let services = self.services.borrow();
+        services.iter().find(|s| s.name == pool.name).cloned()
+    }
+
+    /// The servers that a new service begins with: what the service that it replaces knows from the same discovery, or else those
+    /// of the file.
+    fn known_list(&self, pool: &Pool) -> ListUpdate {
+        self.replaced_service(pool)
+            .filter(|former| pool.discovery.is_some() && former.pool.discovery() == pool.discovery)
+            .filter(|former| former.pool.has_servers())
+            .map_or_else(
+                || ListUpdate::from_static_servers(&pool.servers),
+                |former| former.pool.current_list(),
+            )
+    }
+
     fn spec(&self, pool: &Pool) -> ServiceSpec {
         ServiceSpec {
             name: pool.name.clone(),
             log_prefix: format!("{}: ", pool.name),
             site: site_of(pool),
             discovery: pool.discovery,
-            initial_list: ListUpdate::from_static_servers(&pool.servers),
+            initial_list: self.known_list(pool),
+            unanswered_runs: self
+                .replaced_service(pool)
+                .map(|former| Rc::clone(&former.unanswered_runs))
+                .unwrap_or_default(),
             limits: pool.limits,
             levels: pool.levels.clone(),
             graphql: pool.graphql.clone(),
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -43,6 +43,8 @@
     pub(super) discovery: Option<SocketAddr>,
     /// The server list at the start, or the fixed one.
     pub(super) initial_list: ListUpdate,
+    /// Requests that must not be sent again; shared with the service that it replaces.
+    pub(super) unanswered_runs: Rc<UnansweredRuns>,
     pub(super) limits: ResourceLimits,
     pub(super) levels: Option<LevelPlan>,
     /// How its GraphQL operations are classified, if it serves any.
@@ -81,7 +83,7 @@
     /// The ids of requests in flight, which are unique.
     pub(super) request_ids: RefCell<HashSet<HeaderValue, FixedState>>,
     /// Requests that must not be sent again.
-    pub(super) unanswered_runs: UnansweredRuns,
+    pub(super) unanswered_runs: Rc<UnansweredRuns>,
     /// The open transactions, each with the queue of steps that the balancer decides on for it.
     pub(super) transactions: RefCell<HashMap<RequestId, Rc<StepQueue>, FixedState>>,
     pub(super) last_request_id: Cell<RequestId>,
@@ -133,6 +135,7 @@
             site,
             discovery,
             initial_list,
+            unanswered_runs,
             limits,
             levels,
             graphql,
@@ -153,7 +156,7 @@
             active_settings: RefCell::new(Rc::new(ActiveSettings::new(site, &counts))),
             graphql: RefCell::new(graphql.map(Front::new)),
             request_ids: RefCell::default(),
-            unanswered_runs: UnansweredRuns::default(),
+            unanswered_runs,
             transactions: RefCell::default(),
             last_request_id: Cell::new(0),
             request_limits: RequestLimits::new(
@@ -369,6 +372,13 @@
             .unwrap_or_default()
     }
 
+    /// Whether a request with this id is in flight, at this service or at one that it replaces.
+    pub(super) fn has_request(&self, id: &HeaderValue) -> bool {
+        let services = self.process.services.borrow();
+        let mut of_name = services.iter().filter(|service| service.name == self.name);
+        of_name.any(|service| service.request_ids.borrow().contains(id))
+    }
+
     /// Releases the id of a request that has been answered or whose client has disconnected.
     pub(super) fn release_request_id(&self, id: &HeaderValue) {
         self.request_ids.borrow_mut().remove(id);
