--- a/crates/sidecar/src/graphql.rs
+++ b/crates/sidecar/src/graphql.rs
@@ -233,22 +233,7 @@
         }
         let _open = service.counts.track_request();
         let now = service.process.clock.now();
-        let time_left = if self.has_time_left {
-            self.deadline.remaining(now)
-        } else {
-            self.class_time_left(classed.class, now)
-        };
-        let new_request = NewRequest {
-            id: next_request_id(service),
-            class: classed.class,
-            tenant: 0,
-            key: classed.key.or_else(|| subject(&headers)),
-            time_left,
-            cost_hint: classed.cost,
-            client_retry: headers
-                .get("x-second-try")
-                .is_some_and(|second| second == "1"),
-        };
+        let new_request = self.new_request(classed, &headers, now);
         let non_idempotent = classed.effect == RetrySafety::NonIdempotent;
         let idempotency_record = match non_idempotent {
             true => IdempotencyRecord::for_request(service, &headers, part),
@@ -289,6 +274,26 @@
         }
     }
 
+    /// The balancer's view of one message.
+    fn new_request(&self, classed: &Classed, headers: &HeaderMap, now: Micros) -> NewRequest {
+        let time_left = if self.has_time_left {
+            self.deadline.remaining(now)
+        } else {
+            self.class_time_left(classed.class, now)
+        };
+        NewRequest {
+            id: next_request_id(self.service),
+            class: classed.class,
+            tenant: 0,
+            key: classed.key.or_else(|| subject(headers)),
+            time_left,
+            cost_hint: classed.cost,
+            client_retry: headers
+                .get("x-second-try")
+                .is_some_and(|second| second == "1"),
+        }
+    }
+
     /// How long a client still waits that does not say so: for the deadline of its class.
     fn class_time_left(&self, class: u32, now: Micros) -> Micros {
         let deadline = self
