--- a/crates/balancer/src/discovery_evidence.rs
+++ b/crates/balancer/src/discovery_evidence.rs
@@ -9,9 +9,9 @@
 //! - If a call waits and is rejected after such failures, discovery is up again and has a queue.
 //! - During an outage every call is rejected after the same time. Waits that differ, or that are longer than any time
 //!   limit, mean that calls are rejected when they reach the front of the queue. Such waits show how long the queue is.
-//! - Discovery closes connections during an outage as well. It crashes under the load of its clients if it happens twice that a
-//!   watch is lost soon after it was opened and the next call's connection breaks too, or if connections break while calls wait
-//!   after connections were closed immediately.
+//! - Discovery closes connections during an outage as well. It crashes under the load of its clients if a watch is lost soon
+//!   after it was opened and the next call's connection breaks too, or if connections break while calls wait after
+//!   connections were closed immediately.
 //! - If calls have been waiting without success for longer than an outage is likely to last, discovery is assumed to be
 //!   overloaded.
 
@@ -29,9 +29,6 @@
 /// A watch that is lost sooner than this may have been lost because of the load of the clients that connected with it.
 const MIN_STABLE_WATCH: Micros = 20_000_000;
 
-/// A watch that is lost soon, with a call that breaks after it, may be an outage soon after a start. So many show a crash.
-const MIN_YOUNG_WATCH_CRASHES: u32 = 2;
-
 /// How a call to discovery, or the watch that it opened, has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallFailure {
@@ -98,8 +95,6 @@
     watch_opened_at: Option<Micros>,
     /// The last watch was lost within [`MIN_STABLE_WATCH`].
     lost_young_watch: bool,
-    /// How often in a row such a watch was lost and the connection of the next call broke.
-    young_watch_crashes: u32,
     /// Discovery crashes under the load of its clients.
     crashes_under_load: bool,
     /// The last call failed for an unknown reason.
@@ -145,9 +140,7 @@
         // Watches may end one after the other for many reasons, even instead of sending an update. Only a call that fails
         // after a lost watch is evidence of a crash.
         self.lost_young_watch = young.is_some();
-        if !self.lost_young_watch {
-            self.forget_crashes();
-        }
+        self.crashes_under_load &= self.lost_young_watch;
     }
 
     /// Records that a call has failed.
@@ -157,7 +150,7 @@
             CallFailure::Unanswered | CallFailure::Unspecified => {}
             CallFailure::Unreachable => self.record_immediate_failure(),
             CallFailure::Rejected { waited } => {
-                self.forget_crashes();
+                self.crashes_under_load = false;
                 if waited < MIN_QUEUED_WAIT {
                     self.record_immediate_failure();
                 } else {
@@ -169,13 +162,8 @@
         }
     }
 
-    fn forget_crashes(&mut self) {
-        self.crashes_under_load = false;
-        self.young_watch_crashes = 0;
-    }
-
     fn record_immediate_failure(&mut self) {
-        self.forget_crashes();
+        self.crashes_under_load = false;
         self.calls = FailedCalls {
             failed_immediately: true,
             ..FailedCalls::default()
@@ -185,11 +173,7 @@
     fn record_broken_connection(&mut self, now: Micros, waited: Micros) {
         let was_queued = waited >= MIN_QUEUED_WAIT;
         let recovered_and_crashed = was_queued && self.calls.closed_immediately;
-        if std::mem::take(&mut self.lost_young_watch) {
-            self.young_watch_crashes += 1;
-        }
-        let keeps_crashing = self.young_watch_crashes >= MIN_YOUNG_WATCH_CRASHES;
-        self.crashes_under_load |= keeps_crashing || recovered_and_crashed;
+        self.crashes_under_load |= self.lost_young_watch || recovered_and_crashed;
         if was_queued {
             self.calls.record_queued_failure(now, waited);
         } else {
