Close the logs of processes that ended long ago, and see one that joins within a time stamp

A process that outlives many failed upgrades kept a descriptor for each of them; they are closed once their ids are forgotten. A directory's time stamp does not change with every change within a clock tick: a process that joined just behind a look into the directory would never have been seen; the stamp counts only once it is 100 ms old. Test: the_logs_of_processes_that_ended_long_ago_are_closed; sidecar's own tests of the ids 9 passed.

--- a/crates/sidecar/src/shared_request_ids.rs
+++ b/crates/sidecar/src/shared_request_ids.rs
@@ -23,10 +23,12 @@
 use std::os::fd::AsFd;
 use std::os::unix::fs::{DirBuilderExt, MetadataExt};
 use std::path::{Path, PathBuf};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 /// Begins the names of directories; the device and the inode of the socket follow.
 const DIRECTORY_PREFIX: &str = "madderloom-";
+/// Two changes of a directory within this time may have the same time stamp.
+const TIMESTAMP_GRANULARITY: Duration = Duration::from_millis(100);
 /// The most ids in flight at other processes that are remembered.
 const MAX_STARTED: usize = 16_384;
 
@@ -49,7 +51,7 @@
 pub(super) struct SharedRequestIds {
     directory: PathBuf,
     own: IdLog,
-    /// When the directory was last changed, as of the last look into it.
+    /// When the directory was last changed, as of the last look into it; `None` if a further change may have that time too.
     directory_changed_at: Cell<Option<SystemTime>>,
     peers: RefCell<Vec<PeerLog>>,
     /// In flight at other processes.
@@ -175,13 +177,17 @@
         let changed_at = fs::metadata(&self.directory)
             .and_then(|directory| directory.modified())
             .ok();
-        if self.directory_changed_at.replace(changed_at) == changed_at {
+        if changed_at.is_some() && self.directory_changed_at.get() == changed_at {
             return;
         }
+        let is_settled =
+            |at: &SystemTime| at.elapsed().is_ok_and(|age| age > TIMESTAMP_GRANULARITY);
+        self.directory_changed_at.set(changed_at.filter(is_settled));
         let Ok(entries) = fs::read_dir(&self.directory) else {
             return;
         };
         let mut peers = self.peers.borrow_mut();
+        peers.retain(|peer| !peer.is_forgotten());
         for entry in entries.flatten() {
             let name = entry.file_name();
             let is_known = peers.iter().any(|peer| *peer.name() == name);
--- a/crates/sidecar/src/shared_request_ids/tests.rs
+++ b/crates/sidecar/src/shared_request_ids/tests.rs
@@ -106,3 +106,29 @@
     let file = fs::File::open(path).expect("it is there");
     file.set_modified(at).expect("it is ours");
 }
+
+/// Guards against a descriptor for each process of a crash loop.
+#[test]
+fn the_logs_of_processes_that_ended_long_ago_are_closed() {
+    let directory = directory("shared-ids-closed");
+    let new = join(&directory);
+    for _ in 0..5 {
+        drop(join(&directory));
+    }
+    assert_eq!(new.conflict("shop", &id("a"), NOW), None);
+    assert_eq!(new.peers.borrow().len(), 5);
+    let long_ago = SystemTime::now() - 2 * FORGOTTEN_AFTER;
+    for entry in fs::read_dir(&directory).expect("it is there").flatten() {
+        set_modified(&entry.path(), long_ago);
+    }
+    let other = join(&directory);
+    assert_eq!(new.conflict("shop", &id("a"), NOW), None);
+    let names: Vec<_> = new
+        .peers
+        .borrow()
+        .iter()
+        .map(|peer| peer.name().clone())
+        .collect();
+    assert_eq!(names, [other.own.name()]);
+    let _ = fs::remove_dir_all(&directory);
+}
