Keep a pool's request ids in one place, and do nothing twice on a request's way

A service with new settings shared its unanswered ids with the former one, and looked for ids in flight through all services by name at each request. Both belong to the pool: RequestIds holds them, and the generations of a pool share it, so that an id costs one look-up again; a service counts its own for its drain. The list that a new service begins with is found once.

The end of a client's connection asked the system for the peer's address for a line that is written with debug only. A body's reader looked at the socket twice at each check, for awaits_client and again for due_at. An entry of another process's log took two reads.

--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -98,7 +98,7 @@
         self.took.saturating_sub(self.time_left)
     }
 
-    /// It was refused and not told when to come back.
+    /// It was rejected without a `Retry-After`.
     fn is_without_advice(&self) -> bool {
         self.status == 503 && !self.has_retry_after
     }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -434,8 +434,7 @@
     let registration = Registration::new(listener, stream, charged);
     let client = &registration.client;
     let (end, closing) = serve_until_end(listener, client).await;
-    let ends = &listener.clients.ends;
-    ends.record(end, client.stream.peer_addr().ok());
+    listener.clients.ends.record(end, &client.stream);
     if matches!(closing, Closing::Linger) {
         lingering_close(listener, client).await;
     }
--- a/crates/sidecar/src/client/connection_end.rs
+++ b/crates/sidecar/src/client/connection_end.rs
@@ -2,7 +2,7 @@
 
 use crate::counts::increment;
 use std::cell::Cell;
-use std::net::SocketAddr;
+use tokio::net::TcpStream;
 
 /// Why a client's connection has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,10 +51,10 @@
 
 impl ConnectionEndCounts {
     /// Counts and logs the end of a connection.
-    pub(in crate::client) fn record(&self, end: ConnectionEnd, peer: Option<SocketAddr>) {
+    pub(in crate::client) fn record(&self, end: ConnectionEnd, stream: &TcpStream) {
         increment(&self.0[end as usize]);
         let reason = end.name();
-        tracing::debug!(?peer, reason, "client connection ended: {reason}");
+        tracing::debug!(peer = ?stream.peer_addr().ok(), reason, "client connection ended: {reason}");
     }
 
     /// Each name with its count.
--- a/crates/sidecar/src/client/unread_request.rs
+++ b/crates/sidecar/src/client/unread_request.rs
@@ -12,6 +12,7 @@
 const ACTIVATION_BYTES: usize = 48 << 10;
 /// How long a request may wait unread for memory before it is rejected.
 const MEMORY_WAIT_TIMEOUT: Micros = 250_000;
+
 /// Waits for the memory that an active connection needs. Meanwhile its request stays in the system's buffers. False if there is
 /// none in time.
 pub(super) async fn wait_for_activation(listener: &Listener, client: &Rc<Client>) -> bool {
--- a/crates/sidecar/src/in_flight_id.rs
+++ b/crates/sidecar/src/in_flight_id.rs
@@ -4,11 +4,23 @@
 use super::rejection::RequestError;
 use super::service::Service;
 use super::shared_request_ids::{IdConflict, SharedRequestIds};
+use super::unanswered_runs::UnansweredRuns;
+use foldhash::quality::FixedState;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 
+/// The ids of the requests of one pool, also while a service with other settings replaces its former one.
+#[derive(Default)]
+pub(super) struct RequestIds {
+    /// Of requests in flight; these are unique.
+    in_flight: RefCell<HashSet<HeaderValue, FixedState>>,
+    /// Of requests that must not be sent again.
+    unanswered_runs: UnansweredRuns,
+}
+
 /// Holds the id of a request in flight, unique within its service. Dropping it frees the id, unless the request may have run
 /// unanswered.
 pub(super) struct InFlightRequestId<'a> {
@@ -36,7 +48,8 @@
         non_idempotent: bool,
     ) -> Result<Self, RequestError> {
         let now = service.process.clock.now();
-        if service.unanswered_runs.contains(id, now) {
+        let ids = &service.request_ids;
+        if ids.unanswered_runs.contains(id, now) {
             return Err(MAY_HAVE_RUN);
         }
         let shared = service.process.shared_request_ids.get();
@@ -46,10 +59,10 @@
             Some(IdConflict::InFlight) => return Err(IS_OPEN),
             None => {}
         }
-        if service.has_request(id) {
+        if !ids.in_flight.borrow_mut().insert(id.clone()) {
             return Err(IS_OPEN);
         }
-        service.request_ids.borrow_mut().insert(id.clone());
+        service.ids_in_flight.set(service.ids_in_flight.get() + 1);
         let shared = shared.filter(|_| non_idempotent);
         if let Some(shared) = shared {
             shared.record_started(&service.name, id);
@@ -74,13 +87,15 @@
         let now = process.clock.now();
         let may_have_run = self.may_have_run_unanswered.get();
         if may_have_run {
-            service.unanswered_runs.remember(&self.id, now);
+            service.request_ids.unanswered_runs.remember(&self.id, now);
         }
         if let Some(shared) = process.shared_request_ids.get()
             && (self.is_shared || may_have_run)
         {
             shared.record_ended(&service.name, &self.id, may_have_run, now);
         }
-        service.release_request_id(&self.id);
+        service.request_ids.in_flight.borrow_mut().remove(&self.id);
+        service.ids_in_flight.set(service.ids_in_flight.get() - 1);
+        service.request_ended.notify_one();
     }
 }
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -307,7 +307,7 @@
         site: config.settings,
         discovery: Some(config.discovery),
         initial_list: config.known,
-        unanswered_runs: Rc::default(),
+        request_ids: Rc::default(),
         limits: ResourceLimits::default(),
         levels: None,
         graphql: None,
@@ -347,7 +347,8 @@
     Ok((service, listener))
 }
 
-/// Shares the ids of requests with the other processes that inherit the socket. Without a place for them, it serves all the same.
+/// Shares the ids of requests with the other processes that inherit the socket. Where the directory for them cannot be created, this
+/// process serves without sharing.
 fn share_request_ids(process: &ProcessState, socket: &std::net::TcpListener) {
     match SharedRequestIds::join(socket) {
         Ok(ids) => {
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -360,34 +360,22 @@
         reusable
     }
 
-    /// The service that a new one with this pool's name replaces: the pool has other settings.
+    /// The service that a new one with this pool's name replaces, also if it is draining: the pool has other settings.
     fn replaced_service(&self, pool: &Pool) -> Option<Rc<Service>> {
-        let services = self.services.borrow();
-        services.iter().find(|s| s.name == pool.name).cloned()
-    }
-
-    /// The servers that a new service begins with: what the service that it replaces knows from the same discovery, or else those
-    /// of the file.
-    fn known_list(&self, pool: &Pool) -> ListUpdate {
-        self.replaced_service(pool)
-            .filter(|former| pool.discovery.is_some() && former.pool.discovery() == pool.discovery)
-            .filter(|former| former.pool.has_servers())
-            .map_or_else(
-                || ListUpdate::from_static_servers(&pool.servers),
-                |former| former.pool.current_list(),
-            )
+        let services = self.process.services.borrow();
+        services.iter().rfind(|s| s.name == pool.name).cloned()
     }
 
     fn spec(&self, pool: &Pool) -> ServiceSpec {
+        let replaced = self.replaced_service(pool);
         ServiceSpec {
             name: pool.name.clone(),
             log_prefix: format!("{}: ", pool.name),
             site: site_of(pool),
             discovery: pool.discovery,
-            initial_list: self.known_list(pool),
-            unanswered_runs: self
-                .replaced_service(pool)
-                .map(|former| Rc::clone(&former.unanswered_runs))
+            initial_list: known_list(pool, replaced.as_deref()),
+            request_ids: replaced
+                .map(|former| Rc::clone(&former.request_ids))
                 .unwrap_or_default(),
             limits: pool.limits,
             levels: pool.levels.clone(),
@@ -464,6 +452,18 @@
     }
 }
 
+/// The servers that a new service begins with: what the service that it replaces knows from the same discovery, or else those of
+/// the file.
+fn known_list(pool: &Pool, replaced: Option<&Service>) -> ListUpdate {
+    replaced
+        .filter(|former| pool.discovery.is_some() && former.pool.discovery() == pool.discovery)
+        .filter(|former| former.pool.has_servers())
+        .map_or_else(
+            || ListUpdate::from_static_servers(&pool.servers),
+            |former| former.pool.current_list(),
+        )
+}
+
 /// Runs `read` on a thread of its own, because reading a long file takes a good part of a second, in which requests must be
 /// served.
 pub(super) async fn run_on_thread<T: Send + 'static>(
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -135,8 +135,13 @@
 
     /// When the final response is due. This moves on while the client certainly has not written its last byte.
     pub(super) fn due_at(&self, now: Micros) -> Micros {
+        self.due_at_if(self.awaits_client(now), now)
+    }
+
+    /// As [`RequestDeadline::due_at`], with what [`RequestDeadline::awaits_client`] said.
+    pub(super) fn due_at_if(&self, awaits_client: bool, now: Micros) -> Micros {
         let time_left = self.time_left.get();
-        if self.awaits_client(now) {
+        if awaits_client {
             return now.saturating_add(time_left);
         }
         let last_byte_at = self
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -6,16 +6,15 @@
 use super::counts::{OutcomeCounts, ServiceCounts};
 use super::fair_scheduler::ChargedAccount;
 use super::history_recorder::{EndedAttempt, HistoryRecorder};
+use super::in_flight_id::RequestIds;
 use super::limits::RequestLimits;
 use super::pool::{self, ListUpdate, Pool};
 use super::process_state::ProcessState;
 use super::traffic_shares::TrafficShares;
 use super::transaction::{Step, StepQueue};
-use super::unanswered_runs::UnansweredRuns;
 use super::warm_start::WarmStart;
 use super::{discovery_watch, event_log, levels, probe};
 use foldhash::quality::FixedState;
-use hyper::header::HeaderValue;
 use madderloom_balancer::settings::Site;
 use madderloom_balancer::{
     Action, Balancer, DiscoveryUpdate, Event, LogEvent, Measurements, Micros, NewRequest,
@@ -26,7 +25,7 @@
 use madderloom_operator_config::{PersistenceOptions, ResourceLimits};
 use madderloom_routing::shares::Part;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,8 +42,8 @@
     pub(super) discovery: Option<SocketAddr>,
     /// The server list at the start, or the fixed one.
     pub(super) initial_list: ListUpdate,
-    /// Requests that must not be sent again; shared with the service that it replaces.
-    pub(super) unanswered_runs: Rc<UnansweredRuns>,
+    /// The ids of its requests; shared with the service that it replaces.
+    pub(super) request_ids: Rc<RequestIds>,
     pub(super) limits: ResourceLimits,
     pub(super) levels: Option<LevelPlan>,
     /// How its GraphQL operations are classified, if it serves any.
@@ -80,10 +79,10 @@
     active_settings: RefCell<Rc<ActiveSettings>>,
     /// State for GraphQL requests, such as the documents seen, if it serves any.
     pub(super) graphql: RefCell<Option<Front>>,
-    /// The ids of requests in flight, which are unique.
-    pub(super) request_ids: RefCell<HashSet<HeaderValue, FixedState>>,
-    /// Requests that must not be sent again.
-    pub(super) unanswered_runs: Rc<UnansweredRuns>,
+    /// The ids of its requests; shared with the services that it replaces and that replace it.
+    pub(super) request_ids: Rc<RequestIds>,
+    /// How many of the ids in flight are its own.
+    pub(super) ids_in_flight: Cell<usize>,
     /// The open transactions, each with the queue of steps that the balancer decides on for it.
     pub(super) transactions: RefCell<HashMap<RequestId, Rc<StepQueue>, FixedState>>,
     pub(super) last_request_id: Cell<RequestId>,
@@ -97,7 +96,7 @@
     /// What an earlier process measured of servers that are not listed yet.
     warm_start: RefCell<WarmStart>,
     /// Notified when a request has ended.
-    request_ended: Notify,
+    pub(super) request_ended: Notify,
     draining: Cell<bool>,
     tasks: RefCell<Vec<AbortHandle>>,
     /// Records the history of its servers, where this is enabled.
@@ -135,7 +134,7 @@
             site,
             discovery,
             initial_list,
-            unanswered_runs,
+            request_ids,
             limits,
             levels,
             graphql,
@@ -155,8 +154,8 @@
             connections: Connections::new(process, slots, site.conn_idle, site.connect_timeout),
             active_settings: RefCell::new(Rc::new(ActiveSettings::new(site, &counts))),
             graphql: RefCell::new(graphql.map(Front::new)),
-            request_ids: RefCell::default(),
-            unanswered_runs,
+            request_ids,
+            ids_in_flight: Cell::new(0),
             transactions: RefCell::default(),
             last_request_id: Cell::new(0),
             request_limits: RequestLimits::new(
@@ -237,7 +236,7 @@
         let name = &self.name;
         tracing::info!(pool = %name, "{name}: leaving");
         let idle = async {
-            while !self.request_ids.borrow().is_empty() {
+            while self.ids_in_flight.get() > 0 {
                 self.request_ended.notified().await;
             }
         };
@@ -372,19 +371,6 @@
             .unwrap_or_default()
     }
 
-    /// Whether a request with this id is in flight, at this service or at one that it replaces.
-    pub(super) fn has_request(&self, id: &HeaderValue) -> bool {
-        let services = self.process.services.borrow();
-        let mut of_name = services.iter().filter(|service| service.name == self.name);
-        of_name.any(|service| service.request_ids.borrow().contains(id))
-    }
-
-    /// Releases the id of a request that has been answered or whose client has disconnected.
-    pub(super) fn release_request_id(&self, id: &HeaderValue) {
-        self.request_ids.borrow_mut().remove(id);
-        self.request_ended.notify_one();
-    }
-
     /// Passes one event to the balancer and carries out the actions that it returns. All events go through this function.
     ///
     /// No action leads to a nested call before this returns: a step wakes a transaction's task, a probe or a watch spawns
--- a/crates/sidecar/src/shared_request_ids/id_log.rs
+++ b/crates/sidecar/src/shared_request_ids/id_log.rs
@@ -143,9 +143,12 @@
         self.read = count;
         (first..count)
             .filter_map(|number| {
-                let offset = entry_offset(number);
-                let hash = read_number(&self.file, offset).ok()?;
-                let code = read_number(&self.file, offset + 8).ok()?;
+                let mut entry = [0; ENTRY_BYTES];
+                self.file
+                    .read_exact_at(&mut entry, entry_offset(number))
+                    .ok()?;
+                let hash = u64::from_le_bytes(*entry.first_chunk()?);
+                let code = u64::from_le_bytes(*entry.last_chunk()?);
                 Some((hash, IdState::from_code(code)?))
             })
             .collect()
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -162,13 +162,14 @@
                 self.record_wait(waited);
                 return Ok(frame);
             }
-            if deadline.awaits_client(now) {
+            let awaits_client = deadline.awaits_client(now);
+            if awaits_client {
                 self.record_wait(waited);
             }
             if self.waited >= allowed {
                 return Err(BODY_TOO_SLOW);
             }
-            let due_at = deadline.due_at(now);
+            let due_at = deadline.due_at_if(awaits_client, now);
             if now >= due_at {
                 return Err(RequestError::Exhausted(Exhaustion::Deadline));
             }
