Share what stood twice: a request's look-up, a class's counts, Retry-After, long requests

The balancer looked for a request that is not concluded in the same words three times (`unconcluded`); two callers chose the counts of a class or of none (`ServiceCounts::of`); the rejection of an unread request wrote its own text of Retry-After; the call after a crash of discovery was drawn in two places. No assertion, bound or expectation changes.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -836,11 +836,7 @@
 
     /// The time of a request whose body is streamed is over. It ends now, or with its attempt in flight.
     fn request_expired(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self
-            .requests
-            .get_mut(&id)
-            .filter(|request| !request.concluded)
-        else {
+        let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
         request.timeout_at = request.timeout_at.min(now);
--- a/crates/balancer/src/discovery_poll.rs
+++ b/crates/balancer/src/discovery_poll.rs
@@ -342,13 +342,12 @@
             let latest = failed.list_known_at.saturating_add(intervals.bound);
             self.interval = intervals.bound;
             self.interval_end = latest.max(now + MIN_POLL_INTERVAL);
-            self.has_phase = false;
-            return self.time_between(now, self.interval_end, random);
+        } else {
+            let shortest = 2 * intervals.bound;
+            self.interval =
+                (2 * self.interval).clamp(shortest, intervals.longest_after_crash.max(shortest));
+            self.interval_end = now + self.interval;
         }
-        let shortest = 2 * intervals.bound;
-        self.interval =
-            (2 * self.interval).clamp(shortest, intervals.longest_after_crash.max(shortest));
-        self.interval_end = now + self.interval;
         self.has_phase = false;
         self.time_between(now, self.interval_end, random)
     }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -503,6 +503,14 @@
     pub(crate) discovery_poll: DiscoveryPoll,
 }
 
+/// The request with this id, unless its client has its response or the beginning of it.
+pub(crate) fn unconcluded(
+    requests: &mut HashMap<RequestId, Request, FixedState>,
+    id: RequestId,
+) -> Option<&mut Request> {
+    requests.get_mut(&id).filter(|request| !request.concluded)
+}
+
 impl Balancer {
     /// Creates a balancer that knows no servers yet.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -546,10 +554,8 @@
 
     /// The request's body is streamed: stops its timeout until the body is complete.
     pub(crate) fn request_body_started(&mut self, id: RequestId) {
-        let Some(request) = self
-            .requests
-            .get_mut(&id)
-            .filter(|request| !request.concluded && request.paused_timeout.is_none())
+        let Some(request) =
+            unconcluded(&mut self.requests, id).filter(|request| request.paused_timeout.is_none())
         else {
             return;
         };
@@ -573,11 +579,7 @@
         id: RequestId,
         actions: &mut Vec<Action>,
     ) {
-        let Some(request) = self
-            .requests
-            .get_mut(&id)
-            .filter(|request| !request.concluded)
-        else {
+        let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
         let Some(timeout) = request.paused_timeout.take() else {
--- a/crates/cli/tests/acceptance/uploads.rs
+++ b/crates/cli/tests/acceptance/uploads.rs
@@ -1,6 +1,6 @@
 //! A process that is told to stop while a client is still writing its request's body.
 
-use crate::rig::{LAST_CHUNK, ScriptedServer, Sidecar, chunk, request, until};
+use crate::rig::{LAST_CHUNK, ScriptedServer, Sidecar, chunk, head_with_framing, request, until};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -17,8 +17,8 @@
 impl Framing {
     fn header(self, length: usize) -> String {
         match self {
-            Framing::Length => format!("Content-Length: {length}\r\n\r\n"),
-            Framing::Chunks => "Transfer-Encoding: chunked\r\n\r\n".to_string(),
+            Framing::Length => format!("Content-Length: {length}"),
+            Framing::Chunks => "Transfer-Encoding: chunked".to_string(),
         }
     }
 
@@ -39,8 +39,8 @@
 
 /// A request whose body is still to come.
 fn head(framing: Framing, length: usize) -> String {
-    request("submit-check", 5_900, "")
-        .replace("Content-Length: 5\r\n\r\npaper", &framing.header(length))
+    let request = request("submit-check", 5_900, "");
+    head_with_framing(&request, &framing.header(length))
 }
 
 /// A body of which a part that is missing, doubled or moved shows.
@@ -170,8 +170,8 @@
         }
     });
     let mut client = sidecar.client();
-    let head = request(class, TIME_LEFT.as_millis() as u64, "")
-        .replace("Content-Length: 5\r\n\r\npaper", &framing.header(LENGTH));
+    let request = request(class, TIME_LEFT.as_millis() as u64, "");
+    let head = head_with_framing(&request, &framing.header(LENGTH));
     client.write(
         [
             head.as_bytes(),
--- a/crates/cli/tests/connections/crowds.rs
+++ b/crates/cli/tests/connections/crowds.rs
@@ -1,7 +1,7 @@
 //! Crowds of clients that send or read slowly, at the least memory that the operators' pages name: the process keeps its limit,
 //! and nobody else waits for their pace.
 
-use crate::rig::{Options, ScriptedServer, Sidecar, request, serve};
+use crate::rig::{Options, ScriptedServer, Sidecar, head_with_framing, request, serve};
 use rstest::rstest;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -50,10 +50,8 @@
 impl Habit {
     fn opening(self) -> Vec<u8> {
         let with_body = |length: usize, sent: usize| {
-            let head = request("submit-check", 5_900, "").replace(
-                "Content-Length: 5\r\n\r\npaper",
-                &format!("Content-Length: {length}\r\n\r\n"),
-            );
+            let request = request("submit-check", 5_900, "");
+            let head = head_with_framing(&request, &format!("Content-Length: {length}"));
             [head.into_bytes(), vec![b'x'; sent]].concat()
         };
         let fields = |count: usize| {
--- a/crates/cli/tests/deadlines/reasons.rs
+++ b/crates/cli/tests/deadlines/reasons.rs
@@ -1,7 +1,7 @@
 //! Why a request was not served, and how its attempts went, are in the log under the id that its client gave it.
 
-use crate::rig::{Conn, LAST_CHUNK, Message, Options, ScriptedServer, Sidecar, chunk};
-use crate::rig::{request_with, serve};
+use crate::rig::{Conn, Message, Options, ScriptedServer, Sidecar};
+use crate::rig::{chunked_body, head_with_framing, request_with, serve};
 use std::io::{BufRead, Read, Write};
 use std::time::Duration;
 
@@ -79,15 +79,9 @@
         .map(|number| {
             std::thread::spawn(move || {
                 let id = format!("upload-{number}");
-                let head = request_with(&id, "recheck", 700, "").replace(
-                    "Content-Length: 5\r\n\r\npaper",
-                    "Transfer-Encoding: chunked\r\n\r\n",
-                );
-                let message = [
-                    head.into_bytes(),
-                    chunk(&[b'x'; 1_500_000]),
-                    LAST_CHUNK.to_vec(),
-                ];
+                let request = request_with(&id, "recheck", 700, "");
+                let head = head_with_framing(&request, "Transfer-Encoding: chunked");
+                let message = [head.into_bytes(), chunked_body(&[b'x'; 1_500_000])];
                 let mut stream = std::net::TcpStream::connect(address).expect("it accepts");
                 let _ = stream.write_all(&message.concat());
                 let mut answer = String::new();
--- a/crates/cli/tests/deadlines/uploads.rs
+++ b/crates/cli/tests/deadlines/uploads.rs
@@ -1,7 +1,8 @@
 //! Large uploads to servers that read slowly or stop reading, alone and in crowds, with small requests beside them.
 
 use crate::LOST_AFTER;
-use crate::rig::{Conn, LAST_CHUNK, Options, ScriptedServer, Sidecar, chunk, request, until};
+use crate::rig::{Conn, Options, ScriptedServer, Sidecar};
+use crate::rig::{chunked_body, head_with_framing, request, until};
 use madderloom_fault_testing::number_from_env;
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -149,18 +150,14 @@
     let body = vec![b'x'; length];
     let head = |framing: &str| {
         let header = format!("{UPLOAD_HEADER}: 1\r\n");
-        request(class, u64::from(time_left_ms), &header)
-            .replace(
-                "Content-Length: 5\r\n\r\npaper",
-                &format!("{framing}\r\n\r\n"),
-            )
-            .into_bytes()
+        let request = request(class, u64::from(time_left_ms), &header);
+        head_with_framing(&request, framing).into_bytes()
     };
     match framing {
         Framing::Length => [head(&format!("Content-Length: {length}")), body].concat(),
         Framing::Chunks => {
             let head = head("Transfer-Encoding: chunked");
-            [head, chunk(&body), LAST_CHUNK.to_vec()].concat()
+            [head, chunked_body(&body)].concat()
         }
     }
 }
--- a/crates/cli/tests/operations/bodies.rs
+++ b/crates/cli/tests/operations/bodies.rs
@@ -1,15 +1,12 @@
 //! Bodies and answers of any length and framing.
 
 use super::asked;
-use crate::rig::{Conn, ScriptedServer, request};
+use crate::rig::{Conn, ScriptedServer, head_with_framing, request};
 use rstest::rstest;
 
 /// The head of a request whose body is to follow.
 fn head(class: &str, framing: &str) -> String {
-    request(class, 15_000, "").replace(
-        "Content-Length: 5\r\n\r\npaper",
-        &format!("{framing}\r\n\r\n"),
-    )
+    head_with_framing(&request(class, 15_000, ""), framing)
 }
 
 /// Reads a head, up to its empty line.
--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients that send one request after another for as long as their connection stays open, leave some of them, and a crowd that
 //! stops within its requests.
 
-use crate::rig::{LAST_CHUNK, chunk, request_with};
+use crate::rig::{LAST_CHUNK, chunked_body, head_with_framing, request_with};
 use crate::servers::UPLOAD_HEADER;
 use oorandom::Rand32;
 use std::io::{ErrorKind, Read, Write};
@@ -140,12 +140,9 @@
     fn message(&mut self, id: &str, class: &str, time_left_ms: u64) -> Vec<u8> {
         let body = |length: u32| vec![b'x'; length as usize];
         let head = |framing: String| {
-            request_with(id, class, time_left_ms, &format!("{UPLOAD_HEADER}: 1\r\n"))
-                .replace(
-                    "Content-Length: 5\r\n\r\npaper",
-                    &format!("{framing}\r\n\r\n"),
-                )
-                .into_bytes()
+            let header = format!("{UPLOAD_HEADER}: 1\r\n");
+            let request = request_with(id, class, time_left_ms, &header);
+            head_with_framing(&request, &framing).into_bytes()
         };
         match self.random.rand_range(0..10) {
             0 => {
@@ -154,7 +151,7 @@
             }
             1 => {
                 let length = self.random.rand_range(20_000..2_000_000);
-                let chunks = [chunk(&body(length)), LAST_CHUNK.to_vec()].concat();
+                let chunks = chunked_body(&body(length));
                 [head("Transfer-Encoding: chunked".to_string()), chunks].concat()
             }
             _ => request_with(id, class, time_left_ms, "").into_bytes(),
@@ -267,10 +264,7 @@
                 0 => text.into_bytes()[..40].to_vec(),
                 1 => text.into_bytes()[..120].to_vec(),
                 _ => {
-                    let head = text.replace(
-                        "Content-Length: 5\r\n\r\npaper",
-                        "Content-Length: 200000\r\n\r\n",
-                    );
+                    let head = head_with_framing(&text, "Content-Length: 200000");
                     [head.into_bytes(), vec![b'x'; 60_000]].concat()
                 }
             };
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -516,6 +516,23 @@
 /// The end of a body in that coding.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
+/// A body of one chunk in that coding.
+pub fn chunked_body(bytes: &[u8]) -> Vec<u8> {
+    [&chunk(bytes), LAST_CHUNK].concat()
+}
+
+/// The length and the body of the requests that [`request`] makes.
+const USUAL_FRAMING_AND_BODY: &str = "Content-Length: 5\r\n\r\npaper";
+
+/// The head of a request that [`request`] has made, with this framing header in place of its own and without its body.
+///
+/// # Panics
+/// If the request has another body.
+pub fn head_with_framing(request: &str, framing: &str) -> String {
+    let head = request.strip_suffix(USUAL_FRAMING_AND_BODY);
+    format!("{}{framing}\r\n\r\n", head.expect("the usual body"))
+}
+
 /// A request as clients send it, with a new id; `more` holds additional header lines.
 pub fn request(class: &str, left_ms: u64, more: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -531,6 +548,6 @@
 pub fn request_with(id: &str, class: &str, left_ms: u64, more: &str) -> String {
     format!(
         "POST /{class}?q=1 HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: {id}\r\n\
-         X-Expires-In-Ms: {left_ms}\r\nIdempotency-Key: 5c0f6e1a\r\n{more}Content-Length: 5\r\n\r\npaper"
+         X-Expires-In-Ms: {left_ms}\r\nIdempotency-Key: 5c0f6e1a\r\n{more}{USUAL_FRAMING_AND_BODY}"
     )
 }
--- a/crates/sidecar/src/client/unread_request.rs
+++ b/crates/sidecar/src/client/unread_request.rs
@@ -5,6 +5,7 @@
 use crate::listener::Listener;
 use crate::memory::MemoryPurpose;
 use crate::peeked_request::has_complete_request;
+use crate::rejection::retry_after_text;
 use madderloom_balancer::Micros;
 use std::rc::Rc;
 
@@ -52,8 +53,9 @@
     let routing = Rc::clone(&listener.routing.borrow());
     let services = routing.reachable_services();
     let retry_after = services.iter().filter_map(|service| service.retry_after());
-    let seconds = retry_after.min().map(|span| span as f64 / 1e6);
-    let advice = seconds.map_or_else(String::new, |seconds| format!("Retry-After: {seconds}\r\n"));
+    let advice = retry_after.min().map_or_else(String::new, |span| {
+        format!("Retry-After: {}\r\n", retry_after_text(span))
+    });
     format!(
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{advice}Connection: close\r\n\r\n"
     )
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -1,6 +1,7 @@
 //! Outcomes of requests by class. Incremented where a request ends; read by the control address, the admin view and the agent
 //! link.
 
+use super::active_settings::ClassEntry;
 use super::lateness::LatenessHistogram;
 use super::rejection::ExhaustionCounts;
 use madderloom_admin::stats::ResultCounts;
@@ -110,6 +111,11 @@
         Rc::clone(by_class.entry(name.to_string()).or_default())
     }
 
+    /// The counts that a request of this class is counted in; without a class, those of all such requests.
+    pub(super) fn of(&self, class: Option<&ClassEntry>) -> Rc<OutcomeCounts> {
+        class.map_or_else(|| self.unclassed(), |class| Rc::clone(&class.counts))
+    }
+
     pub(super) fn unclassed(&self) -> Rc<OutcomeCounts> {
         Rc::clone(&self.unclassed)
     }
--- a/crates/sidecar/src/lateness.rs
+++ b/crates/sidecar/src/lateness.rs
@@ -93,15 +93,11 @@
         deadline: &Rc<RequestDeadline>,
         id: Option<&HeaderValue>,
     ) -> Self {
-        let counts = class.as_ref().map_or_else(
-            || service.counts.unclassed(),
-            |class| Rc::clone(&class.counts),
-        );
         LatenessRecorder {
             deadline: Rc::clone(deadline),
             id: id.cloned(),
+            counts: service.counts.of(class.as_deref()),
             class,
-            counts,
         }
     }
 }
--- a/crates/sidecar/src/rejection.rs
+++ b/crates/sidecar/src/rejection.rs
@@ -157,7 +157,12 @@
     response
 }
 
-/// The value of `Retry-After`, in seconds.
+/// The text of `Retry-After`, in seconds.
+pub(super) fn retry_after_text(span: Micros) -> String {
+    (span as f64 / 1e6).to_string()
+}
+
+/// The value of `Retry-After`.
 pub(super) fn retry_after_value(span: Micros) -> Option<HeaderValue> {
-    HeaderValue::from_maybe_shared(Bytes::from((span as f64 / 1e6).to_string())).ok()
+    HeaderValue::from_maybe_shared(Bytes::from(retry_after_text(span))).ok()
 }
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -254,10 +254,7 @@
         unread: Option<Incoming>,
         settings: ListenerSettings,
     ) {
-        let counts = self.class.map_or_else(
-            || self.service.counts.unclassed(),
-            |class| Rc::clone(&class.counts),
-        );
+        let counts = self.service.counts.of(self.class);
         let RequestError::Exhausted(exhaustion) = error else {
             return increment(&counts.client_errors);
         };
