--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -603,3 +603,54 @@
 pub fn flag() -> Arc<AtomicBool> {
     Arc::new(AtomicBool::new(false))
 }
+
+// ---- A link ----
+
+/// A proxy to one address that can be cut: what is open stays open and silent, and what comes new stays silent too.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    pub fn to(target: SocketAddr) -> Link {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let link = Link { address: listener.local_addr().expect("its address"), cut: flag() };
+        let cut = Arc::clone(&link.cut);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(other) = TcpStream::connect(target) else { continue };
+                for (from, to) in [(stream.try_clone(), other.try_clone()), (other.try_clone(), stream.try_clone())] {
+                    if let (Ok(from), Ok(to)) = (from, to) {
+                        let cut = Arc::clone(&cut);
+                        std::thread::spawn(move || pass(from, to, &cut));
+                    }
+                }
+            }
+        });
+        link
+    }
+
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+    }
+
+    /// What was held back goes on.
+    pub fn heal(&self) {
+        self.cut.store(false, Ordering::SeqCst);
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+    let mut bytes = [0; 16 << 10];
+    while let Ok(count) = from.read(&mut bytes) {
+        while cut.load(Ordering::SeqCst) {
+            pause(50);
+        }
+        if count == 0 || to.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
