--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -390,8 +390,9 @@
     /// All changes with their versions, oldest first.
     changes: Vec<(u64, Entry)>,
     mood: Mood,
-    /// Calls that the present mood has met.
+    /// Calls that the present mood has met, and those of them that were answered.
     met: usize,
+    answered_503: usize,
     /// Watches end that were opened before this number of endings.
     endings: u64,
 }
@@ -413,6 +414,7 @@
             changes: entries.into_iter().map(|entry| (41, entry)).collect(),
             mood: Mood::Well,
             met: 0,
+            answered_503: 0,
             endings: 0,
         };
         let discovery = Discovery { address, state: Arc::new(Mutex::new(state)), case: case.clone() };
@@ -428,14 +430,19 @@
 
     pub fn set_mood(&self, mood: Mood) {
         let mut state = lock(&self.state);
-        (state.mood, state.met) = (mood, 0);
+        (state.mood, state.met, state.answered_503) = (mood, 0, 0);
     }
 
-    /// Calls that were answered 503 since the mood was set.
+    /// Calls that came since the mood was set.
     pub fn rejected(&self) -> usize {
         lock(&self.state).met
     }
 
+    /// Of these, those that have their answer.
+    pub fn answered_503(&self) -> usize {
+        lock(&self.state).answered_503
+    }
+
     /// Ends all open watches.
     pub fn end_watches(&self) {
         lock(&self.state).endings += 1;
@@ -481,6 +488,7 @@
                 if writer.write_all(answer.as_bytes()).is_err() {
                     return;
                 }
+                lock(&self.state).answered_503 += 1;
                 continue;
             }
             if path.contains("watch=1") {
