--- a/review/standins-2/case_deaf.rs
+++ b/review/standins-2/case_deaf.rs
@@ -6,9 +6,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How long discovery turns all callers away, each after this time.
-const OUTAGE_MS: u64 = 20_000;
+/// Discovery turns all callers away, each after this time, and comes back some 3 s behind the last of so many calls.
 const REFUSED_AFTER_MS: u64 = 900;
+const REFUSED_CALLS: usize = 7;
+/// How long the outage takes about, where there is none.
+const OUTAGE_MS: u64 = 17_000;
 /// A change counts as told so long after discovery had it and could be reached.
 const TOLD_MS: u64 = 6_000;
 /// `safety.drain_grace`, and the slack of the protocol page.
@@ -115,7 +117,14 @@
         discovery.set_mood(Mood::Crowded(&[REFUSED_AFTER_MS]));
         discovery.end_watches();
     }
-    pause(OUTAGE_MS);
+    if case.trouble() && only != "agent" {
+        let turned_away = case.until(30, || discovery.answered_503() == REFUSED_CALLS);
+        case.require(turned_away, "so many calls were turned away");
+        // Between one call and the next, which the agent has the instance make every 3 s.
+        pause(1_000);
+    } else {
+        pause(OUTAGE_MS);
+    }
     case.say(format!("{} calls were turned away", discovery.rejected()));
     if case.trouble() && only != "outage" {
         case.signal(agent_process, "KILL");
