--- a/review/standins-2/case_queue.rs
+++ b/review/standins-2/case_queue.rs
@@ -28,7 +28,7 @@
             if is_gone() {
                 return Reply::Break;
             }
-            lock(&runs).push((case.ms(), name));
+            lock(&runs).push((case.ms_of(message), name));
             case.say(format!("{name} gets {}", message.header("x-trace-id")));
             pause(WORK_MS);
             match is_gone() {
--- a/review/standins-2/case_stale.rs
+++ b/review/standins-2/case_stale.rs
@@ -16,8 +16,8 @@
     let runs: Arc<Mutex<Vec<(u64, &'static str)>>> = Arc::default();
     let server = |name: &'static str| {
         let (runs, case) = (Arc::clone(&runs), case.clone());
-        Server::start(name, move |_| {
-            lock(&runs).push((case.ms(), name));
+        Server::start(name, move |message| {
+            lock(&runs).push((case.ms_of(message), name));
             Reply::Served(name.to_string())
         })
     };
@@ -120,7 +120,7 @@
     let cut_at = case.ms();
     if case.trouble() {
         case.say("shop-1 is cut off from discovery");
-        link.cut();
+        case.require(link.cut(), "new connections do not come up");
     }
     pause(500);
     let mut drained = entries[0].clone();
