--- a/crates/cli/tests/deadlines/main.rs
+++ b/crates/cli/tests/deadlines/main.rs
@@ -6,6 +6,7 @@
 mod rig;
 
 mod answers;
+mod begun_answers;
 mod reasons;
 mod uploads;
 
--- a/crates/fault-testing/src/lib.rs
+++ b/crates/fault-testing/src/lib.rs
@@ -5,6 +5,7 @@
 //! - A [`Program`] is a process started by the test, with its log; it is killed when the test ends.
 //! - A [`Server`] answers requests and records when each one arrived, so that a test checks bounds from the outside: see
 //!   [`Arrivals`].
+//! - [`PacedServers`] read a request and write its response at the pace that the request asks for.
 //! - A [`LoadGenerator`] sends requests and records their results.
 //! - A [`Plan`] is a list of faults as data: generated from a seed, printed, parsed again, and shrunk to the shortest plan
 //!   that still fails. A [`Testbed`] executes it.
@@ -15,6 +16,7 @@
 mod fake_discovery;
 mod link;
 mod load_generator;
+mod paced_server;
 pub mod peer;
 mod plan;
 mod program;
@@ -24,6 +26,9 @@
 pub use fake_discovery::{DiscoveryBehavior, FakeDiscovery, ListResponse, RejectTiming, list_json};
 pub use link::{Direction, Link};
 pub use load_generator::{LoadGenerator, RequestResult, verify_results};
+pub use paced_server::{
+    BodyFraming, ExchangeRecord, InvalidPace, PACE_HEADER, Pace, PacedServers, Piece,
+};
 pub use plan::{Fault, FaultAction, Plan, PlanGenerator, shrink};
 pub use program::{MAX_PROGRAMS, Program, Signal, program_command};
 pub use server::{Arrivals, ResponseMode, Server, SlowStart, max_window_excess};
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -432,6 +432,26 @@
             .expect("the option can be set");
     }
 
+    /// Sends each write at once, without waiting for the peer to confirm the one before it.
+    ///
+    /// # Panics
+    /// If the socket option cannot be set.
+    pub fn set_nodelay(&self) {
+        let stream = self.0.get_ref();
+        stream.set_nodelay(true).expect("the option can be set");
+    }
+
+    /// Writes these bytes. Returns false if the peer has closed the connection.
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.0.get_mut().write_all(bytes).is_ok()
+    }
+
+    /// Waits for bytes and reads at most this many. Returns their number; 0 if the connection ends first.
+    pub fn skip_some(&mut self, max_bytes: usize) -> usize {
+        let mut buffer = vec![0; max_bytes];
+        self.0.read(&mut buffer).unwrap_or(0)
+    }
+
     /// Writes the same bytes this many times, or until a write fails.
     pub fn write_repeatedly(&mut self, bytes: Vec<u8>, times: usize) {
         for _ in 0..times {
