Give up a response for what it would earn only until it has begun

Cause: one time limit of an attempt stood for two things, what an answer earns and what the client was promised; the head of an answer did not change it. Shown by moving one limit at a time, 8 requests each, body 0.9 s behind its head: on_time 0.3, 0.5, 0.8 s cut 8 of 8 at 0.3, 0.5, 0.8 s; client's time 1.2, 2, 3 s cut 8 of 8 at 0.5 s each.

Change: the balancer learns that a response has begun (Event::ResponseStarted) and answers with the client's deadline, a type of its own (ClientDeadline, Action::AwaitResponse); degradation does not shorten it. What has not begun is given up as before. A response that has begun is not in flight for its class, and its body's time counts neither as latency nor as service time of the class. A head that nothing follows still gets a complete 502, at the client's time now. A failed attempt's log line says what ended it, how far its response was and what was left to the client; unfinished_responses of the admin view counts by the same reasons.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -262,6 +262,9 @@
             Event::DiscoveryUpdated(update) => self.discovery_updated(now, update, actions),
             Event::RequestReceived(request) => self.request_received(now, request, actions),
             Event::AttemptEnded(result) => self.attempt_ended(now, result, actions),
+            Event::ResponseStarted { request, attempt } => {
+                self.response_started(now, request, attempt, actions);
+            }
             Event::ResponseStreamStarted { request, .. } => self.conclude(request, true, actions),
             Event::ProbeCompleted(server, report) => {
                 self.servers
@@ -431,9 +434,12 @@
         };
         let timeout = (self.degradation.timeout_factor * timeout as f64) as Micros;
         let key = new.key.unwrap_or_else(|| self.random.rand_u64());
-        let timeout_at = now + timeout.saturating_sub(self.settings.tick);
+        let give_up_at = now + timeout.saturating_sub(self.settings.tick);
+        // Neither worth nor degradation shortens what the client was promised.
+        let deadline = now.saturating_add(new.time_left.saturating_sub(self.settings.tick));
+        let times = (give_up_at, ClientDeadline(deadline));
         let max_attempts = self.settings.limits.max_attempts as usize;
-        let request = Request::new(class_index, key, work, now, timeout_at, max_attempts);
+        let request = Request::new(class_index, key, work, now, times, max_attempts);
         // Response times alone do not distinguish work from queueing: only hints, averaged over many
         // requests, may raise the admission limit.
         let hinted_work = &mut self.classes[class_index].hinted_work;
@@ -776,9 +782,8 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let was_in_flight =
-            !std::mem::replace(&mut request.concluded, true) && request.paused_timeout.is_none();
-        self.classes[request.class].in_flight -= u32::from(was_in_flight);
+        self.classes[request.class].in_flight -= u32::from(request.is_counted_in_flight());
+        request.concluded = true;
         let may_cancel = !streams && self.settings.limits.cancel;
         let unneeded = request
             .attempts
@@ -846,7 +851,8 @@
         let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
-        request.timeout_at = request.timeout_at.min(now);
+        request.give_up_at = request.give_up_at.min(now);
+        request.client_deadline = request.client_deadline.min(ClientDeadline(now));
         request.max_attempts = request.attempts.len();
         if request.attempts_in_flight() == 0 {
             self.end_unserved(now, id, actions);
@@ -883,6 +889,40 @@
 
     // ---- Responses ----
 
+    /// A server has begun its response: what it would earn was decided on without knowing that, and no longer ends the attempt.
+    fn response_started(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = unconcluded(&mut self.requests, id) else {
+            return;
+        };
+        let is_in_flight = |attempt: &Attempt| attempt.outcome.is_none();
+        let Some(sent) = request.attempts.get(attempt as usize) else {
+            return;
+        };
+        if !is_in_flight(sent) || request.started_response.is_some() {
+            return;
+        }
+        let server = sent.entry.server;
+        self.classes[request.class].in_flight -= u32::from(request.is_counted_in_flight());
+        request.started_response = Some(StartedResponse {
+            attempt,
+            started_at: now,
+        });
+        actions.push(Action::AwaitResponse {
+            request: id,
+            attempt,
+            until: request.client_deadline,
+        });
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.last_response = now;
+        }
+    }
+
     fn attempt_ended(&mut self, now: Micros, result: AttemptResult, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&result.request) else {
             return;
@@ -893,8 +933,18 @@
         };
         attempt.outcome = Some(result.outcome);
         let (class, work, latency) = (request.class, request.work, request.latency(now));
+        let started_response = request
+            .started_response
+            .filter(|response| response.attempt == result.attempt);
+        if started_response.is_some() && result.outcome != Outcome::Ok {
+            // It has failed, and another attempt may be made: the request waits for a response again.
+            request.started_response = None;
+            self.classes[class].in_flight += u32::from(request.is_counted_in_flight());
+        }
+        let body_time =
+            started_response.map_or(0, |response| now.saturating_sub(response.started_at));
         let (concluded, in_flight) = (request.concluded, request.attempts_in_flight());
-        self.record_result(now, class, work, result, actions);
+        self.record_result(now, class, work, (result, body_time), actions);
         if result.outcome == Outcome::Ok && !concluded {
             let (state, objective) = (
                 &mut self.classes[class],
@@ -919,13 +969,15 @@
         }
     }
 
-    /// Updates the measurements of the server and the class, and ejects or restores the server.
+    /// Updates the measurements of the server and the class, and ejects or restores the server. The last part of the attempt's
+    /// time, `body_time`, was that of a response that had begun: it tells how fast the server is to its clients, and not how much
+    /// work the class is.
     fn record_result(
         &mut self,
         now: Micros,
         class: usize,
         work: f64,
-        result: AttemptResult,
+        (result, body_time): (AttemptResult, Micros),
         actions: &mut Vec<Action>,
     ) {
         let Some(server) = self.servers.get_mut(&result.server) else {
@@ -950,8 +1002,9 @@
                 if server.ejected_until.take().is_some() {
                     actions.push(Action::Log(LogEvent::ServerRestored(result.server)));
                 }
-                self.classes[class].service_time.add(elapsed);
-                self.classes[class].tail_latency.add(elapsed);
+                let until_response = result.elapsed.saturating_sub(body_time) as f64;
+                self.classes[class].service_time.add(until_response);
+                self.classes[class].tail_latency.add(until_response);
                 self.mean_response_time.add(elapsed);
             }
             // A fast failure counts as a mean response time: by its own time, a failing server would keep its
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -163,6 +163,12 @@
     pub probe: f64,
 }
 
+/// When a client stops waiting for its response, in microseconds of the embedder's clock. No response that a server has begun is
+/// given up before it. How long a response is worth waiting for of which nothing has arrived is another time, and a plain
+/// [`Micros`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClientDeadline(pub Micros);
+
 /// Something that has happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -177,6 +183,15 @@
         /// Index of the attempt.
         attempt: u32,
     },
+    /// A server has begun a successful response that is not complete, and nothing of which has reached the client. From now on
+    /// only the client's deadline ends the attempt from this side, and the request counts neither as in flight in its class nor
+    /// as queueing.
+    ResponseStarted {
+        /// The request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: u32,
+    },
     /// An attempt has ended.
     AttemptEnded(AttemptResult),
     /// A probe has ended; without a load report if the server did not answer it.
@@ -403,13 +418,22 @@
         request: RequestId,
         /// The server to send it to.
         server: ServerId,
-        /// When the attempt times out.
+        /// When the attempt times out if no response has begun by then.
         timeout_at: Micros,
         /// The last byte of the attempt must be written before this time. If the connection is established later, send nothing
         /// and report [`Outcome::Moot`]. It is the end of the idempotency window for a retry with an idempotency key, and
         /// [`Micros::MAX`] if there is no limit.
         write_by: Micros,
     },
+    /// Wait for the rest of a response that has begun until the client's deadline, whatever [`Action::Send`] said.
+    AwaitResponse {
+        /// The request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: u32,
+        /// The client's deadline.
+        until: ClientDeadline,
+    },
     /// Probe a server for its load.
     Probe(ServerId),
     /// Cancel an attempt.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -361,6 +361,21 @@
     }
 }
 
+/// The times of a request whose body is being streamed, counted from the end of its body.
+#[derive(Clone, Copy)]
+pub(crate) struct PausedWait {
+    pub until_give_up: Micros,
+    pub until_deadline: Micros,
+}
+
+/// A response that a server has begun and that is not complete.
+#[derive(Clone, Copy)]
+pub(crate) struct StartedResponse {
+    /// Index of its attempt.
+    pub attempt: u32,
+    pub started_at: Micros,
+}
+
 pub(crate) struct Request {
     pub class: usize,
     pub key: u64,
@@ -370,8 +385,10 @@
     pub received_at: Micros,
     /// How much of the time since then this process did not run.
     pub stalled: Micros,
-    /// When the balancer stops waiting for a response.
-    pub timeout_at: Micros,
+    /// When the balancer stops waiting for a response that has not begun: it would not earn its wait.
+    pub give_up_at: Micros,
+    /// When the client stops waiting.
+    pub client_deadline: ClientDeadline,
     /// First function of the hash family for the next selection of a server.
     pub next_hash: u32,
     /// Servers probed before the first attempt.
@@ -379,7 +396,9 @@
     pub attempts: SmallVec<[Attempt; 4]>,
     pub max_attempts: usize,
     /// While the body is streamed: how long to wait for a response after the body is complete.
-    pub paused_timeout: Option<Micros>,
+    pub paused_wait: Option<PausedWait>,
+    /// The response that a server has begun.
+    pub started_response: Option<StartedResponse>,
     /// Whether the client has its response, or a streaming response has started: no further decision is made.
     pub concluded: bool,
 }
@@ -390,7 +409,7 @@
         key: u64,
         work: f64,
         received_at: Micros,
-        timeout_at: Micros,
+        (give_up_at, client_deadline): (Micros, ClientDeadline),
         max_attempts: usize,
     ) -> Self {
         Request {
@@ -399,22 +418,42 @@
             work,
             received_at,
             stalled: 0,
-            timeout_at,
+            give_up_at,
+            client_deadline,
             next_hash: 0,
             probed: SmallVec::new(),
             attempts: SmallVec::new(),
             max_attempts,
-            paused_timeout: None,
+            paused_wait: None,
+            started_response: None,
             concluded: false,
         }
     }
 
-    /// The time since it was received in which this process ran.
+    /// The time since it was received in which this process ran, up to the beginning of its response: a server that writes its
+    /// response slowly works on something else meanwhile.
     pub fn latency(&self, now: Micros) -> Micros {
-        now.saturating_sub(self.received_at)
+        let until = self
+            .started_response
+            .map_or(now, |response| response.started_at);
+        until
+            .saturating_sub(self.received_at)
             .saturating_sub(self.stalled)
     }
 
+    /// Whether it counts as one of the requests of its class that are in flight.
+    pub fn is_counted_in_flight(&self) -> bool {
+        !self.concluded && self.paused_wait.is_none() && self.started_response.is_none()
+    }
+
+    /// When its attempt in flight ends. What it would earn decides only as long as no response has begun.
+    pub fn attempt_ends_at(&self) -> Micros {
+        match self.started_response {
+            Some(_) => self.client_deadline.0,
+            None => self.give_up_at,
+        }
+    }
+
     pub fn attempts_in_flight(&self) -> usize {
         self.attempts
             .iter()
@@ -432,21 +471,22 @@
     /// When an attempt that starts now times out. With a streamed body the time runs from the client's last byte, which may come
     /// now.
     pub fn attempt_timeout_at(&self, now: Micros) -> Micros {
-        self.paused_timeout
-            .map_or(self.timeout_at, |timeout| now.saturating_add(timeout))
+        self.paused_wait.map_or(self.give_up_at, |wait| {
+            now.saturating_add(wait.until_give_up)
+        })
     }
 
     /// When an attempt may start at the latest. A non-idempotent attempt with less time left than a slow response takes may be
     /// executed and still be reported as failed, whereas a rejection tells the client that a retry is safe. At most half of
     /// the request's time is reserved for this, so that no request is rejected on arrival.
     fn last_attempt_start(&self, retry_safety: RetrySafety, tail_latency: f64) -> Micros {
-        let total_time = self.timeout_at.saturating_sub(self.received_at);
+        let total_time = self.give_up_at.saturating_sub(self.received_at);
         let reserved = if retry_safety == RetrySafety::NonIdempotent {
             (tail_latency as Micros).min(total_time / 2)
         } else {
             0
         };
-        self.timeout_at - reserved
+        self.give_up_at - reserved
     }
 
     /// Until when a further attempt is safe. An idempotency window starts when the first attempt that may have been executed
@@ -555,13 +595,18 @@
     /// The request's body is streamed: stops its timeout until the body is complete.
     pub(crate) fn request_body_started(&mut self, id: RequestId) {
         let Some(request) =
-            unconcluded(&mut self.requests, id).filter(|request| request.paused_timeout.is_none())
+            unconcluded(&mut self.requests, id).filter(|request| request.paused_wait.is_none())
         else {
             return;
         };
-        request.paused_timeout = Some(request.timeout_at.saturating_sub(request.received_at));
-        request.timeout_at = Micros::MAX;
-        self.classes[request.class].in_flight -= 1;
+        self.classes[request.class].in_flight -= u32::from(request.is_counted_in_flight());
+        let since_received = |at: Micros| at.saturating_sub(request.received_at);
+        request.paused_wait = Some(PausedWait {
+            until_give_up: since_received(request.give_up_at),
+            until_deadline: since_received(request.client_deadline.0),
+        });
+        request.give_up_at = Micros::MAX;
+        request.client_deadline = ClientDeadline(Micros::MAX);
         for attempt in self
             .servers
             .values_mut()
@@ -582,13 +627,15 @@
         let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
-        let Some(timeout) = request.paused_timeout.take() else {
+        let Some(wait) = request.paused_wait.take() else {
             return;
         };
-        (request.received_at, request.timeout_at) = (now, now.saturating_add(timeout));
+        request.received_at = now;
+        request.give_up_at = now.saturating_add(wait.until_give_up);
+        request.client_deadline = ClientDeadline(now.saturating_add(wait.until_deadline));
         request.stalled = 0;
         let class = &mut self.classes[request.class];
-        class.in_flight += 1;
+        class.in_flight += u32::from(request.is_counted_in_flight());
         let due_at = now.saturating_add((OVERDUE_FACTOR * class.tail_latency.value) as Micros);
         for attempt in self
             .servers
@@ -599,7 +646,7 @@
             (attempt.sent_at, attempt.due_at) = (now, due_at);
         }
         actions.push(Action::SetTimer {
-            at: request.timeout_at,
+            at: request.attempt_ends_at(),
             timer: Timer::Request(id),
         });
     }
@@ -693,7 +740,7 @@
         match request.attempts_in_flight() {
             0 => request
                 .last_attempt_start(retry_safety, self.classes[request.class].tail_latency.value),
-            _ => request.timeout_at,
+            _ => request.attempt_ends_at(),
         }
     }
 }
--- a/crates/cli/tests/outputs/admin_view.rs
+++ b/crates/cli/tests/outputs/admin_view.rs
@@ -248,6 +248,10 @@
     pools[].state "serving"
     pools[].thread.us whole
     pools[].thread.waits whole
+    pools[].unfinished_responses.cancelled whole
+    pools[].unfinished_responses.client_deadline whole
+    pools[].unfinished_responses.give_up_limit whole
+    pools[].unfinished_responses.server whole
     routes 1
     shared_lists null
     state.batches whole
--- a/crates/lab/src/rivals/chassis.rs
+++ b/crates/lab/src/rivals/chassis.rs
@@ -284,7 +284,8 @@
             // Rivals know no levels: the check lets no arm of theirs have any.
             Event::DegradationChanged(_) | Event::SettingsChanged(_) => {}
             // The lab's bodies are whole when they come.
-            Event::RequestBodyStarted(_)
+            Event::ResponseStarted { .. }
+            | Event::RequestBodyStarted(_)
             | Event::RequestBodyReceived(_)
             | Event::RequestExpired(_)
             | Event::RetriesDisabled(_) => {}
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -817,7 +817,8 @@
                 self.judge.contact(self.now, instance.at, watches, false);
                 self.push(self.now + HOP, What::CallReachesDiscovery(instance));
             }
-            Action::Log(_) => {}
+            // No response begins before it is complete.
+            Action::AwaitResponse { .. } | Action::Log(_) => {}
         }
     }
 
--- a/crates/lab/tests/rivals/rules.rs
+++ b/crates/lab/tests/rivals/rules.rs
@@ -156,6 +156,7 @@
                 );
                 self.probed.push(server);
             }
+            Action::AwaitResponse { .. } => panic!("no response was said to have begun"),
             Action::PollDiscovery | Action::Log(_) => {}
         }
     }
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -4,12 +4,13 @@
 use super::connections::ConnectError;
 use super::counts::increment;
 use super::exchange::{
-    self, BodyRead, BufferingPolicy, CompleteBody, ExchangeError, RequestMessage, SendProgress,
+    self, BodyRead, BufferingPolicy, CompleteBody, ExchangeError, RequestMessage, ResponseHead,
 };
+use super::exchange_progress::{AttemptEnd, ExchangeProgress};
 use super::history_recorder::EndedAttempt;
 use super::readiness;
 use super::request_deadline::RequestDeadline;
-use super::request_log::{self, Written};
+use super::request_log;
 use super::response_body::{MAX_BYTES_PER_TURN, ResponseBody, StreamedResponseBody, TurnBytes};
 use super::service::Service;
 use super::stall::AwaitedResponse;
@@ -22,7 +23,9 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use madderloom_balancer::{AttemptResult, Event, Micros, Outcome, RequestId, ServerId};
+use madderloom_balancer::{
+    AttemptResult, ClientDeadline, Event, Micros, Outcome, RequestId, ServerId,
+};
 use madderloom_graphql::Verdict;
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -103,6 +106,27 @@
     }
 }
 
+/// The times that the balancer has set for an attempt.
+pub(super) struct AttemptLimits {
+    /// When the attempt is given up if no response has begun. An upload ends as its [`RequestDeadline`] says instead.
+    pub(super) give_up_at: Micros,
+    /// Set once a response has begun: its rest is awaited until then.
+    pub(super) response_deadline: Rc<Cell<Option<ClientDeadline>>>,
+    /// From this time on the last byte of the request must not be written.
+    pub(super) write_by: Micros,
+}
+
+impl AttemptLimits {
+    /// Completes when the balancer has set [`AttemptLimits::response_deadline`], which wakes the transaction that polls this.
+    async fn until_response_deadline_known(&self) -> ClientDeadline {
+        poll_fn(|_| match self.response_deadline.get() {
+            Some(deadline) => Poll::Ready(deadline),
+            None => Poll::Pending,
+        })
+        .await
+    }
+}
+
 /// An attempt whose outcome the balancer expects. It is reported exactly once: when the attempt ends or is dropped.
 pub(super) struct Attempt {
     pub(super) service: Rc<Service>,
@@ -114,10 +138,9 @@
     pub(super) cost_hint: Option<Micros>,
     /// The wait for the response, since the attempt started; after a streamed request body, since its last byte was written.
     pub(super) wait: AwaitedResponse,
-    /// When the attempt times out. With a streamed request body, it ends with the deadline of its request instead.
-    pub(super) timeout_at: Micros,
-    /// From this time on the last byte of the request must not be written.
-    pub(super) write_by: Micros,
+    pub(super) limits: AttemptLimits,
+    /// How far the exchange with the server has come.
+    pub(super) progress: ExchangeProgress,
     /// The transaction has its final response.
     pub(super) transaction_ended: Rc<Cell<bool>>,
     pub(super) outcome_reported: bool,
@@ -128,7 +151,8 @@
     /// connection was established. The request is not written then, so the client can be told that it was not executed.
     /// With a streamed body, the attempt ends with the deadline of its request.
     fn has_expired_unsent(&self, forwarded: &ForwardedRequest) -> bool {
-        forwarded.body.streamed().is_none() && self.service.process.clock.read() >= self.timeout_at
+        forwarded.body.streamed().is_none()
+            && self.service.process.clock.read() >= self.limits.give_up_at
     }
 
     /// Reports the outcome to the service and the balancer, unless one was reported before.
@@ -163,6 +187,10 @@
 impl Drop for Attempt {
     /// The connection is closed because the future that uses it is dropped too.
     fn drop(&mut self) {
+        if !self.outcome_reported && self.progress.has_response() {
+            let counts = &self.service.counts.unfinished_responses;
+            counts.record(AttemptEnd::Cancelled);
+        }
         self.report_outcome(Outcome::Cancelled);
     }
 }
@@ -190,21 +218,16 @@
         // The time of the disk write does not count as the server's.
         attempt.wait.restart(attempt.service.process.clock.now());
     }
-    let progress = SendProgress::default();
-    let (outcome, response) = {
-        let service = &attempt.service;
-        let exchange = exchange(&attempt, &forwarded, &progress);
-        match with_time_limit(&attempt, &forwarded, exchange).await {
-            Some(done) => done,
-            None if progress.complete.get() => {
-                service
-                    .connections
-                    .drop_idle_if_silent(attempt.server, attempt.wait.since());
-                (Outcome::Timeout, None)
-            }
-            // The request was not completely written and never will be, so it cannot have run.
-            None => (Outcome::ConnectFailed, None),
+    let exchanged = with_time_limit(&attempt, &forwarded, exchange(&attempt, &forwarded)).await;
+    let (outcome, response, end) = match exchanged {
+        Ok((outcome, response)) => (outcome, response, AttemptEnd::Server),
+        Err(limit) if attempt.progress.complete.get() => {
+            let connections = &attempt.service.connections;
+            connections.drop_idle_if_silent(attempt.server, attempt.wait.since());
+            (Outcome::Timeout, None, limit)
         }
+        // The request was not completely written and never will be, so it cannot have run.
+        Err(limit) => (Outcome::ConnectFailed, None, limit),
     };
     if matches!(
         outcome,
@@ -213,25 +236,43 @@
         forwarded.may_have_run_unanswered.set(false);
     }
     if outcome != Outcome::Ok {
-        let elapsed = attempt.wait.elapsed(attempt.service.process.clock.now());
-        let written = Written::from(&progress);
-        request_log::attempt_failed(&forwarded, &attempt, outcome, (written, elapsed));
+        request_log::attempt_failed(&forwarded, &attempt, outcome, end);
+        if attempt.progress.has_response() {
+            attempt.service.counts.unfinished_responses.record(end);
+            forwarded.deadline.set_response_started(false);
+        }
     }
     attempt.report_outcome(outcome);
     response.map(FinalResponse::Served)
 }
 
-/// Applies the attempt's time limit. With a streamed request body that is the deadline of its request.
+/// Applies the attempt's time limits: until a response begins, how long it is worth waiting for, and from then on its client's
+/// deadline. Of an upload, the deadline of its request knows both.
 async fn with_time_limit<T>(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
     exchange: impl Future<Output = T>,
-) -> Option<T> {
-    if forwarded.body.streamed().is_some() {
-        return until_expired(forwarded, exchange).await;
-    }
-    let process = &attempt.service.process;
-    process.timeout_at(attempt.timeout_at, exchange).await
+) -> Result<T, AttemptEnd> {
+    let (process, limits) = (&attempt.service.process, &attempt.limits);
+    let mut exchange = pin!(exchange);
+    let output = if forwarded.body.is_upload() {
+        until_expired(forwarded, exchange).await
+    } else {
+        let until_given_up = process.timeout_at(limits.give_up_at, exchange.as_mut());
+        match until_given_up.await {
+            None if attempt.progress.has_response() => {
+                let ClientDeadline(deadline) = limits.until_response_deadline_known().await;
+                process.timeout_at(deadline, exchange).await
+            }
+            output => output,
+        }
+    };
+    let limit = if attempt.progress.has_response() {
+        AttemptEnd::ClientDeadline
+    } else {
+        AttemptEnd::GiveUpLimit
+    };
+    output.ok_or(limit)
 }
 
 /// The output of a future; `None` once the request's deadline has passed. The transaction, which watches the deadline, polls its
@@ -251,12 +292,8 @@
 
 type ExchangeResult = (Outcome, Option<Response<ResponseBody>>);
 
-async fn exchange(
-    attempt: &Attempt,
-    forwarded: &ForwardedRequest,
-    progress: &SendProgress,
-) -> ExchangeResult {
-    let service = &attempt.service;
+async fn exchange(attempt: &Attempt, forwarded: &ForwardedRequest) -> ExchangeResult {
+    let (service, progress) = (&attempt.service, &attempt.progress);
     let Some(incarnation) = service.pool.incarnation(attempt.server) else {
         return (Outcome::Moot, None);
     };
@@ -274,9 +311,11 @@
     else {
         return (Outcome::Moot, None);
     };
-    let left = match forwarded.body.streamed() {
-        Some(_) => forwarded.deadline.remaining(attempt.wait.since()),
-        None => attempt.timeout_at.saturating_sub(attempt.wait.since()),
+    let left = if forwarded.body.is_upload() {
+        forwarded.deadline.upload_time_left(attempt.wait.since())
+    } else {
+        let give_up_at = attempt.limits.give_up_at;
+        give_up_at.saturating_sub(attempt.wait.since())
     };
     let left_ms = left.div_ceil(1_000);
     // A request that may have run must not run twice. If the connection breaks before the last byte, it has not run.
@@ -289,7 +328,7 @@
         let connecting = service.connections.acquire(attempt.server, address);
         let connection = match service
             .process
-            .strict_timeout_at(attempt.write_by, connecting)
+            .strict_timeout_at(attempt.limits.write_by, connecting)
             .await
         {
             Some(Ok(connection)) => connection,
@@ -313,7 +352,7 @@
         let send = exchange::send(&connection.stream, &message, delay, progress);
         let Some(mut send_result) = service
             .process
-            .strict_timeout_at(attempt.write_by, send)
+            .strict_timeout_at(attempt.limits.write_by, send)
             .await
         else {
             if !progress.started.get() {
@@ -324,10 +363,14 @@
         if forwarded.body.streamed().is_some() && send_result.is_ok() {
             let buffered_part_sent = progress.complete.replace(false);
             if buffered_part_sent {
-                send_result =
-                    stream_request_body(attempt, forwarded, &connection.stream, progress).await;
+                send_result = stream_request_body(attempt, forwarded, &connection.stream).await;
             }
         }
+        if progress.complete.get() && forwarded.body.is_upload() {
+            let now = service.process.clock.now();
+            attempt.wait.restart(now);
+            service.handle(now, Event::RequestBodyReceived(attempt.request));
+        }
         if progress.complete.get() {
             let unanswered = &forwarded.may_have_run_unanswered;
             unanswered.set(forwarded.non_idempotent);
@@ -363,15 +406,19 @@
     let body_read = match response.take_buffered_body(&head) {
         Some(body) => BodyRead::Complete(body),
         None => {
-            let policy = BufferingPolicy {
-                may_stream: forwarded.protocol.allows_streaming(),
-                may_retry: !forwarded.non_idempotent,
+            report_response_start(attempt, forwarded, &head);
+            let may_stream = forwarded.protocol.allows_streaming();
+            let may_retry = !forwarded.non_idempotent;
+            let buffering = BufferingPolicy {
+                may_stream,
+                may_retry,
             };
+            let policy = (buffering, progress);
             let rest =
                 response.read_body_start(&service.process, &head, &connection.stream, policy);
             match rest.await {
                 Ok(body_read) => body_read,
-                // The body ended early, or a short one stopped half way.
+                // The body ended early.
                 Err(_) => return (Outcome::Reset, None),
             }
         }
@@ -419,14 +466,29 @@
     }
 }
 
-/// Writes the rest of a request body as the client sends it, and notifies the balancer when the body is complete. Stops if
+/// Tells the balancer that a successful response has begun and is not complete.
+fn report_response_start(attempt: &Attempt, forwarded: &ForwardedRequest, head: &ResponseHead) {
+    if head.status != StatusCode::OK {
+        return;
+    }
+    attempt.progress.record_response_head(head.body_length());
+    forwarded.deadline.set_response_started(true);
+    let started = Event::ResponseStarted {
+        request: attempt.request,
+        attempt: attempt.number,
+    };
+    let service = &attempt.service;
+    service.handle(service.process.clock.now(), started);
+}
+
+/// Writes the rest of a request body as the client sends it. Stops if
 /// the server responds or closes the connection before that.
 async fn stream_request_body(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
     stream: &TcpStream,
-    progress: &SendProgress,
 ) -> Result<(), ExchangeError> {
+    let progress = &attempt.progress;
     let service = &attempt.service;
     let Some(streamed) = forwarded.body.streamed() else {
         return Ok(());
@@ -478,7 +540,10 @@
         };
         let written = service
             .process
-            .timeout(BODY_WRITE_TIMEOUT, exchange::write_body(stream, &bytes))
+            .timeout(
+                BODY_WRITE_TIMEOUT,
+                exchange::write_body(stream, &bytes, progress),
+            )
             .await;
         match written.unwrap_or(Err(ExchangeError::Connection)) {
             Ok(true) if last => break true,
@@ -491,12 +556,9 @@
         }
     };
     if request_complete {
-        let now = service.process.clock.now();
         progress.complete.set(true);
         let last_byte_at = forwarded.deadline.record_body_complete();
         streamed.completed_at.set(Some(last_byte_at));
-        attempt.wait.restart(now);
-        service.handle(now, Event::RequestBodyReceived(attempt.request));
         reader.finish();
     }
     result
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -2,6 +2,7 @@
 //! link.
 
 use super::active_settings::ClassEntry;
+use super::exchange_progress::UnfinishedResponseCounts;
 use super::lateness::LatenessHistogram;
 use super::rejection::ExhaustionCounts;
 use madderloom_admin::stats::ResultCounts;
@@ -87,6 +88,8 @@
     unclassed: Rc<OutcomeCounts>,
     /// Attempts that were written completely.
     pub(super) attempts_sent: Cell<u64>,
+    /// Responses that had begun and did not end, by why.
+    pub(super) unfinished_responses: UnfinishedResponseCounts,
     /// Why requests were rejected before they reached the balancer.
     pub(super) exhaustions: ExhaustionCounts,
     /// Cloned once for each request in flight.
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -15,6 +15,7 @@
 
 use super::MAX_BUFFERED_BODY_BYTES;
 use super::attempt::HOP_BY_HOP_HEADERS;
+use super::exchange_progress::ExchangeProgress;
 use super::memory::MemoryPurpose;
 use super::process_state::ProcessState;
 use super::read_buffer::poll_read_append;
@@ -25,7 +26,6 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use madderloom_balancer::Micros;
 use smallvec::SmallVec;
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::{Pin, pin};
@@ -132,22 +132,13 @@
     }
 }
 
-/// How much of a request was written.
-#[derive(Default)]
-pub(super) struct SendProgress {
-    /// At least one byte was written.
-    pub(super) started: Cell<bool>,
-    /// The last byte was written.
-    pub(super) complete: Cell<bool>,
-}
-
 /// Writes a request. With a `delay`, the last byte is written only after it has ended, and only if the connection is still
 /// open then. Stops if the server responds or closes the connection early; its response can be read afterwards.
 pub(super) async fn send(
     stream: &TcpStream,
     message: &RequestMessage,
     delay: Option<impl Future<Output = ()>>,
-    progress: &SendProgress,
+    progress: &ExchangeProgress,
 ) -> Result<(), ExchangeError> {
     let length = message.len();
     let mut sent = 0;
@@ -167,11 +158,13 @@
 }
 
 /// Writes further bytes of a request. Returns false if the server responded or closed the connection first.
-pub(super) async fn write_body(stream: &TcpStream, bytes: &[u8]) -> Result<bool, ExchangeError> {
-    write_all(stream, &mut 0, bytes.len(), |from| {
-        stream.try_write(&bytes[from..])
-    })
-    .await
+pub(super) async fn write_body(
+    stream: &TcpStream,
+    bytes: &[u8],
+    progress: &ExchangeProgress,
+) -> Result<bool, ExchangeError> {
+    let write = |from: usize| stream.try_write(&bytes[from..]);
+    write_all(stream, &mut 0, bytes.len(), progress, write).await
 }
 
 /// Writes a request up to byte `end`. Returns false if the server responded or closed the connection first.
@@ -180,16 +173,10 @@
     message: &RequestMessage,
     sent: &mut usize,
     end: usize,
-    progress: &SendProgress,
+    progress: &ExchangeProgress,
 ) -> Result<bool, ExchangeError> {
-    let write = |from| {
-        let written = message.write(stream, from, end);
-        if matches!(written, Ok(count) if count > 0) {
-            progress.started.set(true);
-        }
-        written
-    };
-    write_all(stream, sent, end, write).await
+    let write = |from| message.write(stream, from, end);
+    write_all(stream, sent, end, progress, write).await
 }
 
 /// Calls `write` with the number of bytes already sent until all are. Returns false if the server responded or closed the
@@ -198,6 +185,7 @@
     stream: &TcpStream,
     sent: &mut usize,
     end: usize,
+    progress: &ExchangeProgress,
     write: impl Fn(usize) -> io::Result<usize>,
 ) -> Result<bool, ExchangeError> {
     while *sent < end {
@@ -205,6 +193,7 @@
             Ok(0) => return Err(ExchangeError::Connection),
             Ok(count) => {
                 *sent += count;
+                progress.record_write();
                 if *sent < end {
                     consume_budget().await;
                 }
@@ -347,6 +336,16 @@
     pub(super) keep_alive: bool,
 }
 
+impl ResponseHead {
+    /// The length of the body in bytes, if the head tells it.
+    pub(super) fn body_length(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(length) => Some(length as u64),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+}
+
 /// Reads one response.
 #[derive(Default)]
 pub(super) struct ResponseReader {
@@ -478,7 +477,9 @@
             may_stream: false,
             may_retry: false,
         };
-        match self.read_body_start(process, head, stream, policy).await? {
+        let progress = ExchangeProgress::default();
+        let body = self.read_body_start(process, head, stream, (policy, &progress));
+        match body.await? {
             BodyRead::Complete(body) => Ok(body),
             BodyRead::Partial { .. } => Err(ExchangeError::Malformed),
         }
@@ -486,14 +487,14 @@
 
     /// Reads the body until it is complete, or known to be too long to be buffered, or until `policy` has the rest streamed:
     /// after [`MAX_BUFFERING_TIME`] for a body of unknown length, which may be a long one that arrives slowly, or when no byte
-    /// arrives for [`MAX_BODY_PAUSE`]. A body of which nothing has arrived yet is only late: it neither fails for a pause nor is
-    /// any of its response streamed, and the caller's time limit bounds the wait.
+    /// arrives for [`MAX_BODY_PAUSE`]. A body of which nothing has arrived yet is only late: none of its response is streamed, and
+    /// the caller's time limit bounds the wait.
     pub(super) async fn read_body_start(
         &mut self,
         process: &ProcessState,
         head: &ResponseHead,
         stream: &TcpStream,
-        policy: BufferingPolicy,
+        (policy, progress): (BufferingPolicy, &ExchangeProgress),
     ) -> Result<BodyRead, ExchangeError> {
         let mut buffer_timer = process.sleep(MAX_BUFFERING_TIME);
         let mut decoder = BodyDecoder::new(head.framing);
@@ -511,6 +512,7 @@
             while let Some(piece) = decoder.decode(&mut self.unread)? {
                 body.extend_from_slice(&piece);
             }
+            progress.record_body(body.len());
             if decoder.is_complete() {
                 return Ok(BodyRead::Complete(self.complete(head, body.freeze())));
             }
--- /dev/null
+++ b/crates/sidecar/src/exchange_progress.rs
@@ -0,0 +1,133 @@
+//! How far one exchange with a server has come: what was written of the request, and what has arrived of the response. It outlives
+//! the exchange, so that an attempt that is ended from this side can still say what it ended.
+
+use super::counts::increment;
+use super::request_deadline::RequestDeadline;
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+
+/// What has arrived of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum ResponseProgress {
+    /// Nothing that counts as a successful response.
+    #[default]
+    Nothing,
+    /// The head of a successful response, and so many bytes of its body.
+    Begun {
+        /// Bytes of the body that have arrived.
+        body_bytes: u64,
+        /// Length of the body, if its head tells it.
+        length: Option<u64>,
+    },
+}
+
+impl fmt::Display for ResponseProgress {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ResponseProgress::Nothing => formatter.write_str("nothing"),
+            ResponseProgress::Begun {
+                body_bytes,
+                length: Some(length),
+            } => write!(formatter, "head+{body_bytes}/{length}"),
+            ResponseProgress::Begun {
+                body_bytes,
+                length: None,
+            } => write!(formatter, "head+{body_bytes}"),
+        }
+    }
+}
+
+/// The progress of one exchange.
+#[derive(Default)]
+pub(super) struct ExchangeProgress {
+    /// At least one byte of the request was written.
+    pub(super) started: Cell<bool>,
+    /// The last byte of the request was written.
+    pub(super) complete: Cell<bool>,
+    /// What has arrived of the response.
+    pub(super) response: Cell<ResponseProgress>,
+    /// Learns of each write, if the request is an upload.
+    upload: Option<Rc<RequestDeadline>>,
+}
+
+impl ExchangeProgress {
+    /// The progress of an upload, which its deadline learns of.
+    pub(super) fn of_upload(deadline: &Rc<RequestDeadline>) -> Self {
+        ExchangeProgress {
+            upload: Some(Rc::clone(deadline)),
+            ..ExchangeProgress::default()
+        }
+    }
+
+    /// The server's system has accepted bytes of the request.
+    pub(super) fn record_write(&self) {
+        self.started.set(true);
+        if let Some(deadline) = &self.upload {
+            deadline.record_upload_progress();
+        }
+    }
+
+    /// The head of a successful response has arrived.
+    pub(super) fn record_response_head(&self, length: Option<u64>) {
+        let body_bytes = 0;
+        self.response
+            .set(ResponseProgress::Begun { body_bytes, length });
+    }
+
+    /// So many bytes of the response's body have arrived in all.
+    pub(super) fn record_body(&self, bytes: usize) {
+        if let ResponseProgress::Begun { length, .. } = self.response.get() {
+            let body_bytes = bytes as u64;
+            self.response
+                .set(ResponseProgress::Begun { body_bytes, length });
+        }
+    }
+
+    /// Whether the head of a successful response has arrived.
+    pub(super) fn has_response(&self) -> bool {
+        self.response.get() != ResponseProgress::Nothing
+    }
+}
+
+/// What ended an attempt that was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptEnd {
+    /// The server, its connection, or the network to it.
+    Server,
+    /// No response had begun by the time until which it was worth its wait.
+    GiveUpLimit,
+    /// The client's time was over.
+    ClientDeadline,
+    /// The request ended otherwise: its client left, or the balancer ended it.
+    Cancelled,
+}
+
+impl AttemptEnd {
+    const COUNT: usize = 4;
+    /// As the log and the status list them, in the order of the variants.
+    const NAMES: [&str; Self::COUNT] = ["server", "give_up_limit", "client_deadline", "cancelled"];
+
+    /// Its name in the log and the status.
+    pub(super) fn name(self) -> &'static str {
+        Self::NAMES[self as usize]
+    }
+}
+
+/// Counts responses that had begun and did not end, by what ended their attempts. Those that are streamed to their clients are
+/// not among them.
+#[derive(Default)]
+pub(super) struct UnfinishedResponseCounts([Cell<u64>; AttemptEnd::COUNT]);
+
+impl UnfinishedResponseCounts {
+    pub(super) fn record(&self, end: AttemptEnd) {
+        increment(&self.0[end as usize]);
+    }
+
+    /// Each name with its count.
+    pub(super) fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        AttemptEnd::NAMES
+            .into_iter()
+            .zip(self.0.iter().map(Cell::get))
+    }
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 mod drain;
 mod event_log;
 mod exchange;
+mod exchange_progress;
 mod fair_scheduler;
 mod fleet_limits;
 mod graphql;
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -1,6 +1,7 @@
 //! Load probes: requests to a server for its load report.
 
-use super::exchange::{self, CompleteBody, RequestMessage, ResponseReader, SendProgress};
+use super::exchange::{self, CompleteBody, RequestMessage, ResponseReader};
+use super::exchange_progress::ExchangeProgress;
 use super::service::Service;
 use bytes::Bytes;
 use hyper::header::{self, HeaderValue};
@@ -36,7 +37,7 @@
     );
     message.finish(Bytes::new());
     let connection = service.connections.acquire(server, address).await.ok()?;
-    let progress = SendProgress::default();
+    let progress = ExchangeProgress::default();
     exchange::send(&connection.stream, &message, None::<Ready<()>>, &progress)
         .await
         .ok()?;
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -45,6 +45,13 @@
     awaits_body: Cell<bool>,
     /// Set once the body has been read to its end: the earliest time at which the last byte may have been written.
     last_byte_at: Cell<Option<Micros>>,
+    /// How long a response is worth waiting for that has not begun, counted from the last byte of the request that its server has
+    /// taken.
+    give_up_after: Cell<Micros>,
+    /// When the server last took bytes of an upload.
+    upload_progress_at: Cell<Micros>,
+    /// A server has begun its response.
+    response_started: Cell<bool>,
     /// The time is over, and the request ends.
     expired: Cell<bool>,
     /// What the request has waited for.
@@ -72,6 +79,9 @@
             unfinished_at: Cell::new(0),
             awaits_body: Cell::new(false),
             last_byte_at: Cell::new(last_byte_at),
+            give_up_after: Cell::new(Micros::MAX),
+            upload_progress_at: Cell::new(0),
+            response_started: Cell::new(false),
             expired: Cell::new(false),
             waits,
         })
@@ -169,22 +179,68 @@
         self.time_left.get()
     }
 
-    /// Ends the request so long after its client's last byte, if that is earlier.
-    pub(super) fn limit_to(&self, time_left: Micros) {
-        self.time_left.set(self.time_left.get().min(time_left));
+    /// An upload to a server starts. It is given up at `give_up_at` if the server takes none of it until then.
+    pub(super) fn start_upload(&self, give_up_at: Micros) {
+        let now = self.process.clock.now();
+        self.give_up_after.set(give_up_at.saturating_sub(now));
+        self.upload_progress_at.set(now);
+        self.response_started.set(false);
+    }
+
+    /// The server has taken bytes of the upload.
+    pub(super) fn record_upload_progress(&self) {
+        self.upload_progress_at.set(self.process.clock.now());
+    }
+
+    /// Sets whether a server has begun its response.
+    pub(super) fn set_response_started(&self, started: bool) {
+        self.response_started.set(started);
+    }
+
+    /// How long a server's response to an upload is waited for as things stand.
+    pub(super) fn upload_time_left(&self, now: Micros) -> Micros {
+        self.remaining(now).min(self.give_up_after.get())
+    }
+
+    /// When an upload is given up: when no response has begun within the time in which it is worth its wait, and the server has
+    /// taken nothing more of the request; when the final response is due at the latest.
+    fn gives_up_at(&self, now: Micros) -> Micros {
+        let awaits_client = self.awaits_client(now);
+        let due_at = self.due_at_if(awaits_client, now);
+        if self.response_started.get() {
+            return due_at;
+        }
+        let counted_from = if awaits_client {
+            now
+        } else {
+            let last_byte_at = self.last_byte_at.get();
+            let last_byte_at = last_byte_at.unwrap_or_else(|| self.unfinished_at());
+            last_byte_at.max(self.upload_progress_at.get())
+        };
+        due_at.min(counted_from.saturating_add(self.give_up_after.get()))
     }
 
     /// Completes when the final response is due.
     pub(super) async fn until_due(&self) {
+        self.until(|now| self.due_at(now)).await;
+    }
+
+    /// Completes when an upload is given up.
+    pub(super) async fn until_given_up(&self) {
+        self.until(|now| self.gives_up_at(now)).await;
+    }
+
+    /// Completes at a time that moves on while the client or the server of an upload does.
+    async fn until(&self, ends_at: impl Fn(Micros) -> Micros) {
         loop {
             let now = self.process.clock.now();
-            let due_at = self.due_at(now);
-            if now >= due_at {
+            let ends_at = ends_at(now);
+            if now >= ends_at {
                 return;
             }
             let check_at = match self.last_byte_at.get() {
-                Some(_) => due_at,
-                None => due_at.min(now.saturating_add(CHECK_INTERVAL)),
+                Some(_) => ends_at,
+                None => ends_at.min(now.saturating_add(CHECK_INTERVAL)),
             };
             self.process.sleep_until(check_at).await;
         }
--- a/crates/sidecar/src/request_log.rs
+++ b/crates/sidecar/src/request_log.rs
@@ -2,7 +2,7 @@
 //! can be followed through the attempts to what ended the request. The log bounds how many lines of a kind are written in a second.
 
 use super::attempt::{Attempt, ForwardedRequest};
-use super::exchange::SendProgress;
+use super::exchange_progress::{AttemptEnd, ExchangeProgress};
 use super::lateness::{WaitKind, WaitTimes};
 use super::rejection::Exhaustion;
 use hyper::header::HeaderValue;
@@ -36,20 +36,25 @@
     );
 }
 
-/// Logs an attempt after which the request may be sent again or ends unserved.
+/// Logs an attempt after which the request may be sent again or ends unserved, with what ended it.
 pub(super) fn attempt_failed(
     request: &ForwardedRequest,
     attempt: &Attempt,
     outcome: Outcome,
-    (written, elapsed): (Written, Micros),
+    end: AttemptEnd,
 ) {
+    let now = attempt.service.process.clock.now();
+    let elapsed = attempt.wait.elapsed(now);
     tracing::info!(
         id = %LoggedId(request.id()),
         attempt = attempt.number,
         server = %attempt.service.pool.name(attempt.server),
         outcome = ?outcome,
-        written = ?written,
+        written = ?Written::from(&attempt.progress),
         elapsed_ms = elapsed / 1_000,
+        ended_by = end.name(),
+        response = %attempt.progress.response.get(),
+        client_left_ms = request.deadline.remaining(now) / 1_000,
         "attempt failed"
     );
 }
@@ -62,8 +67,8 @@
     All,
 }
 
-impl From<&SendProgress> for Written {
-    fn from(progress: &SendProgress) -> Self {
+impl From<&ExchangeProgress> for Written {
+    fn from(progress: &ExchangeProgress) -> Self {
         match (progress.complete.get(), progress.started.get()) {
             (true, _) => Written::All,
             (false, true) => Written::Part,
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -534,6 +534,13 @@
                     "request {request} is to be sent, and its transaction has ended"
                 );
             }
+            Action::AwaitResponse {
+                request,
+                attempt,
+                until,
+            } => {
+                self.push_step(request, Step::AwaitResponse { attempt, until });
+            }
             Action::Cancel { request, attempt } => {
                 self.push_step(request, Step::Cancel { attempt });
             }
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -1,13 +1,14 @@
 //! A transaction: one client's request, from its hand-over to the balancer to its final response.
 
-use super::attempt::{self, Attempt, ForwardedRequest};
+use super::attempt::{self, Attempt, AttemptLimits, ForwardedRequest};
+use super::exchange_progress::ExchangeProgress;
 use super::request_log::{self, UnservedEnd};
 use super::response_body::ResponseBody;
 use super::service::Service;
 use super::stall::{AwaitedResponse, LoopInstant};
 use super::timers::Timers;
 use hyper::Response;
-use madderloom_balancer::{Event, Micros, NewRequest, RequestId, ServerId};
+use madderloom_balancer::{ClientDeadline, Event, Micros, NewRequest, RequestId, ServerId};
 use madderloom_degradation::RequestEnd;
 use madderloom_timer_wheel::TimerKey;
 use smallvec::SmallVec;
@@ -25,6 +26,8 @@
         timeout_at: Micros,
         write_by: Micros,
     },
+    /// Wait for the rest of a response that has begun until its client's deadline.
+    AwaitResponse { attempt: u32, until: ClientDeadline },
     /// Cancel an attempt.
     Cancel { attempt: u32 },
     /// Respond that the request is rejected.
@@ -96,6 +99,13 @@
 
 type AttemptFuture = Pin<Box<dyn Future<Output = Option<FinalResponse>>>>;
 
+/// An attempt in flight.
+struct RunningAttempt {
+    future: AttemptFuture,
+    /// Shared with the attempt, see [`AttemptLimits::response_deadline`].
+    response_deadline: Rc<Cell<Option<ClientDeadline>>>,
+}
+
 struct Transaction {
     service: Rc<Service>,
     id: RequestId,
@@ -112,8 +122,8 @@
     /// Set with the final response; shared with the attempts.
     ended: Rc<Cell<bool>>,
     /// By attempt number; `None` once the attempt has ended.
-    attempts: SmallVec<[Option<AttemptFuture>; 2]>,
-    /// Completes at the deadline of a request with a streamed body, whose time the balancer does not know.
+    attempts: SmallVec<[Option<RunningAttempt>; 2]>,
+    /// Completes when an upload is given up or at its deadline, which the balancer does not know.
     expiry: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
@@ -139,7 +149,7 @@
     let shed_before = service.shed_requests();
     service.handle(now, Event::RequestReceived(new_request));
     transaction.shed = service.shed_requests() > shed_before;
-    if request.body.streamed().is_some() {
+    if request.body.is_upload() {
         service.handle(now, Event::RequestBodyStarted(transaction.id));
     }
 
@@ -151,14 +161,14 @@
                 write_by,
             }) => {
                 request.wait_forever_if_client_gone().await;
-                if request.body.streamed().is_some() {
-                    let sent_at = service.process.clock.now();
-                    request
-                        .deadline
-                        .limit_to(timeout_at.saturating_sub(sent_at));
+                if request.body.is_upload() {
+                    request.deadline.start_upload(timeout_at);
                 }
                 transaction.send(server, (timeout_at, write_by));
             }
+            Next::Step(Step::AwaitResponse { attempt, until }) => {
+                transaction.await_response(attempt, until);
+            }
             Next::Step(Step::Cancel { attempt }) => transaction.cancel(attempt),
             Next::Step(Step::Reject { retry_after }) => {
                 return transaction.end(FinalResponse::Rejected { retry_after });
@@ -183,10 +193,10 @@
         new_request: &NewRequest,
         request: Rc<ForwardedRequest>,
     ) -> Self {
-        let expiry = request.body.streamed().map(|_| {
+        let expiry = request.body.is_upload().then(|| {
             let deadline = Rc::clone(&request.deadline);
             let expiry: Pin<Box<dyn Future<Output = ()>>> =
-                Box::pin(async move { deadline.until_due().await });
+                Box::pin(async move { deadline.until_given_up().await });
             expiry
         });
         let steps = Rc::<StepQueue>::default();
@@ -216,6 +226,7 @@
         self.last_server = Some(server);
         self.service
             .record_attempt_start(sent_at, server, (self.id, number), self.class as u32);
+        let response_deadline = Rc::<Cell<Option<ClientDeadline>>>::default();
         let attempt = Attempt {
             service: Rc::clone(&self.service),
             request: self.id,
@@ -224,15 +235,29 @@
             class: self.class as u32,
             cost_hint: self.cost_hint,
             wait: AwaitedResponse::start(&self.service.process, sent_at),
-            timeout_at,
-            write_by,
+            limits: AttemptLimits {
+                give_up_at: timeout_at,
+                response_deadline: Rc::clone(&response_deadline),
+                write_by,
+            },
+            progress: if self.request.body.is_upload() {
+                ExchangeProgress::of_upload(&self.request.deadline)
+            } else {
+                ExchangeProgress::default()
+            },
             transaction_ended: Rc::clone(&self.ended),
             outcome_reported: false,
         };
-        self.attempts.push(Some(Box::pin(attempt::run(
-            attempt,
-            Rc::clone(&self.request),
-        ))));
+        self.attempts.push(Some(RunningAttempt {
+            future: Box::pin(attempt::run(attempt, Rc::clone(&self.request))),
+            response_deadline,
+        }));
+    }
+
+    fn await_response(&self, attempt: u32, until: ClientDeadline) {
+        if let Some(Some(running)) = self.attempts.get(attempt as usize) {
+            running.response_deadline.set(Some(until));
+        }
     }
 
     /// Dropping the attempt closes its connection and reports to the balancer that it was cancelled.
@@ -257,8 +282,9 @@
                 return Poll::Ready(Next::Expired);
             }
             for slot in &mut self.attempts {
-                if let Some(Poll::Ready(response)) =
-                    slot.as_mut().map(|attempt| attempt.as_mut().poll(context))
+                if let Some(Poll::Ready(response)) = slot
+                    .as_mut()
+                    .map(|attempt| attempt.future.as_mut().poll(context))
                 {
                     *slot = None;
                     return Poll::Ready(Next::AttemptEnded(response));
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -158,6 +158,7 @@
         "classes": classes.collect::<Value>(),
         "servers": snapshot.servers.iter().map(|s| server(service, s, now)).collect::<Value>(),
         "requests": counts(&service.counts.total()),
+        "unfinished_responses": service.counts.unfinished_responses.counts().collect::<BTreeMap<_, _>>(),
         "refused_for": service.counts.exhaustions.counts().collect::<BTreeMap<_, _>>(),
         "open": service.transactions.borrow().len(),
         "retry_budget": snapshot.retry_budget,
--- a/crates/simulator-adapter/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -361,6 +361,8 @@
         } => {
             writeln!(to, "send {sidecar} {request} {} {timeout_at}", name(server))
         }
+        // The simulator has no responses that begin before they end.
+        Action::AwaitResponse { .. } => Ok(()),
         Action::Probe(server) => writeln!(to, "ask_load {sidecar} {}", name(server)),
         Action::Cancel { request, attempt } => {
             writeln!(to, "drop_attempt {sidecar} {request} {attempt}")
