A short response that pauses is waited for, also where its request may be repeated

A pause does not tell a slow server from one that has stopped; the client's deadline ends both now, with a complete answer. What is given up for it: a server that stops within a short answer is not replaced after 0.4 s.

--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -408,12 +408,7 @@
         None => {
             report_response_start(attempt, forwarded, &head);
             let may_stream = forwarded.protocol.allows_streaming();
-            let may_retry = !forwarded.non_idempotent;
-            let buffering = BufferingPolicy {
-                may_stream,
-                may_retry,
-            };
-            let policy = (buffering, progress);
+            let policy = (BufferingPolicy { may_stream }, progress);
             let rest =
                 response.read_body_start(&service.process, &head, &connection.stream, policy);
             match rest.await {
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -385,15 +385,12 @@
 pub(super) struct BufferingPolicy {
     /// The client may get the beginning while the rest arrives. Otherwise the body has to be interpreted first.
     pub(super) may_stream: bool,
-    /// Another server may be asked instead.
-    pub(super) may_retry: bool,
 }
 
 /// What follows when a body has paused for as long as a byte of it may take.
 enum AfterPause {
     Wait,
     Stream,
-    Fail,
 }
 
 /// What happens while more of a body is awaited.
@@ -406,9 +403,8 @@
 
 impl BufferingPolicy {
     /// The body of an error is not needed. One of which nothing has arrived is waited for: once its head is out, the client can get
-    /// no other final response. One of unknown length may be long, and is streamed. A short body that stops after a part fails
-    /// where another server may answer instead. Otherwise that would only lose it, and the caller's time limit bounds the wait:
-    /// streamed, it might never end.
+    /// no other final response. One of unknown length may be long, and is streamed. A short body that stops after a part is waited
+    /// for: its server may go on, and the caller's time limit bounds the wait. Streamed, it might never end.
     fn after_pause(self, head: &ResponseHead, is_empty: bool, is_sized: bool) -> AfterPause {
         if self.may_drop_body(head) {
             AfterPause::Stream
@@ -416,8 +412,6 @@
             AfterPause::Wait
         } else if self.may_stream && !is_sized {
             AfterPause::Stream
-        } else if self.may_retry {
-            AfterPause::Fail
         } else {
             AfterPause::Wait
         }
@@ -473,10 +467,7 @@
         head: &ResponseHead,
         stream: &TcpStream,
     ) -> Result<CompleteBody, ExchangeError> {
-        let policy = BufferingPolicy {
-            may_stream: false,
-            may_retry: false,
-        };
+        let policy = BufferingPolicy { may_stream: false };
         let progress = ExchangeProgress::default();
         let body = self.read_body_start(process, head, stream, (policy, &progress));
         match body.await? {
@@ -543,7 +534,6 @@
                 BodyEvent::Paused => match policy.after_pause(head, body.is_empty(), is_sized) {
                     AfterPause::Wait => {}
                     AfterPause::Stream => return Ok(BodyRead::partial(body, decoder)),
-                    AfterPause::Fail => return Err(ExchangeError::Connection),
                 },
             }
         }
