A large request that its server goes on reading is not given up for its worth

Of an upload the limit ran from the last byte that the system had accepted, and shortened the request's own deadline (limit_to), so that a begun answer ended with it too.

The deadline of a request now keeps both limits apart. The client's time ends it in any case.

--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -205,11 +205,13 @@
     /// A request's body is streamed to its server while the client still sends it. Until the body is complete, the request's
     /// deadline does not run and the request counts as neither in flight nor overdue, since only the client causes the delay.
     RequestBodyStarted(RequestId),
-    /// The last byte of the request's body has arrived. The request's deadline runs from now on.
+    /// The last byte of the request's body has arrived. The request's deadline runs from now on. When to give up a response that
+    /// has not begun is up to the embedder, which knows how far the server has taken the body: so long after that as
+    /// [`Action::Send`] said.
     RequestBodyReceived(RequestId),
     /// The request cannot be sent again: it gets no further attempts.
     RetriesDisabled(RequestId),
-    /// The time of a request whose body is streamed is over. It gets no further attempts, and those in flight end.
+    /// The time of a request whose body is or was streamed is over. It gets no further attempts, and those in flight end.
     RequestExpired(RequestId),
     /// This process did not run for this long, in microseconds, before this event: it was stopped, got no processor, or was
     /// kept by one task. Responses may have arrived meanwhile, so the time counts neither against a server nor as latency.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -397,6 +397,8 @@
     pub max_attempts: usize,
     /// While the body is streamed: how long to wait for a response after the body is complete.
     pub paused_wait: Option<PausedWait>,
+    /// Its body is or was streamed. The embedder knows how far its server has taken the body, and so when to give up.
+    pub is_upload: bool,
     /// The response that a server has begun.
     pub started_response: Option<StartedResponse>,
     /// Whether the client has its response, or a streaming response has started: no further decision is made.
@@ -425,6 +427,7 @@
             attempts: SmallVec::new(),
             max_attempts,
             paused_wait: None,
+            is_upload: false,
             started_response: None,
             concluded: false,
         }
@@ -446,11 +449,13 @@
         !self.concluded && self.paused_wait.is_none() && self.started_response.is_none()
     }
 
-    /// When its attempt in flight ends. What it would earn decides only as long as no response has begun.
+    /// When its attempt in flight ends. What it would earn decides only as long as no response has begun, and of an upload the
+    /// embedder applies that limit, by [`Event::RequestExpired`].
     pub fn attempt_ends_at(&self) -> Micros {
-        match self.started_response {
-            Some(_) => self.client_deadline.0,
-            None => self.give_up_at,
+        if self.is_upload || self.started_response.is_some() {
+            self.client_deadline.0
+        } else {
+            self.give_up_at
         }
     }
 
@@ -605,6 +610,7 @@
             until_give_up: since_received(request.give_up_at),
             until_deadline: since_received(request.client_deadline.0),
         });
+        request.is_upload = true;
         request.give_up_at = Micros::MAX;
         request.client_deadline = ClientDeadline(Micros::MAX);
         for attempt in self
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -27,6 +27,7 @@
     AttemptResult, ClientDeadline, Event, Micros, Outcome, RequestId, ServerId,
 };
 use madderloom_graphql::Verdict;
+use rustix::net::sockopt;
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -41,6 +42,12 @@
 /// reports a dropped connection within this time of the first bytes.
 const LAST_BYTE_DELAY: Micros = 1_000;
 
+/// How much of an upload that was read completely the system is asked to hold on its way to the server.
+const BUFFERED_UPLOAD_SEND_BUFFER_BYTES: usize = 64 << 10;
+/// The same for an upload that is streamed. With less, a client would wait for its server where it could go on writing, and what it
+/// has written could not be told from what it has still to write.
+const STREAMED_UPLOAD_SEND_BUFFER_BYTES: usize = 256 << 10;
+
 const EXPIRES_IN_MS: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 
@@ -348,6 +355,9 @@
             service.connections.release(connection);
             return (Outcome::Moot, None);
         }
+        if forwarded.body.is_upload() {
+            limit_send_buffer(&connection.stream, &forwarded.body);
+        }
         let delay = delays_last_byte.then(|| service.process.sleep(LAST_BYTE_DELAY));
         let send = exchange::send(&connection.stream, &message, delay, progress);
         let Some(mut send_result) = service
@@ -461,6 +471,18 @@
     }
 }
 
+/// Has the system hold little of an upload, so that what it accepts tells what the server takes. Where the option cannot be set,
+/// only the end of the upload is known too early.
+fn limit_send_buffer(stream: &TcpStream, body: &RequestBody) {
+    let bytes = match body {
+        RequestBody::Buffered(_) => BUFFERED_UPLOAD_SEND_BUFFER_BYTES,
+        RequestBody::Streamed(_) => STREAMED_UPLOAD_SEND_BUFFER_BYTES,
+    };
+    if let Err(error) = sockopt::set_socket_send_buffer_size(stream, bytes) {
+        tracing::debug!(%error, "send buffer of an upload not limited");
+    }
+}
+
 /// Tells the balancer that a successful response has begun and is not complete.
 fn report_response_start(attempt: &Attempt, forwarded: &ForwardedRequest, head: &ResponseHead) {
     if head.status != StatusCode::OK {
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -193,13 +193,14 @@
             Ok(0) => return Err(ExchangeError::Connection),
             Ok(count) => {
                 *sent += count;
-                progress.record_write();
+                progress.record_write(count);
                 if *sent < end {
                     consume_budget().await;
                 }
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                progress.record_full_buffers();
                 if writable_or_peer_readable(stream).await? == SocketEvent::PeerReadable {
                     return Ok(false);
                 }
--- a/crates/sidecar/src/exchange_progress.rs
+++ b/crates/sidecar/src/exchange_progress.rs
@@ -60,11 +60,18 @@
         }
     }
 
-    /// The server's system has accepted bytes of the request.
-    pub(super) fn record_write(&self) {
+    /// The system has accepted so many bytes of the request.
+    pub(super) fn record_write(&self, bytes: usize) {
         self.started.set(true);
         if let Some(deadline) = &self.upload {
-            deadline.record_upload_progress();
+            deadline.record_upload(bytes);
+        }
+    }
+
+    /// The system accepts nothing more of the request before the server takes something.
+    pub(super) fn record_full_buffers(&self) {
+        if let Some(deadline) = &self.upload {
+            deadline.record_full_upload_buffers();
         }
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -71,6 +71,7 @@
 mod transaction;
 mod unanswered_runs;
 mod upload;
+mod upload_pace;
 mod view;
 mod virtual_server;
 mod warm_start;
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -8,6 +8,7 @@
 use super::lateness::{WaitKind, WaitTimes};
 use super::process_state::ProcessState;
 use super::upload::BodyLength;
+use super::upload_pace::UploadPace;
 use madderloom_balancer::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -48,8 +49,8 @@
     /// How long a response is worth waiting for that has not begun, counted from the last byte of the request that its server has
     /// taken.
     give_up_after: Cell<Micros>,
-    /// When the server last took bytes of an upload.
-    upload_progress_at: Cell<Micros>,
+    /// How fast the server takes an upload.
+    upload_pace: UploadPace,
     /// A server has begun its response.
     response_started: Cell<bool>,
     /// The time is over, and the request ends.
@@ -80,7 +81,7 @@
             awaits_body: Cell::new(false),
             last_byte_at: Cell::new(last_byte_at),
             give_up_after: Cell::new(Micros::MAX),
-            upload_progress_at: Cell::new(0),
+            upload_pace: UploadPace::default(),
             response_started: Cell::new(false),
             expired: Cell::new(false),
             waits,
@@ -183,13 +184,20 @@
     pub(super) fn start_upload(&self, give_up_at: Micros) {
         let now = self.process.clock.now();
         self.give_up_after.set(give_up_at.saturating_sub(now));
-        self.upload_progress_at.set(now);
+        self.upload_pace.start(now);
         self.response_started.set(false);
     }
 
-    /// The server has taken bytes of the upload.
-    pub(super) fn record_upload_progress(&self) {
-        self.upload_progress_at.set(self.process.clock.now());
+    /// The system has accepted so many bytes of the upload.
+    pub(super) fn record_upload(&self, bytes: usize) {
+        let now = self.process.clock.now();
+        self.upload_pace.record_write(now, bytes);
+    }
+
+    /// The system accepts no more of the upload before the server takes something.
+    pub(super) fn record_full_upload_buffers(&self) {
+        let now = self.process.clock.now();
+        self.upload_pace.record_full_buffers(now);
     }
 
     /// Sets whether a server has begun its response.
@@ -215,7 +223,7 @@
         } else {
             let last_byte_at = self.last_byte_at.get();
             let last_byte_at = last_byte_at.unwrap_or_else(|| self.unfinished_at());
-            last_byte_at.max(self.upload_progress_at.get())
+            last_byte_at.max(self.upload_pace.taken_at())
         };
         due_at.min(counted_from.saturating_add(self.give_up_after.get()))
     }
