--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -562,18 +562,25 @@
     if update.snapshot || !tracing::enabled!(tracing::Level::INFO) {
         return;
     }
+    let (version, log_prefix) = (update.index, &service.log_prefix);
+    let changed = update.len();
+    let leaving = update
+        .endpoints
+        .iter()
+        .filter(|endpoint| !matches!(endpoint.status, Status::InService))
+        .count();
     let named = update.endpoints.iter().take(MAX_LOGGED_CHANGES);
     let changes: Vec<String> = named
         .map(|endpoint| format!("{} {}", endpoint.name, endpoint.status.as_str()))
         .collect();
     let changes = changes.join(", ");
-    let version = update.index;
-    let unnamed = update.len().saturating_sub(MAX_LOGGED_CHANGES);
-    let log_prefix = &service.log_prefix;
+    let unnamed = changed.saturating_sub(MAX_LOGGED_CHANGES);
     tracing::info!(
         version,
+        changed,
+        leaving,
         unnamed,
-        "{log_prefix}discovery lists version {version}: {changes} and {unnamed} more"
+        "{log_prefix}discovery lists version {version}: {changed} changed, {leaving} of them leave; {changes} and {unnamed} more"
     );
 }
 
