--- a/crates/cli/tests/deadlines/main.rs
+++ b/crates/cli/tests/deadlines/main.rs
@@ -7,6 +7,7 @@
 
 mod answers;
 mod begun_answers;
+mod begun_draws;
 mod reasons;
 mod uploads;
 
