--- a/crates/cli/tests/deadlines/begun_answers.rs
+++ b/crates/cli/tests/deadlines/begun_answers.rs
@@ -97,6 +97,26 @@
     );
 }
 
+/// SIGKILL may come 3.7 s behind SIGTERM, however long clients wait: a head that nothing follows is answered before.
+#[test]
+fn a_head_alone_is_followed_by_a_complete_answer_before_the_process_may_be_killed() {
+    const LONG_TIME_LEFT_MS: u64 = 5_900;
+    const KILL_DELAY: Duration = Duration::from_millis(3_700);
+    let servers = PacedServers::start(2);
+    let sidecar = start(&servers);
+    let pace = Pace::new(BodyFraming::Length, HEAD_MS, &[]);
+    let mut client = sidecar.client();
+    let header = pace.header();
+    client.write(request_with("head", "recheck", LONG_TIME_LEFT_MS, &header));
+    std::thread::sleep(Duration::from_millis(800));
+    let terminated_at = Instant::now();
+    sidecar.signal("TERM");
+    let answer = client.read_complete().expect("a complete answer");
+    let took = terminated_at.elapsed();
+    assert_eq!(answer.status(), 502);
+    assert!(took < KILL_DELAY, "{took:?}");
+}
+
 /// What has not begun is given up as before, when it earns nothing more, where it may be given up at all.
 #[test]
 fn an_answer_that_has_not_begun_is_given_up_when_it_earns_nothing_more() {
