Ask elsewhere for a short answer that stopped only where that has time; large prefixes whole

A limited send buffer held less than the prefix of a chunked upload, so that its bad end stayed unread (503 for 400, a_long_body_that_breaks_off_is_never_sent_as_a_whole_one): larger prefixes are sent without the limit.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -889,7 +889,8 @@
 
     // ---- Responses ----
 
-    /// A server has begun its response: what it would earn was decided on without knowing that, and no longer ends the attempt.
+    /// A server has begun its response: what it would earn was decided on without knowing that, and no longer
+    /// ends the attempt.
     fn response_started(
         &mut self,
         now: Micros,
@@ -969,9 +970,9 @@
         }
     }
 
-    /// Updates the measurements of the server and the class, and ejects or restores the server. The last part of the attempt's
-    /// time, `body_time`, was that of a response that had begun: it tells how fast the server is to its clients, and not how much
-    /// work the class is.
+    /// Updates the measurements of the server and the class, and ejects or restores the server. The last part
+    /// of the attempt's time, `body_time`, was that of a response that had begun: it tells how fast the server
+    /// is to its clients, and not how much work the class is.
     fn record_result(
         &mut self,
         now: Micros,
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -4,7 +4,8 @@
 use super::connections::ConnectError;
 use super::counts::increment;
 use super::exchange::{
-    self, BodyRead, BufferingPolicy, CompleteBody, ExchangeError, RequestMessage, ResponseHead,
+    self, BodyRead, BufferingPolicy, CompleteBody, ExchangeError, MAX_BODY_PAUSE, RequestMessage,
+    ResponseHead,
 };
 use super::exchange_progress::{AttemptEnd, ExchangeProgress};
 use super::history_recorder::EndedAttempt;
@@ -46,7 +47,8 @@
 /// How much of an upload that was read completely the system is asked to hold on its way to the server.
 const BUFFERED_UPLOAD_SEND_BUFFER_BYTES: usize = 64 << 10;
 /// The same for an upload that is streamed. With less, a client would wait for its server where it could go on writing, and what it
-/// has written could not be told from what it has still to write.
+/// has written could not be told from what it has still to write. Nor is less than the buffered prefix asked for: what its client
+/// writes behind it would stay unread.
 const STREAMED_UPLOAD_SEND_BUFFER_BYTES: usize = 256 << 10;
 
 /// How often a request that waits for the rest of a response checks whether the process stops.
@@ -166,6 +168,15 @@
             && self.service.process.clock.read() >= self.limits.give_up_at
     }
 
+    /// Until when another server has time to answer in the place of this one, should its response pause. 0 if the request must
+    /// not be sent again.
+    fn retry_until(&self, forwarded: &ForwardedRequest) -> Micros {
+        if forwarded.non_idempotent {
+            return 0;
+        }
+        self.limits.give_up_at.saturating_sub(MAX_BODY_PAUSE)
+    }
+
     /// Reports the outcome to the service and the balancer, unless one was reported before.
     fn report_outcome(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.outcome_reported, true) {
@@ -439,12 +450,16 @@
         None => {
             report_response_start(attempt, forwarded, &head);
             let may_stream = forwarded.protocol.allows_streaming();
-            let policy = (BufferingPolicy { may_stream }, progress);
+            let buffering = BufferingPolicy {
+                may_stream,
+                retry_until: attempt.retry_until(forwarded),
+            };
+            let policy = (buffering, progress);
             let rest =
                 response.read_body_start(&service.process, &head, &connection.stream, policy);
             match rest.await {
                 Ok(body_read) => body_read,
-                // The body ended early.
+                // The body ended early, or a short one stopped half way.
                 Err(_) => return (Outcome::Reset, None),
             }
         }
@@ -499,6 +514,9 @@
         RequestBody::Buffered(_) => BUFFERED_UPLOAD_SEND_BUFFER_BYTES,
         RequestBody::Streamed(_) => STREAMED_UPLOAD_SEND_BUFFER_BYTES,
     };
+    if body.streamed().is_some() && body.buffered().len() > bytes {
+        return;
+    }
     if let Err(error) = sockopt::set_socket_send_buffer_size(stream, bytes) {
         tracing::debug!(%error, "send buffer of an upload not limited");
     }
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -43,7 +43,7 @@
 /// A response body of unknown length that is not complete after this time is streamed to the client.
 const MAX_BUFFERING_TIME: Micros = 50_000;
 /// How long a response body may pause while it is being buffered; see [`BufferingPolicy`].
-const MAX_BODY_PAUSE: Micros = 400_000;
+pub(super) const MAX_BODY_PAUSE: Micros = 400_000;
 
 /// Why there is no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -386,12 +386,15 @@
 pub(super) struct BufferingPolicy {
     /// The client may get the beginning while the rest arrives. Otherwise the body has to be interpreted first.
     pub(super) may_stream: bool,
+    /// Until then another server may be asked instead, and has time to answer. 0 if none may.
+    pub(super) retry_until: Micros,
 }
 
 /// What follows when a body has paused for as long as a byte of it may take.
 enum AfterPause {
     Wait,
     Stream,
+    Fail,
 }
 
 /// What happens while more of a body is awaited.
@@ -404,15 +407,24 @@
 
 impl BufferingPolicy {
     /// The body of an error is not needed. One of which nothing has arrived is waited for: once its head is out, the client can get
-    /// no other final response. One of unknown length may be long, and is streamed. A short body that stops after a part is waited
-    /// for: its server may go on, and the caller's time limit bounds the wait. Streamed, it might never end.
-    fn after_pause(self, head: &ResponseHead, is_empty: bool, is_sized: bool) -> AfterPause {
+    /// no other final response. One of unknown length may be long, and is streamed. A short body that stops after a part fails
+    /// where another server has time to answer instead. Otherwise that would only lose it: its server may go on, and the caller's
+    /// time limit bounds the wait. Streamed, it might never end.
+    fn after_pause(
+        self,
+        now: Micros,
+        head: &ResponseHead,
+        is_empty: bool,
+        is_sized: bool,
+    ) -> AfterPause {
         if self.may_drop_body(head) {
             AfterPause::Stream
         } else if is_empty {
             AfterPause::Wait
         } else if self.may_stream && !is_sized {
             AfterPause::Stream
+        } else if now < self.retry_until {
+            AfterPause::Fail
         } else {
             AfterPause::Wait
         }
@@ -468,7 +480,10 @@
         head: &ResponseHead,
         stream: &TcpStream,
     ) -> Result<CompleteBody, ExchangeError> {
-        let policy = BufferingPolicy { may_stream: false };
+        let policy = BufferingPolicy {
+            may_stream: false,
+            retry_until: 0,
+        };
         let progress = ExchangeProgress::default();
         let body = self.read_body_start(process, head, stream, (policy, &progress));
         match body.await? {
@@ -532,10 +547,14 @@
                     }
                 }
                 BodyEvent::BufferingTimeOver => (stream_rest, buffer_timer_ended) = (true, true),
-                BodyEvent::Paused => match policy.after_pause(head, body.is_empty(), is_sized) {
-                    AfterPause::Wait => {}
-                    AfterPause::Stream => return Ok(BodyRead::partial(body, decoder)),
-                },
+                BodyEvent::Paused => {
+                    let now = process.clock.now();
+                    match policy.after_pause(now, head, body.is_empty(), is_sized) {
+                        AfterPause::Wait => {}
+                        AfterPause::Stream => return Ok(BodyRead::partial(body, decoder)),
+                        AfterPause::Fail => return Err(ExchangeError::Connection),
+                    }
+                }
             }
         }
     }
