--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -971,8 +971,8 @@
     }
 
     /// Updates the measurements of the server and the class, and ejects or restores the server. The last part
-    /// of the attempt's time, `body_time`, was that of a response that had begun: it tells how fast the server
-    /// is to its clients, and not how much work the class is.
+    /// of the attempt's time, `body_time`, was that of a response that had begun: it tells how fast the
+    /// server is to its clients, and not how much work the class is.
     fn record_result(
         &mut self,
         now: Micros,
