A begun response to an upload is awaited no longer than a stopping process may live

Found by reading the change again: the wait that bounded behind SIGTERM was bounded in the attempt of small requests only. The bound is in RequestDeadline::until now, which both go through, and the loop and the constant of the attempt are gone. timers::before is what timeout_at did, with any end.

--- a/crates/cli/tests/deadlines/begun_answers.rs
+++ b/crates/cli/tests/deadlines/begun_answers.rs
@@ -1,6 +1,6 @@
 //! Answers that have begun: what an answer would earn decides how long nothing of it is waited for, and no more than that.
 
-use crate::rig::{Conn, Options, Sidecar, head_with_framing, request_with};
+use crate::rig::{Options, Sidecar, request_with, with_sized_body};
 use madderloom_fault_testing::{BodyFraming, Pace, PacedServers};
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -98,16 +98,21 @@
 }
 
 /// SIGKILL may come 3.7 s behind SIGTERM, however long clients wait: a head that nothing follows is answered before.
-#[test]
-fn a_head_alone_is_followed_by_a_complete_answer_before_the_process_may_be_killed() {
+#[rstest]
+#[case::small_request(5)]
+#[case::buffered_upload(600_000)]
+#[case::streamed_upload(2_000_000)]
+fn a_head_alone_is_followed_by_a_complete_answer_before_the_process_may_be_killed(
+    #[case] request_bytes: usize,
+) {
     const LONG_TIME_LEFT_MS: u64 = 5_900;
     const KILL_DELAY: Duration = Duration::from_millis(3_700);
     let servers = PacedServers::start(2);
     let sidecar = start(&servers);
     let pace = Pace::new(BodyFraming::Length, HEAD_MS, &[]);
     let mut client = sidecar.client();
-    let header = pace.header();
-    client.write(request_with("head", "recheck", LONG_TIME_LEFT_MS, &header));
+    let request = request_with("head", "recheck", LONG_TIME_LEFT_MS, &pace.header());
+    client.write(with_sized_body(&request, request_bytes));
     std::thread::sleep(Duration::from_millis(800));
     let terminated_at = Instant::now();
     sidecar.signal("TERM");
@@ -142,10 +147,9 @@
 
 /// A large request, framed by its length, is sent on a new connection.
 fn upload(sidecar: &Sidecar, id: &str, class: &str, bytes: usize, pace: &Pace) -> Option<u16> {
-    let usual = request_with(id, class, TIME_LEFT_MS, &pace.header());
-    let head = head_with_framing(&usual, &format!("Content-Length: {bytes}"));
-    let mut client: Conn = sidecar.client();
-    client.write([head.into_bytes(), vec![b'x'; bytes]].concat());
+    let request = request_with(id, class, TIME_LEFT_MS, &pace.header());
+    let mut client = sidecar.client();
+    client.write(with_sized_body(&request, bytes));
     client.read_complete().map(|answer| answer.status())
 }
 
--- a/crates/cli/tests/deadlines/begun_draws.rs
+++ b/crates/cli/tests/deadlines/begun_draws.rs
@@ -4,7 +4,7 @@
 //! `MADDERLOOM_SEED` is the first seed, `MADDERLOOM_SEEDS` their number; each is a process and [`EXCHANGES`] exchanges.
 
 use crate::begun_answers::set_latency_objective;
-use crate::rig::{Conn, Options, Sidecar, head_with_framing, listing, request_with};
+use crate::rig::{Conn, Options, Sidecar, listing, request_with, with_sized_body};
 use madderloom_fault_testing::{BodyFraming, ExchangeRecord, Pace, PacedServers, number_from_env};
 use oorandom::Rand32;
 use std::time::{Duration, Instant};
@@ -131,13 +131,11 @@
         std::thread::sleep(self.starts_after);
         let time_left_ms = self.time_left.as_millis() as u64;
         let header = self.pace.header();
-        let mut message =
-            request_with(&self.id, self.class.name, time_left_ms, &header).into_bytes();
-        if let Some(bytes) = self.upload_bytes {
-            let usual = String::from_utf8(message).expect("text");
-            let head = head_with_framing(&usual, &format!("Content-Length: {bytes}"));
-            message = [head.into_bytes(), vec![b'x'; bytes]].concat();
-        }
+        let request = request_with(&self.id, self.class.name, time_left_ms, &header);
+        let message = match self.upload_bytes {
+            Some(bytes) => with_sized_body(&request, bytes),
+            None => request.into_bytes(),
+        };
         let started_at = Instant::now();
         client.try_write(&message);
         // The time counts from the last byte.
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -553,6 +553,15 @@
     format!("{}{framing}\r\n\r\n", head.expect("the usual body"))
 }
 
+/// A request that [`request`] has made, with a body of this many bytes and a length in place of its own.
+///
+/// # Panics
+/// If the request has another body.
+pub fn with_sized_body(request: &str, bytes: usize) -> Vec<u8> {
+    let head = head_with_framing(request, &format!("Content-Length: {bytes}"));
+    [head.into_bytes(), vec![b'x'; bytes]].concat()
+}
+
 /// A request as clients send it, with a new id; `more` holds additional header lines.
 pub fn request(class: &str, left_ms: u64, more: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -9,7 +9,6 @@
 };
 use super::exchange_progress::{AttemptEnd, ExchangeProgress};
 use super::history_recorder::EndedAttempt;
-use super::process_state::ProcessState;
 use super::readiness;
 use super::request_deadline::RequestDeadline;
 use super::request_log;
@@ -17,6 +16,7 @@
 use super::service::Service;
 use super::stall::AwaitedResponse;
 use super::state_writer::{IdempotencyRecord, WriteBarrier};
+use super::timers::before;
 use super::transaction::FinalResponse;
 use super::upload::{BodyLength, RequestBody};
 use super::virtual_server::TRACE_ID;
@@ -33,7 +33,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use tokio::net::TcpStream;
@@ -51,9 +51,6 @@
 /// writes behind it would stay unread.
 const STREAMED_UPLOAD_SEND_BUFFER_BYTES: usize = 256 << 10;
 
-/// How often a request that waits for the rest of a response checks whether the process stops.
-const STOP_CHECK_INTERVAL: Micros = 50_000;
-
 const EXPIRES_IN_MS: HeaderName = HeaderName::from_static("x-expires-in-ms");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
 
@@ -284,7 +281,7 @@
         match until_given_up.await {
             None if attempt.progress.has_response() => {
                 let deadline = limits.until_response_deadline_known().await;
-                until_response_due(process, deadline, exchange).await
+                before(forwarded.deadline.until_client_deadline(deadline), exchange).await
             }
             output => output,
         }
@@ -297,23 +294,6 @@
     output.ok_or(limit)
 }
 
-/// The output of a future; `None` at its client's deadline, or when the process has to have answered because it stops.
-async fn until_response_due<T>(
-    process: &ProcessState,
-    ClientDeadline(deadline): ClientDeadline,
-    mut exchange: Pin<&mut impl Future<Output = T>>,
-) -> Option<T> {
-    loop {
-        let now = process.clock.now();
-        let left = process.cap_time_left(now, deadline.saturating_sub(now));
-        let wait = left.min(STOP_CHECK_INTERVAL);
-        let output = process.timeout(wait, exchange.as_mut()).await;
-        if output.is_some() || left == 0 {
-            return output;
-        }
-    }
-}
-
 /// The output of a future; `None` once the request's deadline has passed. The transaction, which watches the deadline, polls its
 /// attempts then.
 async fn until_expired<T>(
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -9,7 +9,7 @@
 use super::process_state::ProcessState;
 use super::upload::BodyLength;
 use super::upload_pace::UploadPace;
-use madderloom_balancer::Micros;
+use madderloom_balancer::{ClientDeadline, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -21,7 +21,7 @@
 const SYSTEM_BUFFER_BYTES: u64 = (4 << 20) + (6 << 20);
 /// After so many bytes the time at which they had been read is noted.
 const MARK_INTERVAL_BYTES: u64 = 1 << 20;
-/// How often a client that may not have written its last byte is looked at.
+/// How often a client that may not have written its last byte is looked at, and whether the process stops.
 const CHECK_INTERVAL: Micros = 50_000;
 
 /// How far the body of a request had been read at a time.
@@ -238,7 +238,17 @@
         self.until(|now| self.gives_up_at(now)).await;
     }
 
-    /// Completes at a time that moves on while the client or the server of an upload does.
+    /// Completes at a client's deadline as the balancer knows it.
+    pub(super) async fn until_client_deadline(&self, ClientDeadline(deadline): ClientDeadline) {
+        self.until(|now| {
+            let remaining = deadline.saturating_sub(now);
+            now.saturating_add(self.process.cap_time_left(now, remaining))
+        })
+        .await;
+    }
+
+    /// Completes at a time that moves on while the client or the server of an upload does, and that is earlier once the process
+    /// stops.
     async fn until(&self, ends_at: impl Fn(Micros) -> Micros) {
         loop {
             let now = self.process.clock.now();
@@ -246,10 +256,7 @@
             if now >= ends_at {
                 return;
             }
-            let check_at = match self.last_byte_at.get() {
-                Some(_) => ends_at,
-                None => ends_at.min(now.saturating_add(CHECK_INTERVAL)),
-            };
+            let check_at = ends_at.min(now.saturating_add(CHECK_INTERVAL));
             self.process.sleep_until(check_at).await;
         }
     }
--- a/crates/sidecar/src/timers.rs
+++ b/crates/sidecar/src/timers.rs
@@ -222,6 +222,19 @@
     }
 }
 
+/// The output of `work`; `None` if `end` completes first. `work` is polled first each time.
+pub(super) async fn before<T>(
+    end: impl Future<Output = ()>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let (mut work, mut end) = (pin!(work), pin!(end));
+    poll_fn(|context| match work.as_mut().poll(context) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => end.as_mut().poll(context).map(|()| None),
+    })
+    .await
+}
+
 impl ProcessState {
     /// Before timers fire that were due long before `now`: handles what has arrived meanwhile, since the process may have been
     /// stopped with responses in its sockets. The yield lets the runtime check the sockets, and the tasks that it wakes run
@@ -260,15 +273,7 @@
         at: Micros,
         work: impl Future<Output = T>,
     ) -> Option<T> {
-        let mut work = pin!(work);
-        let mut sleep = self.sleep_until(at);
-        poll_fn(|context| {
-            if let Poll::Ready(output) = work.as_mut().poll(context) {
-                return Poll::Ready(Some(output));
-            }
-            Pin::new(&mut sleep).poll(context).map(|()| None)
-        })
-        .await
+        before(self.sleep_until(at), work).await
     }
 
     /// The output of a future; `None` if it has not completed by `at`. Unlike [`ProcessState::timeout_at`], this checks the
