Name the limits of an attempt in the field's terms: header timeout and client deadline

Comments of the change say timed out and started; RequestBodyStarted says that it covers long buffered bodies too. The reset of response_started at the start of an upload is gone, since the failed attempt before it has made it.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -434,10 +434,10 @@
         };
         let timeout = (self.degradation.timeout_factor * timeout as f64) as Micros;
         let key = new.key.unwrap_or_else(|| self.random.rand_u64());
-        let give_up_at = now + timeout.saturating_sub(self.settings.tick);
-        // Neither worth nor degradation shortens what the client was promised.
+        let header_timeout_at = now + timeout.saturating_sub(self.settings.tick);
+        // Neither what a response is worth nor degradation shortens the client's deadline.
         let deadline = now.saturating_add(new.time_left.saturating_sub(self.settings.tick));
-        let times = (give_up_at, ClientDeadline(deadline));
+        let times = (header_timeout_at, ClientDeadline(deadline));
         let max_attempts = self.settings.limits.max_attempts as usize;
         let request = Request::new(class_index, key, work, now, times, max_attempts);
         // Response times alone do not distinguish work from queueing: only hints, averaged over many
@@ -851,7 +851,7 @@
         let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
-        request.give_up_at = request.give_up_at.min(now);
+        request.header_timeout_at = request.header_timeout_at.min(now);
         request.client_deadline = request.client_deadline.min(ClientDeadline(now));
         request.max_attempts = request.attempts.len();
         if request.attempts_in_flight() == 0 {
@@ -889,8 +889,8 @@
 
     // ---- Responses ----
 
-    /// A server has begun its response: what it would earn was decided on without knowing that, and no longer
-    /// ends the attempt.
+    /// A server has started its response: the header timeout no longer applies, and the response is awaited
+    /// until the client's deadline.
     fn response_started(
         &mut self,
         now: Micros,
@@ -901,11 +901,11 @@
         let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
-        let is_in_flight = |attempt: &Attempt| attempt.outcome.is_none();
-        let Some(sent) = request.attempts.get(attempt as usize) else {
+        let sent = request.attempts.get(attempt as usize);
+        let Some(sent) = sent.filter(|sent| sent.outcome.is_none()) else {
             return;
         };
-        if !is_in_flight(sent) || request.started_response.is_some() {
+        if request.started_response.is_some() {
             return;
         }
         let server = sent.entry.server;
@@ -938,7 +938,7 @@
             .started_response
             .filter(|response| response.attempt == result.attempt);
         if started_response.is_some() && result.outcome != Outcome::Ok {
-            // It has failed, and another attempt may be made: the request waits for a response again.
+            // It has failed, and another attempt may be made: the request awaits a response again.
             request.started_response = None;
             self.classes[class].in_flight += u32::from(request.is_counted_in_flight());
         }
@@ -971,8 +971,8 @@
     }
 
     /// Updates the measurements of the server and the class, and ejects or restores the server. The last part
-    /// of the attempt's time, `body_time`, was that of a response that had begun: it tells how fast the
-    /// server is to its clients, and not how much work the class is.
+    /// of the attempt's time, `body_time`, followed the start of the response: it is part of the server's
+    /// speed, and not of the class's work.
     fn record_result(
         &mut self,
         now: Micros,
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -163,9 +163,8 @@
     pub probe: f64,
 }
 
-/// When a client stops waiting for its response, in microseconds of the embedder's clock. No response that a server has begun is
-/// given up before it. How long a response is worth waiting for of which nothing has arrived is another time, and a plain
-/// [`Micros`].
+/// When a client stops waiting for its response, in microseconds of the embedder's clock. A response that a server has started is
+/// awaited until then. The header timeout of an attempt, which applies until a response starts, is a plain [`Micros`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClientDeadline(pub Micros);
 
@@ -183,9 +182,8 @@
         /// Index of the attempt.
         attempt: u32,
     },
-    /// A server has begun a successful response that is not complete, and nothing of which has reached the client. From now on
-    /// only the client's deadline ends the attempt from this side, and the request counts neither as in flight in its class nor
-    /// as queueing.
+    /// A server has started a successful response that is not complete, and nothing of which has reached the client. From now on
+    /// the attempt times out at the client's deadline, and the request counts neither as in flight in its class nor as queueing.
     ResponseStarted {
         /// The request.
         request: RequestId,
@@ -202,12 +200,12 @@
     TimerFired(Timer),
     /// The active degradation level has changed.
     DegradationChanged(&'a DegradationEffects),
-    /// A request's body is streamed to its server while the client still sends it. Until the body is complete, the request's
-    /// deadline does not run and the request counts as neither in flight nor overdue, since only the client causes the delay.
+    /// A request's body is streamed to its server while the client still sends it, or is so long that the server takes a while to
+    /// read it. Until the body is complete, the request's deadline does not run and the request counts as neither in flight nor
+    /// overdue, since the transfer causes the delay.
     RequestBodyStarted(RequestId),
-    /// The last byte of the request's body has arrived. The request's deadline runs from now on. When to give up a response that
-    /// has not begun is up to the embedder, which knows how far the server has taken the body: so long after that as
-    /// [`Action::Send`] said.
+    /// The last byte of the request's body has arrived. The request's deadline runs from now on. The embedder, which
+    /// knows how much of the body the server has read, applies the timeout of [`Action::Send`] from then on.
     RequestBodyReceived(RequestId),
     /// The request cannot be sent again: it gets no further attempts.
     RetriesDisabled(RequestId),
@@ -420,14 +418,14 @@
         request: RequestId,
         /// The server to send it to.
         server: ServerId,
-        /// When the attempt times out if no response has begun by then.
+        /// When the attempt times out if no response has started by then.
         timeout_at: Micros,
         /// The last byte of the attempt must be written before this time. If the connection is established later, send nothing
         /// and report [`Outcome::Moot`]. It is the end of the idempotency window for a retry with an idempotency key, and
         /// [`Micros::MAX`] if there is no limit.
         write_by: Micros,
     },
-    /// Wait for the rest of a response that has begun until the client's deadline, whatever [`Action::Send`] said.
+    /// Await the rest of a response that has started until the client's deadline, whatever [`Action::Send`] said.
     AwaitResponse {
         /// The request.
         request: RequestId,
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -363,12 +363,12 @@
 
 /// The times of a request whose body is being streamed, counted from the end of its body.
 #[derive(Clone, Copy)]
-pub(crate) struct PausedWait {
-    pub until_give_up: Micros,
+pub(crate) struct PausedTimeouts {
+    pub until_header_timeout: Micros,
     pub until_deadline: Micros,
 }
 
-/// A response that a server has begun and that is not complete.
+/// A response that a server has started and that is not complete.
 #[derive(Clone, Copy)]
 pub(crate) struct StartedResponse {
     /// Index of its attempt.
@@ -385,9 +385,9 @@
     pub received_at: Micros,
     /// How much of the time since then this process did not run.
     pub stalled: Micros,
-    /// When the balancer stops waiting for a response that has not begun: it would not earn its wait.
-    pub give_up_at: Micros,
-    /// When the client stops waiting.
+    /// When an attempt times out if no response has started: a later one would be worth nothing.
+    pub header_timeout_at: Micros,
+    /// When the client stops waiting, whatever a response is worth.
     pub client_deadline: ClientDeadline,
     /// First function of the hash family for the next selection of a server.
     pub next_hash: u32,
@@ -396,10 +396,11 @@
     pub attempts: SmallVec<[Attempt; 4]>,
     pub max_attempts: usize,
     /// While the body is streamed: how long to wait for a response after the body is complete.
-    pub paused_wait: Option<PausedWait>,
-    /// Its body is or was streamed. The embedder knows how far its server has taken the body, and so when to give up.
+    pub paused_timeouts: Option<PausedTimeouts>,
+    /// Its body is or was streamed. The embedder knows how much of the body its server has read, and
+    /// applies the header timeout.
     pub is_upload: bool,
-    /// The response that a server has begun.
+    /// The response that a server has started.
     pub started_response: Option<StartedResponse>,
     /// Whether the client has its response, or a streaming response has started: no further decision is made.
     pub concluded: bool,
@@ -411,7 +412,7 @@
         key: u64,
         work: f64,
         received_at: Micros,
-        (give_up_at, client_deadline): (Micros, ClientDeadline),
+        (header_timeout_at, client_deadline): (Micros, ClientDeadline),
         max_attempts: usize,
     ) -> Self {
         Request {
@@ -420,13 +421,13 @@
             work,
             received_at,
             stalled: 0,
-            give_up_at,
+            header_timeout_at,
             client_deadline,
             next_hash: 0,
             probed: SmallVec::new(),
             attempts: SmallVec::new(),
             max_attempts,
-            paused_wait: None,
+            paused_timeouts: None,
             is_upload: false,
             started_response: None,
             concluded: false,
@@ -446,16 +447,16 @@
 
     /// Whether it counts as one of the requests of its class that are in flight.
     pub fn is_counted_in_flight(&self) -> bool {
-        !self.concluded && self.paused_wait.is_none() && self.started_response.is_none()
+        !self.concluded && self.paused_timeouts.is_none() && self.started_response.is_none()
     }
 
-    /// When its attempt in flight ends. What it would earn decides only as long as no response has begun, and of an upload the
-    /// embedder applies that limit, by [`Event::RequestExpired`].
+    /// When its attempt in flight times out. The header timeout applies until a response starts; for an upload the embedder applies
+    /// it, by [`Event::RequestExpired`].
     pub fn attempt_ends_at(&self) -> Micros {
         if self.is_upload || self.started_response.is_some() {
             self.client_deadline.0
         } else {
-            self.give_up_at
+            self.header_timeout_at
         }
     }
 
@@ -476,8 +477,8 @@
     /// When an attempt that starts now times out. With a streamed body the time runs from the client's last byte, which may come
     /// now.
     pub fn attempt_timeout_at(&self, now: Micros) -> Micros {
-        self.paused_wait.map_or(self.give_up_at, |wait| {
-            now.saturating_add(wait.until_give_up)
+        self.paused_timeouts.map_or(self.header_timeout_at, |wait| {
+            now.saturating_add(wait.until_header_timeout)
         })
     }
 
@@ -485,13 +486,13 @@
     /// executed and still be reported as failed, whereas a rejection tells the client that a retry is safe. At most half of
     /// the request's time is reserved for this, so that no request is rejected on arrival.
     fn last_attempt_start(&self, retry_safety: RetrySafety, tail_latency: f64) -> Micros {
-        let total_time = self.give_up_at.saturating_sub(self.received_at);
+        let total_time = self.header_timeout_at.saturating_sub(self.received_at);
         let reserved = if retry_safety == RetrySafety::NonIdempotent {
             (tail_latency as Micros).min(total_time / 2)
         } else {
             0
         };
-        self.give_up_at - reserved
+        self.header_timeout_at - reserved
     }
 
     /// Until when a further attempt is safe. An idempotency window starts when the first attempt that may have been executed
@@ -600,18 +601,18 @@
     /// The request's body is streamed: stops its timeout until the body is complete.
     pub(crate) fn request_body_started(&mut self, id: RequestId) {
         let Some(request) =
-            unconcluded(&mut self.requests, id).filter(|request| request.paused_wait.is_none())
+            unconcluded(&mut self.requests, id).filter(|request| request.paused_timeouts.is_none())
         else {
             return;
         };
         self.classes[request.class].in_flight -= u32::from(request.is_counted_in_flight());
         let since_received = |at: Micros| at.saturating_sub(request.received_at);
-        request.paused_wait = Some(PausedWait {
-            until_give_up: since_received(request.give_up_at),
+        request.paused_timeouts = Some(PausedTimeouts {
+            until_header_timeout: since_received(request.header_timeout_at),
             until_deadline: since_received(request.client_deadline.0),
         });
         request.is_upload = true;
-        request.give_up_at = Micros::MAX;
+        request.header_timeout_at = Micros::MAX;
         request.client_deadline = ClientDeadline(Micros::MAX);
         for attempt in self
             .servers
@@ -633,11 +634,11 @@
         let Some(request) = unconcluded(&mut self.requests, id) else {
             return;
         };
-        let Some(wait) = request.paused_wait.take() else {
+        let Some(wait) = request.paused_timeouts.take() else {
             return;
         };
         request.received_at = now;
-        request.give_up_at = now.saturating_add(wait.until_give_up);
+        request.header_timeout_at = now.saturating_add(wait.until_header_timeout);
         request.client_deadline = ClientDeadline(now.saturating_add(wait.until_deadline));
         request.stalled = 0;
         let class = &mut self.classes[request.class];
--- a/crates/cli/tests/outputs/admin_view.rs
+++ b/crates/cli/tests/outputs/admin_view.rs
@@ -250,7 +250,7 @@
     pools[].thread.waits whole
     pools[].unfinished_responses.cancelled whole
     pools[].unfinished_responses.client_deadline whole
-    pools[].unfinished_responses.give_up_limit whole
+    pools[].unfinished_responses.header_timeout whole
     pools[].unfinished_responses.server whole
     routes 1
     shared_lists null
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -44,11 +44,10 @@
 /// reports a dropped connection within this time of the first bytes.
 const LAST_BYTE_DELAY: Micros = 1_000;
 
-/// How much of an upload that was read completely the system is asked to hold on its way to the server.
+/// Send buffer for an upload that was read completely, in bytes.
 const BUFFERED_UPLOAD_SEND_BUFFER_BYTES: usize = 64 << 10;
-/// The same for an upload that is streamed. With less, a client would wait for its server where it could go on writing, and what it
-/// has written could not be told from what it has still to write. Nor is less than the buffered prefix asked for: what its client
-/// writes behind it would stay unread.
+/// Send buffer for an upload that is streamed, in bytes. A smaller one would make a client wait for its server while it could go on
+/// writing, so that its unread bytes would count as a complete body.
 const STREAMED_UPLOAD_SEND_BUFFER_BYTES: usize = 256 << 10;
 
 const EXPIRES_IN_MS: HeaderName = HeaderName::from_static("x-expires-in-ms");
@@ -118,9 +117,9 @@
 
 /// The times that the balancer has set for an attempt.
 pub(super) struct AttemptLimits {
-    /// When the attempt is given up if no response has begun. An upload ends as its [`RequestDeadline`] says instead.
-    pub(super) give_up_at: Micros,
-    /// Set once a response has begun: its rest is awaited until then.
+    /// When the attempt times out if no response has started. An upload times out as its [`RequestDeadline`] says instead.
+    pub(super) header_timeout_at: Micros,
+    /// Set once a response has started: its rest is awaited until then.
     pub(super) response_deadline: Rc<Cell<Option<ClientDeadline>>>,
     /// From this time on the last byte of the request must not be written.
     pub(super) write_by: Micros,
@@ -162,7 +161,7 @@
     /// With a streamed body, the attempt ends with the deadline of its request.
     fn has_expired_unsent(&self, forwarded: &ForwardedRequest) -> bool {
         forwarded.body.streamed().is_none()
-            && self.service.process.clock.read() >= self.limits.give_up_at
+            && self.service.process.clock.read() >= self.limits.header_timeout_at
     }
 
     /// Until when another server has time to answer in the place of this one, should its response pause. 0 if the request must
@@ -171,7 +170,7 @@
         if forwarded.non_idempotent {
             return 0;
         }
-        self.limits.give_up_at.saturating_sub(MAX_BODY_PAUSE)
+        self.limits.header_timeout_at.saturating_sub(MAX_BODY_PAUSE)
     }
 
     /// Reports the outcome to the service and the balancer, unless one was reported before.
@@ -265,8 +264,8 @@
     response.map(FinalResponse::Served)
 }
 
-/// Applies the attempt's time limits: until a response begins, how long it is worth waiting for, and from then on its client's
-/// deadline. Of an upload, the deadline of its request knows both.
+/// Applies the attempt's time limits: the header timeout until a response starts, and its client's deadline from then on. Those of
+/// an upload are in the deadline of its request.
 async fn with_time_limit<T>(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
@@ -277,8 +276,8 @@
     let output = if forwarded.body.is_upload() {
         until_expired(forwarded, exchange).await
     } else {
-        let until_given_up = process.timeout_at(limits.give_up_at, exchange.as_mut());
-        match until_given_up.await {
+        let until_headers = process.timeout_at(limits.header_timeout_at, exchange.as_mut());
+        match until_headers.await {
             None if attempt.progress.has_response() => {
                 let deadline = limits.until_response_deadline_known().await;
                 before(forwarded.deadline.until_client_deadline(deadline), exchange).await
@@ -289,7 +288,7 @@
     let limit = if attempt.progress.has_response() {
         AttemptEnd::ClientDeadline
     } else {
-        AttemptEnd::GiveUpLimit
+        AttemptEnd::HeaderTimeout
     };
     output.ok_or(limit)
 }
@@ -333,8 +332,8 @@
     let left = if forwarded.body.is_upload() {
         forwarded.deadline.upload_time_left(attempt.wait.since())
     } else {
-        let give_up_at = attempt.limits.give_up_at;
-        give_up_at.saturating_sub(attempt.wait.since())
+        let timeout_at = attempt.limits.header_timeout_at;
+        timeout_at.saturating_sub(attempt.wait.since())
     };
     let left_ms = left.div_ceil(1_000);
     // A request that may have run must not run twice. If the connection breaks before the last byte, it has not run.
@@ -388,12 +387,12 @@
                 send_result = stream_request_body(attempt, forwarded, &connection.stream).await;
             }
         }
-        if progress.complete.get() && forwarded.body.is_upload() {
-            let now = service.process.clock.now();
-            attempt.wait.restart(now);
-            service.handle(now, Event::RequestBodyReceived(attempt.request));
-        }
         if progress.complete.get() {
+            if forwarded.body.is_upload() {
+                let now = service.process.clock.now();
+                attempt.wait.restart(now);
+                service.handle(now, Event::RequestBodyReceived(attempt.request));
+            }
             let unanswered = &forwarded.may_have_run_unanswered;
             unanswered.set(forwarded.non_idempotent);
             increment(&service.counts.attempts_sent);
@@ -487,8 +486,8 @@
     }
 }
 
-/// Has the system hold little of an upload, so that what it accepts tells what the server takes. Where the option cannot be set,
-/// only the end of the upload is known too early.
+/// Limits the send buffer of an upload, so that the bytes that the system accepts show the pace at which the server reads. The
+/// buffered prefix of a streamed upload always fits, or what its client sends after it would stay unread.
 fn limit_send_buffer(stream: &TcpStream, body: &RequestBody) {
     let bytes = match body {
         RequestBody::Buffered(_) => BUFFERED_UPLOAD_SEND_BUFFER_BYTES,
@@ -502,7 +501,7 @@
     }
 }
 
-/// Tells the balancer that a successful response has begun and is not complete.
+/// Reports to the balancer that a successful response has started and is not complete.
 fn report_response_start(attempt: &Attempt, forwarded: &ForwardedRequest, head: &ResponseHead) {
     if head.status != StatusCode::OK {
         return;
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -88,7 +88,7 @@
     unclassed: Rc<OutcomeCounts>,
     /// Attempts that were written completely.
     pub(super) attempts_sent: Cell<u64>,
-    /// Responses that had begun and did not end, by why.
+    /// Responses that had started and did not end, by why.
     pub(super) unfinished_responses: UnfinishedResponseCounts,
     /// Why requests were rejected before they reached the balancer.
     pub(super) exhaustions: ExhaustionCounts,
--- a/crates/sidecar/src/exchange_progress.rs
+++ b/crates/sidecar/src/exchange_progress.rs
@@ -14,7 +14,7 @@
     #[default]
     Nothing,
     /// The head of a successful response, and so many bytes of its body.
-    Begun {
+    Started {
         /// Bytes of the body that have arrived.
         body_bytes: u64,
         /// Length of the body, if its head tells it.
@@ -26,11 +26,11 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ResponseProgress::Nothing => formatter.write_str("nothing"),
-            ResponseProgress::Begun {
+            ResponseProgress::Started {
                 body_bytes,
                 length: Some(length),
             } => write!(formatter, "head+{body_bytes}/{length}"),
-            ResponseProgress::Begun {
+            ResponseProgress::Started {
                 body_bytes,
                 length: None,
             } => write!(formatter, "head+{body_bytes}"),
@@ -79,15 +79,15 @@
     pub(super) fn record_response_head(&self, length: Option<u64>) {
         let body_bytes = 0;
         self.response
-            .set(ResponseProgress::Begun { body_bytes, length });
+            .set(ResponseProgress::Started { body_bytes, length });
     }
 
     /// So many bytes of the response's body have arrived in all.
     pub(super) fn record_body(&self, bytes: usize) {
-        if let ResponseProgress::Begun { length, .. } = self.response.get() {
+        if let ResponseProgress::Started { length, .. } = self.response.get() {
             let body_bytes = bytes as u64;
             self.response
-                .set(ResponseProgress::Begun { body_bytes, length });
+                .set(ResponseProgress::Started { body_bytes, length });
         }
     }
 
@@ -102,8 +102,8 @@
 pub(super) enum AttemptEnd {
     /// The server, its connection, or the network to it.
     Server,
-    /// No response had begun by the time until which it was worth its wait.
-    GiveUpLimit,
+    /// No response had started by the header timeout.
+    HeaderTimeout,
     /// The client's time was over.
     ClientDeadline,
     /// The request ended otherwise: its client left, or the balancer ended it.
@@ -113,7 +113,7 @@
 impl AttemptEnd {
     const COUNT: usize = 4;
     /// As the log and the status list them, in the order of the variants.
-    const NAMES: [&str; Self::COUNT] = ["server", "give_up_limit", "client_deadline", "cancelled"];
+    const NAMES: [&str; Self::COUNT] = ["server", "header_timeout", "client_deadline", "cancelled"];
 
     /// Its name in the log and the status.
     pub(super) fn name(self) -> &'static str {
@@ -121,7 +121,7 @@
     }
 }
 
-/// Counts responses that had begun and did not end, by what ended their attempts. Those that are streamed to their clients are
+/// Counts responses that had started and did not end, by what ended their attempts. Those that are streamed to their clients are
 /// not among them.
 #[derive(Default)]
 pub(super) struct UnfinishedResponseCounts([Cell<u64>; AttemptEnd::COUNT]);
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -46,12 +46,11 @@
     awaits_body: Cell<bool>,
     /// Set once the body has been read to its end: the earliest time at which the last byte may have been written.
     last_byte_at: Cell<Option<Micros>>,
-    /// How long a response is worth waiting for that has not begun, counted from the last byte of the request that its server has
-    /// taken.
-    give_up_after: Cell<Micros>,
-    /// How fast the server takes an upload.
+    /// How long an upload's response may take to start, counted from when its server has read the upload.
+    header_timeout: Cell<Micros>,
+    /// How fast the server reads an upload.
     upload_pace: UploadPace,
-    /// A server has begun its response.
+    /// A server has started its response.
     response_started: Cell<bool>,
     /// The time is over, and the request ends.
     expired: Cell<bool>,
@@ -80,7 +79,7 @@
             unfinished_at: Cell::new(0),
             awaits_body: Cell::new(false),
             last_byte_at: Cell::new(last_byte_at),
-            give_up_after: Cell::new(Micros::MAX),
+            header_timeout: Cell::new(Micros::MAX),
             upload_pace: UploadPace::default(),
             response_started: Cell::new(false),
             expired: Cell::new(false),
@@ -180,12 +179,12 @@
         self.time_left.get()
     }
 
-    /// An upload to a server starts. It is given up at `give_up_at` if the server takes none of it until then.
-    pub(super) fn start_upload(&self, give_up_at: Micros) {
+    /// An upload to a server starts. It times out at `header_timeout_at` if the server reads none of it until then.
+    pub(super) fn start_upload(&self, header_timeout_at: Micros) {
         let now = self.process.clock.now();
-        self.give_up_after.set(give_up_at.saturating_sub(now));
+        self.header_timeout
+            .set(header_timeout_at.saturating_sub(now));
         self.upload_pace.start(now);
-        self.response_started.set(false);
     }
 
     /// The system has accepted so many bytes of the upload.
@@ -194,25 +193,25 @@
         self.upload_pace.record_write(now, bytes);
     }
 
-    /// The system accepts no more of the upload before the server takes something.
+    /// The system's buffers are full: it accepts no more of the upload before the server reads some.
     pub(super) fn record_full_upload_buffers(&self) {
         let now = self.process.clock.now();
         self.upload_pace.record_full_buffers(now);
     }
 
-    /// Sets whether a server has begun its response.
+    /// Sets whether a server has started its response.
     pub(super) fn set_response_started(&self, started: bool) {
         self.response_started.set(started);
     }
 
-    /// How long a server's response to an upload is waited for as things stand.
+    /// How long the response to an upload that starts now may take.
     pub(super) fn upload_time_left(&self, now: Micros) -> Micros {
-        self.remaining(now).min(self.give_up_after.get())
+        self.remaining(now).min(self.header_timeout.get())
     }
 
-    /// When an upload is given up: when no response has begun within the time in which it is worth its wait, and the server has
-    /// taken nothing more of the request; when the final response is due at the latest.
-    fn gives_up_at(&self, now: Micros) -> Micros {
+    /// When an upload times out: the header timeout after the server has read it, or has stopped reading it, unless a response has
+    /// started; when the final response is due at the latest.
+    fn upload_times_out_at(&self, now: Micros) -> Micros {
         let awaits_client = self.awaits_client(now);
         let due_at = self.due_at_if(awaits_client, now);
         if self.response_started.get() {
@@ -225,7 +224,7 @@
             let last_byte_at = last_byte_at.unwrap_or_else(|| self.unfinished_at());
             last_byte_at.max(self.upload_pace.taken_at())
         };
-        due_at.min(counted_from.saturating_add(self.give_up_after.get()))
+        due_at.min(counted_from.saturating_add(self.header_timeout.get()))
     }
 
     /// Completes when the final response is due.
@@ -233,9 +232,9 @@
         self.until(|now| self.due_at(now)).await;
     }
 
-    /// Completes when an upload is given up.
-    pub(super) async fn until_given_up(&self) {
-        self.until(|now| self.gives_up_at(now)).await;
+    /// Completes when an upload times out.
+    pub(super) async fn until_upload_times_out(&self) {
+        self.until(|now| self.upload_times_out_at(now)).await;
     }
 
     /// Completes at a client's deadline as the balancer knows it.
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -26,7 +26,7 @@
         timeout_at: Micros,
         write_by: Micros,
     },
-    /// Wait for the rest of a response that has begun until its client's deadline.
+    /// Await the rest of a response that has started until its client's deadline.
     AwaitResponse { attempt: u32, until: ClientDeadline },
     /// Cancel an attempt.
     Cancel { attempt: u32 },
@@ -123,7 +123,7 @@
     ended: Rc<Cell<bool>>,
     /// By attempt number; `None` once the attempt has ended.
     attempts: SmallVec<[Option<RunningAttempt>; 2]>,
-    /// Completes when an upload is given up or at its deadline, which the balancer does not know.
+    /// Completes when an upload times out, which the balancer does not know.
     expiry: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
@@ -196,7 +196,7 @@
         let expiry = request.body.is_upload().then(|| {
             let deadline = Rc::clone(&request.deadline);
             let expiry: Pin<Box<dyn Future<Output = ()>>> =
-                Box::pin(async move { deadline.until_given_up().await });
+                Box::pin(async move { deadline.until_upload_times_out().await });
             expiry
         });
         let steps = Rc::<StepQueue>::default();
@@ -236,7 +236,7 @@
             cost_hint: self.cost_hint,
             wait: AwaitedResponse::start(&self.service.process, sent_at),
             limits: AttemptLimits {
-                give_up_at: timeout_at,
+                header_timeout_at: timeout_at,
                 response_deadline: Rc::clone(&response_deadline),
                 write_by,
             },
