--- a/crates/cli/tests/acceptance/answers.rs
+++ b/crates/cli/tests/acceptance/answers.rs
@@ -1,7 +1,8 @@
 //! Answers whose length nothing tells: their end is the connection's, and a reset is no end.
 
 use crate::Asked;
-use crate::rig::{Conn, LAST_CHUNK, ScriptedServer, Sidecar, accept_any, chunk, until};
+use crate::rig::{Conn, LAST_CHUNK, ScriptedServer, Sidecar, accept_any, until};
+use madderloom_fault_testing::BodyFraming;
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -93,50 +94,18 @@
     assert!(!ended || bytes.iter().filter(|byte| **byte == b'x').count() == LONG);
 }
 
-/// How a server tells where its answer ends.
-#[derive(Clone, Copy, Debug)]
-enum End {
-    Length,
-    Chunks,
-    Close,
-}
-
-impl End {
-    fn head(self, length: usize) -> String {
-        match self {
-            End::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
-            End::Chunks => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string(),
-            End::Close => HEAD.to_string(),
-        }
-    }
-
-    fn piece(self, bytes: &[u8]) -> Vec<u8> {
-        match self {
-            End::Chunks => chunk(bytes),
-            _ => bytes.to_vec(),
-        }
-    }
-
-    fn last(self) -> &'static [u8] {
-        match self {
-            End::Chunks => LAST_CHUNK,
-            _ => b"",
-        }
-    }
-}
-
 /// A server writes its head and no body, or half of a short one, and stays. The client hears the end of it in its time: an answer that
 /// has failed, or one that breaks off and shows it.
 #[rstest]
 fn an_answer_that_never_ends_is_ended_in_the_clients_time(
     #[values("recheck", "submit-check")] class: &str,
-    #[values(End::Length, End::Chunks, End::Close)] end: End,
+    #[values(BodyFraming::Length, BodyFraming::Chunks, BodyFraming::Close)] end: BodyFraming,
     #[values("", "half")] body: &'static str,
 ) {
     const TIME_LEFT_MS: u64 = 1_500;
     const SLACK: Duration = Duration::from_millis(300);
     // What has begun without a length may be long, and goes on for as long as its client stays.
-    if !matches!(end, End::Length) && !body.is_empty() {
+    if !matches!(end, BodyFraming::Length) && !body.is_empty() {
         return;
     }
     let node = ScriptedServer::new();
@@ -182,13 +151,17 @@
 #[rstest]
 fn a_body_that_begins_late_and_pauses_is_not_cut_off(
     #[values("recheck", "submit-check")] class: &str,
-    #[values(End::Length, End::Chunks, End::Close)] end: End,
+    #[values(BodyFraming::Length, BodyFraming::Chunks, BodyFraming::Close)] end: BodyFraming,
     #[values(1_000, LONG)] length: usize,
     #[values(0, 600)] pause_between_ms: u64,
 ) {
     const PAUSE: Duration = Duration::from_millis(600);
     // A short answer that stops half way, and may be asked for elsewhere, is.
-    if class == "recheck" && length < LONG && matches!(end, End::Length) && pause_between_ms > 0 {
+    if class == "recheck"
+        && length < LONG
+        && matches!(end, BodyFraming::Length)
+        && pause_between_ms > 0
+    {
         return;
     }
     let node = ScriptedServer::new();
@@ -202,8 +175,8 @@
     conn.write(end.piece(&body[..length / 2]));
     std::thread::sleep(Duration::from_millis(pause_between_ms));
     conn.write(end.piece(&body[length / 2..]));
-    conn.write(end.last());
-    if matches!(end, End::Close) {
+    conn.write(end.end());
+    if matches!(end, BodyFraming::Close) {
         drop(conn);
     }
     let answer = client.read_complete().expect("an answer");
--- a/crates/cli/tests/deadlines/answers.rs
+++ b/crates/cli/tests/deadlines/answers.rs
@@ -1,13 +1,14 @@
 //! Answers whose head comes and whose body does not: while nothing of the body is there, the client can still get a final answer.
 
+use crate::SLACK;
 use crate::rig::{Conn, LAST_CHUNK, Message, ScriptedServer, Sidecar, chunk, request, serve};
+use madderloom_fault_testing::BodyFraming;
 use rstest::rstest;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const TIME_LEFT: Duration = Duration::from_millis(500);
-const SLACK: Duration = Duration::from_millis(50);
 /// Longer than what is buffered whole.
 const LONG: usize = 200_000;
 
@@ -24,14 +25,13 @@
 
 impl Framing {
     fn head(self) -> String {
-        let framing = match self {
-            Framing::ShortLength => "Content-Length: 9\r\n\r\n".to_string(),
-            Framing::LongLength => format!("Content-Length: {LONG}\r\n\r\n"),
-            Framing::Chunks => "Transfer-Encoding: chunked\r\n\r\n".to_string(),
-            Framing::ChunkSize => "Transfer-Encoding: chunked\r\n\r\n9\r\n".to_string(),
-            Framing::Close => "\r\n".to_string(),
-        };
-        format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}")
+        match self {
+            Framing::ShortLength => BodyFraming::Length.head(9),
+            Framing::LongLength => BodyFraming::Length.head(LONG),
+            Framing::Chunks => BodyFraming::Chunks.head(LONG),
+            Framing::ChunkSize => BodyFraming::Chunks.head(LONG) + "9\r\n",
+            Framing::Close => BodyFraming::Close.head(LONG),
+        }
     }
 }
 
--- a/crates/cli/tests/deadlines/begun_answers.rs
+++ b/crates/cli/tests/deadlines/begun_answers.rs
@@ -1,15 +1,15 @@
-//! Answers that have begun: what an answer would earn decides how long nothing of it is waited for, and no more than that.
+//! Answers that have begun: the header timeout, which follows from what an answer would earn, ends only an attempt without any response.
 
+use crate::SLACK;
 use crate::rig::{Options, Sidecar, request_with, with_sized_body};
 use madderloom_fault_testing::{BodyFraming, Pace, PacedServers};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
 /// An answer earns nothing after this time.
-const LATENCY_OBJECTIVE_US: u64 = 500_000;
+pub const LATENCY_OBJECTIVE: Duration = Duration::from_millis(500);
 /// What the clients wait, which is longer.
 const TIME_LEFT_MS: u64 = 2_000;
-const SLACK: Duration = Duration::from_millis(50);
 /// When a server writes the head of its answer.
 const HEAD_MS: u64 = 40;
 /// Longer than what is buffered.
@@ -20,7 +20,7 @@
 pub fn set_latency_objective(config: &mut serde_json::Value) {
     let classes = config["settings"]["services"].as_array_mut();
     for class in classes.expect("classes") {
-        class["on_time"] = LATENCY_OBJECTIVE_US.into();
+        class["on_time"] = (LATENCY_OBJECTIVE.as_micros() as u64).into();
     }
 }
 
@@ -122,7 +122,7 @@
     assert!(took < KILL_DELAY, "{took:?}");
 }
 
-/// What has not begun is given up as before, when it earns nothing more, where it may be given up at all.
+/// An attempt without a response still times out when an answer would earn nothing more.
 #[test]
 fn an_answer_that_has_not_begun_is_given_up_when_it_earns_nothing_more() {
     let servers = PacedServers::start(2);
@@ -139,10 +139,7 @@
     let answer = client.read_complete().expect("a complete answer");
     let took = started_at.elapsed();
     assert_eq!(answer.status(), 502);
-    assert!(
-        took <= Duration::from_micros(LATENCY_OBJECTIVE_US) + SLACK,
-        "{took:?}"
-    );
+    assert!(took <= LATENCY_OBJECTIVE + SLACK, "{took:?}");
 }
 
 /// A large request, framed by its length, is sent on a new connection.
@@ -153,7 +150,7 @@
     client.read_complete().map(|answer| answer.status())
 }
 
-/// A large request that its server goes on reading is not given up when its answer would earn nothing more.
+/// A large request that its server goes on reading does not time out when its answer would earn nothing more.
 #[rstest]
 #[case::buffered(600_000, 600_000)]
 #[case::streamed(2_000_000, 1_500_000)]
--- a/crates/cli/tests/deadlines/begun_draws.rs
+++ b/crates/cli/tests/deadlines/begun_draws.rs
@@ -3,7 +3,8 @@
 //!
 //! `MADDERLOOM_SEED` is the first seed, `MADDERLOOM_SEEDS` their number; each is a process and [`EXCHANGES`] exchanges.
 
-use crate::begun_answers::set_latency_objective;
+use crate::SLACK;
+use crate::begun_answers::{LATENCY_OBJECTIVE, set_latency_objective};
 use crate::rig::{Conn, Options, Sidecar, listing, request_with, with_sized_body};
 use madderloom_fault_testing::{BodyFraming, ExchangeRecord, Pace, PacedServers, number_from_env};
 use oorandom::Rand32;
@@ -13,13 +14,10 @@
 const EXCHANGES: usize = 12;
 /// All requests are sent within this time.
 const SENDING: Duration = Duration::from_millis(300);
-/// The events come between these times, and SIGTERM behind the last request.
+/// The disturbance comes by this time, and SIGTERM after the last request was sent.
 const LAST_EVENT_MS: u32 = 1_500;
-/// A final answer may come so much later than its time.
-const SLACK: Duration = Duration::from_millis(50);
 /// What is written by a server this much before a limit counts as before it.
 const MARGIN: Duration = Duration::from_millis(60);
-const LATENCY_OBJECTIVE: Duration = Duration::from_millis(500);
 /// A pause of a short answer that may lead to another attempt.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 /// A response with a length up to this is buffered.
@@ -32,30 +30,30 @@
 struct Class {
     name: &'static str,
     must_not_run_twice: bool,
-    /// A late answer earns nothing, and one that has not begun is given up.
-    gives_up: bool,
+    /// A late answer earns nothing, so the header timeout is the latency objective.
+    late_is_worthless: bool,
 }
 
 const CLASSES: [Class; 4] = [
     Class {
         name: "recheck",
         must_not_run_twice: false,
-        gives_up: true,
+        late_is_worthless: true,
     },
     Class {
         name: "submit-check",
         must_not_run_twice: true,
-        gives_up: false,
+        late_is_worthless: false,
     },
     Class {
         name: "look",
         must_not_run_twice: false,
-        gives_up: true,
+        late_is_worthless: true,
     },
     Class {
         name: "recheck-late",
         must_not_run_twice: false,
-        gives_up: false,
+        late_is_worthless: false,
     },
 ];
 
@@ -163,13 +161,13 @@
         let within = |at: Option<Instant>, limit: Duration| {
             at.is_some_and(|at| at + MARGIN <= seen.started_at + limit)
         };
-        let begins_by = if self.class.gives_up && self.upload_bytes.is_none() {
+        let begins_by = if self.class.late_is_worthless && self.upload_bytes.is_none() {
             LATENCY_OBJECTIVE.min(self.time_left)
         } else {
             self.time_left
         };
         let is_streamed =
-            self.pace.framing != BodyFraming::Length || self.pace.body().len() > MAX_BUFFERED;
+            self.pace.framing != BodyFraming::Length || self.pace.body_length() > MAX_BUFFERED;
         let due = if is_streamed {
             record.first_piece_at
         } else {
@@ -180,7 +178,8 @@
             && (is_streamed || !self.may_be_asked_elsewhere())
     }
 
-    /// A short answer that stops half way may be asked for at another server, while that has as long to answer.
+    /// A short answer that stops half way may be asked for at another server while that has as long to answer, which it never has
+    /// within the latency objective.
     fn may_be_asked_elsewhere(&self) -> bool {
         let has_pause = self
             .pace
@@ -188,8 +187,7 @@
             .iter()
             .skip(1)
             .any(|piece| piece.after + MARGIN >= MAX_PAUSE);
-        let has_time = !self.class.gives_up || MAX_PAUSE * 2 < LATENCY_OBJECTIVE;
-        has_pause && has_time && !self.class.must_not_run_twice
+        has_pause && !self.class.late_is_worthless && !self.class.must_not_run_twice
     }
 
     /// What is wrong with what the client saw.
--- a/crates/cli/tests/deadlines/main.rs
+++ b/crates/cli/tests/deadlines/main.rs
@@ -13,5 +13,7 @@
 
 use std::time::Duration;
 
+/// How much later than its time a final answer may come: the protocol's slack of every time limit.
+const SLACK: Duration = Duration::from_millis(50);
 /// An answer that comes later than this behind its time is lost by the operators' rules.
 const LOST_AFTER: Duration = Duration::from_millis(500);
--- a/crates/fault-testing/src/paced_server.rs
+++ b/crates/fault-testing/src/paced_server.rs
@@ -2,7 +2,7 @@
 //! wrote what.
 
 use crate::lock;
-use crate::peer::{Conn, LAST_CHUNK, Message, ScriptedServer, chunk};
+use crate::peer::{Conn, LAST_CHUNK, Message, ScriptedServer, chunk, serve_connections};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -30,6 +30,32 @@
     /// Every framing.
     pub const ALL: [BodyFraming; 3] =
         [BodyFraming::Length, BodyFraming::Chunks, BodyFraming::Close];
+
+    /// The head of a response 200 with a body of this many bytes.
+    pub fn head(self, length: usize) -> String {
+        let framing = match self {
+            BodyFraming::Length => format!("Content-Length: {length}\r\n"),
+            BodyFraming::Chunks => "Transfer-Encoding: chunked\r\n".to_string(),
+            BodyFraming::Close => String::new(),
+        };
+        format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}\r\n")
+    }
+
+    /// These bytes as a piece of the body.
+    pub fn piece(self, bytes: &[u8]) -> Vec<u8> {
+        match self {
+            BodyFraming::Chunks => chunk(bytes),
+            BodyFraming::Length | BodyFraming::Close => bytes.to_vec(),
+        }
+    }
+
+    /// What follows the last piece on the connection.
+    pub fn end(self) -> &'static [u8] {
+        match self {
+            BodyFraming::Chunks => LAST_CHUNK,
+            BodyFraming::Length | BodyFraming::Close => b"",
+        }
+    }
 }
 
 /// A piece of a response body.
@@ -76,18 +102,12 @@
 
     /// The complete body.
     pub fn body(&self) -> Vec<u8> {
-        let length = self.pieces.iter().map(|piece| piece.bytes).sum();
-        (0..length).map(body_byte).collect()
+        (0..self.body_length()).map(body_byte).collect()
     }
 
-    fn head(&self) -> String {
-        let framing = match self.framing {
-            // Without a piece the body is announced and never comes.
-            BodyFraming::Length => format!("Content-Length: {}\r\n", self.body().len().max(1)),
-            BodyFraming::Chunks => "Transfer-Encoding: chunked\r\n".to_string(),
-            BodyFraming::Close => String::new(),
-        };
-        format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}\r\n")
+    /// Length of the complete body in bytes.
+    pub fn body_length(&self) -> usize {
+        self.pieces.iter().map(|piece| piece.bytes).sum()
     }
 }
 
@@ -153,23 +173,29 @@
 pub struct PacedServers {
     /// Where they listen.
     pub addresses: Vec<SocketAddr>,
-    records: Arc<Mutex<BTreeMap<String, ExchangeRecord>>>,
+    records: Records,
 }
 
+/// By the `X-Trace-Id` of the request.
+type Records = Arc<Mutex<BTreeMap<String, ExchangeRecord>>>;
+
 impl PacedServers {
     /// Starts this many. They end with the test's process.
     pub fn start(count: usize) -> Self {
-        let servers = PacedServers {
-            addresses: Vec::new(),
-            records: Arc::default(),
-        };
-        (0..count).fold(servers, |mut servers, _| {
+        let mut addresses = Vec::new();
+        let records = Records::default();
+        for _ in 0..count {
             let server = ScriptedServer::new();
-            servers.addresses.push(server.address());
-            let records = Arc::clone(&servers.records);
-            std::thread::spawn(move || accept_all(&server, &records));
-            servers
-        })
+            addresses.push(server.address());
+            let records = Arc::clone(&records);
+            serve_connections(server, move |conn| {
+                conn.set_nodelay();
+                let records = Arc::clone(&records);
+                let mut connection = PacedConnection { conn, records };
+                while connection.serve_one() {}
+            });
+        }
+        PacedServers { addresses, records }
     }
 
     /// What they saw of the request with this id.
@@ -178,23 +204,6 @@
     }
 }
 
-type Records = Arc<Mutex<BTreeMap<String, ExchangeRecord>>>;
-
-fn accept_all(server: &ScriptedServer, records: &Records) {
-    loop {
-        let Some(conn) = server.try_accept() else {
-            std::thread::sleep(Duration::from_millis(1));
-            continue;
-        };
-        conn.set_nodelay();
-        let mut connection = PacedConnection {
-            conn,
-            records: Arc::clone(records),
-        };
-        std::thread::spawn(move || while connection.serve_one() {});
-    }
-}
-
 struct PacedConnection {
     conn: Conn,
     records: Records,
@@ -251,33 +260,39 @@
                 ..ExchangeRecord::default()
             };
         });
-        if !self.conn.try_write(pace.head().as_bytes()) {
+        // Without a piece the body is announced and never comes.
+        let head = pace.framing.head(pace.body_length().max(1));
+        if !self.conn.try_write(head.as_bytes()) {
+            return false;
+        }
+        if pace.pieces.is_empty() {
+            return true;
+        }
+        if !self.write_body(id, pace) {
             return false;
         }
+        let now = Instant::now();
+        self.note(id, |record| record.last_piece_at = Some(now));
+        pace.framing != BodyFraming::Close
+    }
+
+    /// Writes the body of a response. Whether the peer has accepted all of it.
+    fn write_body(&mut self, id: &str, pace: &Pace) -> bool {
         let body = pace.body();
-        let (mut offset, last) = (0, pace.pieces.len().saturating_sub(1));
-        for (index, piece) in pace.pieces.iter().enumerate() {
+        let mut unwritten = &body[..];
+        for piece in &pace.pieces {
             std::thread::sleep(piece.after);
-            let bytes = &body[offset..offset + piece.bytes];
-            offset += piece.bytes;
-            let mut bytes = match pace.framing {
-                BodyFraming::Chunks => chunk(bytes),
-                BodyFraming::Length | BodyFraming::Close => bytes.to_vec(),
-            };
-            if index == last && pace.framing == BodyFraming::Chunks {
-                bytes.extend_from_slice(LAST_CHUNK);
-            }
-            if !self.conn.try_write(&bytes) {
+            let (bytes, rest) = unwritten.split_at(piece.bytes);
+            unwritten = rest;
+            if !self.conn.try_write(&pace.framing.piece(bytes)) {
                 return false;
             }
-            let now = Some(Instant::now());
+            let now = Instant::now();
             self.note(id, |record| {
-                record.first_piece_at = record.first_piece_at.or(now);
-                record.last_piece_at = now.filter(|_| index == last);
+                record.first_piece_at.get_or_insert(now);
             });
         }
-        // Nothing more is written behind a head alone.
-        pace.framing != BodyFraming::Close || pace.pieces.is_empty()
+        self.conn.try_write(pace.framing.end())
     }
 
     fn note(&self, id: &str, change: impl FnOnce(&mut ExchangeRecord)) {
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -140,20 +140,25 @@
     server: ScriptedServer,
     handler: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static,
 ) {
+    serve_connections(server, move |mut conn| {
+        while conn
+            .read()
+            .is_some_and(|message| handler(&message, &mut conn))
+        {}
+    });
+}
+
+/// Runs `handler` for each connection on a thread of its own.
+pub fn serve_connections(server: ScriptedServer, handler: impl Fn(Conn) + Send + Sync + 'static) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
         loop {
-            let Some(mut conn) = server.try_accept() else {
+            let Some(conn) = server.try_accept() else {
                 std::thread::sleep(Duration::from_millis(1));
                 continue;
             };
             let handler = Arc::clone(&handler);
-            std::thread::spawn(move || {
-                while conn
-                    .read()
-                    .is_some_and(|message| handler(&message, &mut conn))
-                {}
-            });
+            std::thread::spawn(move || handler(conn));
         }
     });
 }
@@ -455,7 +460,7 @@
     /// Writes the same bytes this many times, or until a write fails.
     pub fn write_repeatedly(&mut self, bytes: Vec<u8>, times: usize) {
         for _ in 0..times {
-            if self.0.get_mut().write_all(&bytes).is_err() {
+            if !self.try_write(&bytes) {
                 return;
             }
         }
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -539,17 +539,8 @@
             bytes_in_turn = 0;
             tokio::task::yield_now().await;
         }
-        let piece = {
-            let (mut next, mut readable) = (
-                pin!(reader.next(&service.process)),
-                pin!(readiness::peer_readable(stream)),
-            );
-            poll_fn(|context| match next.as_mut().poll(context) {
-                Poll::Ready(piece) => Poll::Ready(Some(piece)),
-                Poll::Pending => readable.as_mut().poll(context).map(|()| None),
-            })
-            .await
-        };
+        let next = reader.next(&service.process);
+        let piece = before(readiness::peer_readable(stream), next).await;
         let Some(piece) = piece else { break false };
         let (bytes, last) = match piece {
             Ok(Some(data)) => {
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -21,10 +21,11 @@
 use super::listener::{CLOSE_GRACE_PERIOD, Listener};
 use super::memory::MemoryPurpose;
 use super::readiness::{self, peek_nonblocking};
+use super::reason_counts::ReasonCounts;
 use super::request_framing::RequestFraming;
 use super::virtual_server;
 use bytes::Bytes;
-use connection_end::{ConnectionEnd, ConnectionEndCounts};
+use connection_end::ConnectionEnd;
 use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -225,7 +226,7 @@
     accepted: Cell<u64>,
     /// How often a parked connection became active.
     wakeups: Cell<u64>,
-    ends: ConnectionEndCounts,
+    ends: ReasonCounts<ConnectionEnd>,
 }
 
 impl Clients {
@@ -434,7 +435,8 @@
     let registration = Registration::new(listener, stream, charged);
     let client = &registration.client;
     let (end, closing) = serve_until_end(listener, client).await;
-    listener.clients.ends.record(end, &client.stream);
+    listener.clients.ends.record(end);
+    end.log(&client.stream);
     if matches!(closing, Closing::Linger) {
         lingering_close(listener, client).await;
     }
--- a/crates/sidecar/src/client/connection_end.rs
+++ b/crates/sidecar/src/client/connection_end.rs
@@ -1,7 +1,6 @@
 //! Why clients' connections end: counted for each listener, and logged at the level of single requests.
 
-use crate::counts::increment;
-use std::cell::Cell;
+use crate::reason_counts::Reason;
 use tokio::net::TcpStream;
 
 /// Why a client's connection has ended.
@@ -25,10 +24,8 @@
     RejectedUnread,
 }
 
-impl ConnectionEnd {
-    const COUNT: usize = 8;
-    /// As the status lists them, in the order of the variants.
-    const NAMES: [&str; Self::COUNT] = [
+impl Reason for ConnectionEnd {
+    const NAMES: &'static [&'static str] = &[
         "finished",
         "idle",
         "incomplete_head",
@@ -39,28 +36,15 @@
         "rejected_unread",
     ];
 
-    /// Its name in the status and the log.
-    fn name(self) -> &'static str {
-        Self::NAMES[self as usize]
+    fn index(self) -> usize {
+        self as usize
     }
 }
 
-/// Counts connections by why they have ended.
-#[derive(Default)]
-pub(in crate::client) struct ConnectionEndCounts([Cell<u64>; ConnectionEnd::COUNT]);
-
-impl ConnectionEndCounts {
-    /// Counts and logs the end of a connection.
-    pub(in crate::client) fn record(&self, end: ConnectionEnd, stream: &TcpStream) {
-        increment(&self.0[end as usize]);
-        let reason = end.name();
+impl ConnectionEnd {
+    /// Logs the end of a connection.
+    pub(in crate::client) fn log(self, stream: &TcpStream) {
+        let reason = self.name();
         tracing::debug!(peer = ?stream.peer_addr().ok(), reason, "client connection ended: {reason}");
     }
-
-    /// Each name with its count.
-    pub(in crate::client) fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        ConnectionEnd::NAMES
-            .into_iter()
-            .zip(self.0.iter().map(Cell::get))
-    }
 }
--- a/crates/sidecar/src/counts.rs
+++ b/crates/sidecar/src/counts.rs
@@ -2,9 +2,10 @@
 //! link.
 
 use super::active_settings::ClassEntry;
-use super::exchange_progress::UnfinishedResponseCounts;
+use super::exchange_progress::AttemptEnd;
 use super::lateness::LatenessHistogram;
-use super::rejection::ExhaustionCounts;
+use super::reason_counts::ReasonCounts;
+use super::rejection::Exhaustion;
 use madderloom_admin::stats::ResultCounts;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -88,10 +89,11 @@
     unclassed: Rc<OutcomeCounts>,
     /// Attempts that were written completely.
     pub(super) attempts_sent: Cell<u64>,
-    /// Responses that had started and did not end, by why.
-    pub(super) unfinished_responses: UnfinishedResponseCounts,
+    /// Responses that had started and did not end, by what ended their attempts. Those that are streamed to their clients are not
+    /// among them.
+    pub(super) unfinished_responses: ReasonCounts<AttemptEnd>,
     /// Why requests were rejected before they reached the balancer.
-    pub(super) exhaustions: ExhaustionCounts,
+    pub(super) exhaustions: ReasonCounts<Exhaustion>,
     /// Cloned once for each request in flight.
     in_flight: Rc<()>,
 }
--- a/crates/sidecar/src/exchange_progress.rs
+++ b/crates/sidecar/src/exchange_progress.rs
@@ -1,7 +1,7 @@
 //! How far one exchange with a server has come: what was written of the request, and what has arrived of the response. It outlives
 //! the exchange, so that an attempt that is ended from this side can still say what it ended.
 
-use super::counts::increment;
+use super::reason_counts::Reason;
 use super::request_deadline::RequestDeadline;
 use std::cell::Cell;
 use std::fmt;
@@ -110,31 +110,11 @@
     Cancelled,
 }
 
-impl AttemptEnd {
-    const COUNT: usize = 4;
-    /// As the log and the status list them, in the order of the variants.
-    const NAMES: [&str; Self::COUNT] = ["server", "header_timeout", "client_deadline", "cancelled"];
+impl Reason for AttemptEnd {
+    const NAMES: &'static [&'static str] =
+        &["server", "header_timeout", "client_deadline", "cancelled"];
 
-    /// Its name in the log and the status.
-    pub(super) fn name(self) -> &'static str {
-        Self::NAMES[self as usize]
-    }
-}
-
-/// Counts responses that had started and did not end, by what ended their attempts. Those that are streamed to their clients are
-/// not among them.
-#[derive(Default)]
-pub(super) struct UnfinishedResponseCounts([Cell<u64>; AttemptEnd::COUNT]);
-
-impl UnfinishedResponseCounts {
-    pub(super) fn record(&self, end: AttemptEnd) {
-        increment(&self.0[end as usize]);
-    }
-
-    /// Each name with its count.
-    pub(super) fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        AttemptEnd::NAMES
-            .into_iter()
-            .zip(self.0.iter().map(Cell::get))
+    fn index(self) -> usize {
+        self as usize
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -52,6 +52,7 @@
 mod readiness;
 #[cfg(test)]
 mod readiness_tests;
+mod reason_counts;
 mod recent_hashes;
 mod rejection;
 mod reload;
--- a/crates/sidecar/src/rejection.rs
+++ b/crates/sidecar/src/rejection.rs
@@ -1,13 +1,12 @@
 //! Requests that are rejected before they reach the balancer: why, and the response that their clients get.
 
-use super::counts::increment;
+use super::reason_counts::Reason;
 use super::response_body::ResponseBody;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 use madderloom_balancer::Micros;
-use std::cell::Cell;
 
 /// Why a request is rejected before it reaches the balancer.
 pub(super) enum RequestError {
@@ -64,35 +63,6 @@
 }
 
 impl Exhaustion {
-    const COUNT: usize = 7;
-    /// As the status lists them, by [`Exhaustion::index`].
-    const NAMES: [&str; Self::COUNT] = [
-        "requests",
-        "body_bytes",
-        "memory",
-        "deadline",
-        "slow_client",
-        "rate",
-        "fleet_limit",
-    ];
-
-    fn index(self) -> usize {
-        match self {
-            Exhaustion::Requests => 0,
-            Exhaustion::BodyBytes => 1,
-            Exhaustion::Memory => 2,
-            Exhaustion::Deadline => 3,
-            Exhaustion::SlowClient => 4,
-            Exhaustion::Rate(_) => 5,
-            Exhaustion::FleetLimit { .. } => 6,
-        }
-    }
-
-    /// Its name in the status and the log.
-    pub(super) fn name(self) -> &'static str {
-        Self::NAMES[self.index()]
-    }
-
     /// The body of the response.
     fn text(self) -> &'static str {
         match self {
@@ -121,20 +91,27 @@
     }
 }
 
-/// Counts rejected requests by what they found used up.
-#[derive(Default)]
-pub(super) struct ExhaustionCounts([Cell<u64>; Exhaustion::COUNT]);
-
-impl ExhaustionCounts {
-    pub(super) fn record(&self, exhaustion: Exhaustion) {
-        increment(&self.0[exhaustion.index()]);
-    }
+impl Reason for Exhaustion {
+    const NAMES: &'static [&'static str] = &[
+        "requests",
+        "body_bytes",
+        "memory",
+        "deadline",
+        "slow_client",
+        "rate",
+        "fleet_limit",
+    ];
 
-    /// Each name with its count.
-    pub(super) fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        Exhaustion::NAMES
-            .into_iter()
-            .zip(self.0.iter().map(Cell::get))
+    fn index(self) -> usize {
+        match self {
+            Exhaustion::Requests => 0,
+            Exhaustion::BodyBytes => 1,
+            Exhaustion::Memory => 2,
+            Exhaustion::Deadline => 3,
+            Exhaustion::SlowClient => 4,
+            Exhaustion::Rate(_) => 5,
+            Exhaustion::FleetLimit { .. } => 6,
+        }
     }
 }
 
--- a/crates/sidecar/src/request_log.rs
+++ b/crates/sidecar/src/request_log.rs
@@ -4,6 +4,7 @@
 use super::attempt::{Attempt, ForwardedRequest};
 use super::exchange_progress::{AttemptEnd, ExchangeProgress};
 use super::lateness::{WaitKind, WaitTimes};
+use super::reason_counts::Reason;
 use super::rejection::Exhaustion;
 use hyper::header::HeaderValue;
 use madderloom_balancer::{Micros, Outcome};
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -26,8 +26,8 @@
 pub(super) const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// How much of a longer body is buffered before it is streamed.
 const STREAM_PREFIX_BYTES: usize = 16 << 10;
-/// A longer body is an upload: until its server has taken all of it, no response can be expected.
-const MAX_BYTES_SENT_AT_ONCE: usize = 64 << 10;
+/// The longest body of the platform's protocol. A longer one is an upload.
+const MAX_PROTOCOL_BODY_BYTES: usize = 64 << 10;
 /// The lowest rate at which a client may send its body. Clients send 64,000 bytes a second.
 pub(super) const MIN_BYTES_PER_SECOND: u64 = 32_000;
 /// How far a client may fall behind [`MIN_BYTES_PER_SECOND`].
@@ -243,7 +243,7 @@
 
     /// Whether the body is so long that its server may take a while to read it.
     pub(super) fn is_upload(&self) -> bool {
-        self.streamed().is_some() || self.buffered().len() > MAX_BYTES_SENT_AT_ONCE
+        self.streamed().is_some() || self.buffered().len() > MAX_PROTOCOL_BODY_BYTES
     }
 
     pub(super) fn streamed(&self) -> Option<&StreamedRequestBody> {
--- a/crates/sidecar/src/virtual_server.rs
+++ b/crates/sidecar/src/virtual_server.rs
@@ -21,6 +21,7 @@
 use super::routing::{ClassSource, Routing};
 use super::service::Service;
 use super::state_writer::IdempotencyRecord;
+use super::timers::before;
 use super::transaction::{self, FinalResponse};
 use super::upload::{self, BodyLength, BodyReservations};
 use bytes::Bytes;
@@ -32,10 +33,7 @@
 use madderloom_balancer::{Micros, NewRequest, RequestId, RetrySafety};
 use madderloom_routing::request::{Asked, Fault, split_key, subject};
 use madderloom_watchdog::{self as watchdog, TaskKind};
-use std::future::poll_fn;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 
 pub(super) const TRACE_ID: HeaderName = HeaderName::from_static("x-trace-id");
 const EXPIRES_IN_MS: HeaderName = HeaderName::from_static("x-expires-in-ms");
@@ -412,11 +410,7 @@
     };
     let read = {
         let _awaits_body = deadline.await_body();
-        let (mut read, mut due) = (pin!(body.collect()), pin!(deadline.until_due()));
-        let read = poll_fn(|context| match read.as_mut().poll(context) {
-            Poll::Ready(body) => Poll::Ready(Some(body)),
-            Poll::Pending => due.as_mut().poll(context).map(|()| None),
-        });
+        let read = before(deadline.until_due(), body.collect());
         service.process.timeout(timeout, read).await
     };
     match read {
