--- a/crates/cli/tests/deadlines/begun_answers.rs
+++ b/crates/cli/tests/deadlines/begun_answers.rs
@@ -99,10 +99,13 @@
 
 /// SIGKILL may come 3.7 s behind SIGTERM, however long clients wait: a head that nothing follows is answered before.
 #[rstest]
-#[case::small_request(5)]
-#[case::buffered_upload(600_000)]
-#[case::streamed_upload(2_000_000)]
+#[case::small_request("recheck", 5)]
+#[case::buffered_upload("recheck", 600_000)]
+#[case::streamed_upload("recheck", 2_000_000)]
+#[case::non_idempotent("submit-check", 5)]
+#[case::non_idempotent_upload("submit-check", 600_000)]
 fn a_head_alone_is_followed_by_a_complete_answer_before_the_process_may_be_killed(
+    #[case] class: &str,
     #[case] request_bytes: usize,
 ) {
     const LONG_TIME_LEFT_MS: u64 = 5_900;
@@ -111,7 +114,7 @@
     let sidecar = start(&servers);
     let pace = Pace::new(BodyFraming::Length, HEAD_MS, &[]);
     let mut client = sidecar.client();
-    let request = request_with("head", "recheck", LONG_TIME_LEFT_MS, &pace.header());
+    let request = request_with("head", class, LONG_TIME_LEFT_MS, &pace.header());
     client.write(with_sized_body(&request, request_bytes));
     std::thread::sleep(Duration::from_millis(800));
     let terminated_at = Instant::now();
