Part the files that the change made longer: attempt limits, body decoder, request state

attempt.rs gives its time limits to attempt_limits.rs, exchange.rs the framing and the decoder of bodies to body_decoder.rs, the balancer's state.rs the state of one request to request_state.rs.

--- a/crates/balancer/src/decide.rs
+++ b/crates/balancer/src/decide.rs
@@ -9,6 +9,7 @@
 use crate::discovery_evidence::{CallFailure, DiscoveryDiagnosis};
 use crate::discovery_poll::FailedCall;
 use crate::interface::*;
+use crate::request_state::{Attempt, Request, StartedResponse};
 use crate::state::*;
 use foldhash::quality::FixedState;
 use std::cmp::Ordering;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod interval_tests;
 mod measurements;
+mod request_state;
 pub mod settings;
 mod snapshot;
 mod state;
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to serve a request by a server, from acquiring a connection to its single outcome.
 
+use super::attempt_limits::{AttemptLimits, until_expired, with_time_limit};
 use super::client::Client;
 use super::connections::ConnectError;
 use super::counts::increment;
@@ -25,17 +26,12 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use madderloom_balancer::{
-    AttemptResult, ClientDeadline, Event, Micros, Outcome, RequestId, ServerId,
-};
+use madderloom_balancer::{AttemptResult, Event, Micros, Outcome, RequestId, ServerId};
 use madderloom_graphql::Verdict;
 use rustix::net::sockopt;
 use std::cell::Cell;
-use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use tokio::net::TcpStream;
 
 /// A server that accepts no byte of a streamed request body for this time counts as hung.
@@ -115,27 +111,6 @@
     }
 }
 
-/// The times that the balancer has set for an attempt.
-pub(super) struct AttemptLimits {
-    /// When the attempt times out if no response has started. An upload times out as its [`RequestDeadline`] says instead.
-    pub(super) header_timeout_at: Micros,
-    /// Set once a response has started: its rest is awaited until then.
-    pub(super) response_deadline: Rc<Cell<Option<ClientDeadline>>>,
-    /// From this time on the last byte of the request must not be written.
-    pub(super) write_by: Micros,
-}
-
-impl AttemptLimits {
-    /// Completes when the balancer has set [`AttemptLimits::response_deadline`], which wakes the transaction that polls this.
-    async fn until_response_deadline_known(&self) -> ClientDeadline {
-        poll_fn(|_| match self.response_deadline.get() {
-            Some(deadline) => Poll::Ready(deadline),
-            None => Poll::Pending,
-        })
-        .await
-    }
-}
-
 /// An attempt whose outcome the balancer expects. It is reported exactly once: when the attempt ends or is dropped.
 pub(super) struct Attempt {
     pub(super) service: Rc<Service>,
@@ -264,50 +239,6 @@
     response.map(FinalResponse::Served)
 }
 
-/// Applies the attempt's time limits: the header timeout until a response starts, and its client's deadline from then on. Those of
-/// an upload are in the deadline of its request.
-async fn with_time_limit<T>(
-    attempt: &Attempt,
-    forwarded: &ForwardedRequest,
-    exchange: impl Future<Output = T>,
-) -> Result<T, AttemptEnd> {
-    let (process, limits) = (&attempt.service.process, &attempt.limits);
-    let mut exchange = pin!(exchange);
-    let output = if forwarded.body.is_upload() {
-        until_expired(forwarded, exchange).await
-    } else {
-        let until_headers = process.timeout_at(limits.header_timeout_at, exchange.as_mut());
-        match until_headers.await {
-            None if attempt.progress.has_response() => {
-                let deadline = limits.until_response_deadline_known().await;
-                before(forwarded.deadline.until_client_deadline(deadline), exchange).await
-            }
-            output => output,
-        }
-    };
-    let limit = if attempt.progress.has_response() {
-        AttemptEnd::ClientDeadline
-    } else {
-        AttemptEnd::HeaderTimeout
-    };
-    output.ok_or(limit)
-}
-
-/// The output of a future; `None` once the request's deadline has passed. The transaction, which watches the deadline, polls its
-/// attempts then.
-async fn until_expired<T>(
-    forwarded: &ForwardedRequest,
-    work: impl Future<Output = T>,
-) -> Option<T> {
-    let mut work = pin!(work);
-    poll_fn(|context| match work.as_mut().poll(context) {
-        Poll::Ready(output) => Poll::Ready(Some(output)),
-        Poll::Pending if forwarded.deadline.has_expired() => Poll::Ready(None),
-        Poll::Pending => Poll::Pending,
-    })
-    .await
-}
-
 type ExchangeResult = (Outcome, Option<Response<ResponseBody>>);
 
 async fn exchange(attempt: &Attempt, forwarded: &ForwardedRequest) -> ExchangeResult {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,8 @@
 mod admin_events;
 mod agent_link;
 mod attempt;
+mod attempt_limits;
+mod body_decoder;
 mod client;
 mod client_arrivals;
 mod client_pace;
--- a/crates/sidecar/src/request_framing.rs
+++ b/crates/sidecar/src/request_framing.rs
@@ -2,7 +2,7 @@
 //! both a `Content-Length` and a chunked transfer coding, hyper silently drops the length, while a later reader may go by it
 //! and take a part of the body for a request of its own. So the heads are checked here as they were received.
 
-use super::exchange::BodyDecoder;
+use super::body_decoder::BodyDecoder;
 use bytes::BytesMut;
 
 /// The most headers of a request, as in hyper.
--- a/crates/sidecar/src/response_body.rs
+++ b/crates/sidecar/src/response_body.rs
@@ -3,10 +3,11 @@
 //! A streamed body is read from the server only when hyper can take more of it for the client, so that at most one buffer of
 //! it is in memory. If the server ends it early, the client's connection is closed without the end of the response.
 
+use super::body_decoder::BodyDecoder;
 use super::client::Client;
 use super::connections::PooledConnection;
 use super::counts::{OutcomeCounts, increment};
-use super::exchange::{BodyDecoder, ExchangeError};
+use super::exchange::ExchangeError;
 use super::memory::MemoryPurpose;
 use super::pool::Incarnation;
 use super::process_state::ProcessState;
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -1,6 +1,7 @@
 //! A transaction: one client's request, from its hand-over to the balancer to its final response.
 
-use super::attempt::{self, Attempt, AttemptLimits, ForwardedRequest};
+use super::attempt::{self, Attempt, ForwardedRequest};
+use super::attempt_limits::AttemptLimits;
 use super::exchange_progress::ExchangeProgress;
 use super::request_log::{self, UnservedEnd};
 use super::response_body::ResponseBody;
