A stopping process answers every open request before it may be killed

Change: at the answer deadline the process ends all open requests by the step Expire, which the balancer learns as RequestExpired. Such an end is logged and counted as `stopping`.

--- a/crates/cli/tests/deadlines/begun_answers.rs
+++ b/crates/cli/tests/deadlines/begun_answers.rs
@@ -10,6 +10,8 @@
 pub const LATENCY_OBJECTIVE: Duration = Duration::from_millis(500);
 /// What the clients wait, which is longer.
 const TIME_LEFT_MS: u64 = 2_000;
+/// What clients wait beyond the time that a stopping process has.
+const LONG_TIME_LEFT_MS: u64 = 5_900;
 /// When a server writes the head of its answer.
 const HEAD_MS: u64 = 40;
 /// Longer than what is buffered.
@@ -97,22 +99,25 @@
     );
 }
 
-/// SIGKILL may come 3.7 s behind SIGTERM, however long clients wait: a head that nothing follows is answered before.
+/// SIGKILL may come 3.7 s behind SIGTERM, however long clients wait: a head that nothing follows, and a request of which no answer has
+/// begun, are answered before.
 #[rstest]
-#[case::small_request("recheck", 5)]
-#[case::buffered_upload("recheck", 600_000)]
-#[case::streamed_upload("recheck", 2_000_000)]
-#[case::non_idempotent("submit-check", 5)]
-#[case::non_idempotent_upload("submit-check", 600_000)]
+#[case::small_request("recheck", 5, HEAD_MS)]
+#[case::buffered_upload("recheck", 600_000, HEAD_MS)]
+#[case::streamed_upload("recheck", 2_000_000, HEAD_MS)]
+#[case::non_idempotent("submit-check", 5, HEAD_MS)]
+#[case::non_idempotent_upload("submit-check", 600_000, HEAD_MS)]
+#[case::non_idempotent_without_a_head("submit-check", 5, 2 * LONG_TIME_LEFT_MS)]
+#[case::non_idempotent_upload_without_a_head("submit-check", 600_000, 2 * LONG_TIME_LEFT_MS)]
 fn a_head_alone_is_followed_by_a_complete_answer_before_the_process_may_be_killed(
     #[case] class: &str,
     #[case] request_bytes: usize,
+    #[case] head_ms: u64,
 ) {
-    const LONG_TIME_LEFT_MS: u64 = 5_900;
     const KILL_DELAY: Duration = Duration::from_millis(3_700);
     let servers = PacedServers::start(2);
     let sidecar = start(&servers);
-    let pace = Pace::new(BodyFraming::Length, HEAD_MS, &[]);
+    let pace = Pace::new(BodyFraming::Length, head_ms, &[]);
     let mut client = sidecar.client();
     let request = request_with("head", class, LONG_TIME_LEFT_MS, &pace.header());
     client.write(with_sized_body(&request, request_bytes));
--- a/crates/cli/tests/outputs/admin_view.rs
+++ b/crates/cli/tests/outputs/admin_view.rs
@@ -252,6 +252,7 @@
     pools[].unfinished_responses.client_deadline whole
     pools[].unfinished_responses.header_timeout whole
     pools[].unfinished_responses.server whole
+    pools[].unfinished_responses.stopping whole
     routes 1
     shared_lists null
     state.batches whole
--- a/crates/sidecar/src/attempt_limits.rs
+++ b/crates/sidecar/src/attempt_limits.rs
@@ -2,7 +2,6 @@
 
 use super::attempt::{Attempt, ForwardedRequest};
 use super::exchange_progress::AttemptEnd;
-use super::timers::before;
 use madderloom_balancer::{ClientDeadline, Micros};
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -32,7 +31,7 @@
 }
 
 /// Applies the attempt's time limits: the header timeout until a response starts, and its client's deadline from then on. Those of
-/// an upload are in the deadline of its request.
+/// an upload are in the deadline of its request, which may also expire because the process stops.
 pub(super) async fn with_time_limit<T>(
     attempt: &Attempt,
     forwarded: &ForwardedRequest,
@@ -40,24 +39,29 @@
 ) -> Result<T, AttemptEnd> {
     let (process, limits) = (&attempt.service.process, &attempt.limits);
     let mut exchange = pin!(exchange);
-    let output = if forwarded.body.is_upload() {
-        until_expired(forwarded, exchange).await
-    } else {
+    let limited = async {
+        if forwarded.body.is_upload() {
+            return Some(exchange.await);
+        }
         let until_headers = process.timeout_at(limits.header_timeout_at, exchange.as_mut());
         match until_headers.await {
             None if attempt.progress.has_response() => {
-                let deadline = limits.until_response_deadline_known().await;
-                before(forwarded.deadline.until_client_deadline(deadline), exchange).await
+                let ClientDeadline(deadline) = limits.until_response_deadline_known().await;
+                process.timeout_at(deadline, exchange).await
             }
             output => output,
         }
     };
-    let limit = if attempt.progress.has_response() {
-        AttemptEnd::ClientDeadline
-    } else {
-        AttemptEnd::HeaderTimeout
-    };
-    output.ok_or(limit)
+    let output = until_expired(forwarded, limited).await.flatten();
+    output.ok_or_else(|| {
+        if process.is_past_answer_deadline() {
+            AttemptEnd::Stopping
+        } else if attempt.progress.has_response() {
+            AttemptEnd::ClientDeadline
+        } else {
+            AttemptEnd::HeaderTimeout
+        }
+    })
 }
 
 /// The output of a future; `None` once the request's deadline has passed. The transaction, which watches the deadline, polls its
--- a/crates/sidecar/src/exchange_progress.rs
+++ b/crates/sidecar/src/exchange_progress.rs
@@ -108,11 +108,18 @@
     ClientDeadline,
     /// The request ended otherwise: its client left, or the balancer ended it.
     Cancelled,
+    /// The process stops, and has to have answered before it may be killed.
+    Stopping,
 }
 
 impl Reason for AttemptEnd {
-    const NAMES: &'static [&'static str] =
-        &["server", "header_timeout", "client_deadline", "cancelled"];
+    const NAMES: &'static [&'static str] = &[
+        "server",
+        "header_timeout",
+        "client_deadline",
+        "cancelled",
+        "stopping",
+    ];
 
     fn index(self) -> usize {
         self as usize
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -183,8 +183,10 @@
         tracing::info!("stopping");
         self.process.lifecycle.borrow_mut().stop();
         if let Some((service, _)) = &self.platform {
-            self.process
-                .set_answer_deadline(service.active_settings().max_deadline.as_micros() as Micros);
+            let longest_deadline = service.active_settings().max_deadline.as_micros() as Micros;
+            let answer_deadline = self.process.set_answer_deadline(longest_deadline);
+            let process = Rc::clone(&self.process);
+            watchdog::spawn(TaskKind::Drain, expire_requests(process, answer_deadline));
         }
         self.close_agent_link();
         self.process
@@ -361,6 +363,14 @@
     }
 }
 
+/// Ends the requests that are open when the stopping process has to have answered, as it may be killed soon.
+async fn expire_requests(process: Rc<ProcessState>, answer_deadline: Micros) {
+    process.sleep_until(answer_deadline).await;
+    for service in process.services.borrow().iter() {
+        service.expire_requests();
+    }
+}
+
 /// Periodically does the work that no event triggers.
 async fn run_upkeep(process: Rc<ProcessState>) {
     loop {
--- a/crates/sidecar/src/process_state.rs
+++ b/crates/sidecar/src/process_state.rs
@@ -212,12 +212,21 @@
     }
 
     /// Called when the process stops: sets the time by which requests must be answered, which follows from the platform's
-    /// rules and the longest client deadline, in microseconds.
-    pub(super) fn set_answer_deadline(&self, longest_deadline: Micros) {
+    /// rules and the longest client deadline, in microseconds, and returns it.
+    pub(super) fn set_answer_deadline(&self, longest_deadline: Micros) -> Micros {
         let time_to_answer = longest_deadline.min(MAX_COUNTED_DEADLINE) + PLATFORM_KILL_DELAY
             - ANSWER_DELIVERY_MARGIN;
+        let answer_deadline = self.clock.now() + time_to_answer;
+        self.answer_deadline.set(Some(answer_deadline));
+        answer_deadline
+    }
+
+    /// Whether the process stops and the time by which requests must be answered has passed.
+    pub(super) fn is_past_answer_deadline(&self) -> bool {
+        let now = self.clock.now();
         self.answer_deadline
-            .set(Some(self.clock.now() + time_to_answer));
+            .get()
+            .is_some_and(|answer_deadline| now >= answer_deadline)
     }
 
     /// The time left for a request that arrives now: its client's `time_left`, but no more than the process has until its
--- a/crates/sidecar/src/request_deadline.rs
+++ b/crates/sidecar/src/request_deadline.rs
@@ -9,7 +9,7 @@
 use super::process_state::ProcessState;
 use super::upload::BodyLength;
 use super::upload_pace::UploadPace;
-use madderloom_balancer::{ClientDeadline, Micros};
+use madderloom_balancer::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -237,15 +237,6 @@
         self.until(|now| self.upload_times_out_at(now)).await;
     }
 
-    /// Completes at a client's deadline as the balancer knows it.
-    pub(super) async fn until_client_deadline(&self, ClientDeadline(deadline): ClientDeadline) {
-        self.until(|now| {
-            let remaining = deadline.saturating_sub(now);
-            now.saturating_add(self.process.cap_time_left(now, remaining))
-        })
-        .await;
-    }
-
     /// Completes at a time that moves on while the client or the server of an upload does, and that is earlier once the process
     /// stops.
     async fn until(&self, ends_at: impl Fn(Micros) -> Micros) {
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -560,6 +560,13 @@
         }
     }
 
+    /// Ends the open requests: the process stops, and may be killed soon.
+    pub(super) fn expire_requests(&self) {
+        for steps in self.transactions.borrow().values() {
+            steps.push(Step::Expire);
+        }
+    }
+
     /// Queues a step for a transaction. Returns false if the transaction has ended.
     fn push_step(&self, request: RequestId, step: Step) -> bool {
         self.transactions
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -35,6 +35,8 @@
     Reject { retry_after: Option<Micros> },
     /// Respond that the request has failed.
     Fail,
+    /// The process stops, and has to have answered by now.
+    Expire,
 }
 
 /// The pending steps of one transaction. Their number is bounded, as the balancer orders only a few for each request.
@@ -178,7 +180,9 @@
             // An attempt reports its outcome to the balancer before it ends; the balancer's next step follows from that.
             Next::AttemptEnded(Some(response)) => return transaction.end(response),
             Next::AttemptEnded(None) => {}
-            Next::Expired => {
+            // The deadline of an upload is earlier already where the process stops.
+            Next::Step(Step::Expire) if request.body.is_upload() => {}
+            Next::Step(Step::Expire) | Next::Expired => {
                 request.deadline.expire();
                 let now = service.process.clock.now();
                 service.handle(now, Event::RequestExpired(transaction.id));
