The ledger's window applies to each entry by the time of its own writing

Cause: an entry held its expiry alone, which follows from the window at its writing. A restart derived the time from the latest expiry less the present window, with the same fault. The store's thread judged by a clock that no change of the window reached. Entries of earlier versions are rewritten at the first start, as written then; stored_state_opens does that step too, and expects what it did.

--- a/crates/sidecar-state/src/idempotency/mod.rs
+++ b/crates/sidecar-state/src/idempotency/mod.rs
@@ -6,6 +6,7 @@
 
 mod expiry_counts;
 mod key;
+mod record_clock;
 mod tracker;
 
 pub use key::{IdempotencyKey, MAX_KEY_BYTES, MAX_SERVICE_NAME_BYTES};
@@ -29,10 +30,13 @@
     Durable,
 }
 
+/// The longest retention, in microseconds: a day.
+pub const MAX_RETENTION: u64 = 86_400_000_000;
+
 /// How long records are kept, and how many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct IdempotencyLimits {
-    /// How long a record is kept, in microseconds: the longest time after which a request can be repeated.
+    /// How long a record is kept, in microseconds, up to [`MAX_RETENTION`]: the longest time after which a request can be repeated.
     pub retention: u64,
     /// The most records. Beyond them [`IdempotencyMode::Durable`] rejects requests, and [`IdempotencyMode::Relaxed`] sends
     /// them without a record.
--- a/crates/sidecar-state/src/idempotency/tracker.rs
+++ b/crates/sidecar-state/src/idempotency/tracker.rs
@@ -2,6 +2,7 @@
 
 use super::expiry_counts::{ExpiryCounts, is_counted};
 use super::key::{IdempotencyKey, KEY_PREFIX};
+use super::record_clock::{RecordClock, expiry_of, written_at};
 use super::{Admission, IdempotencyLimits, IdempotencyMode, RecordState, WriteVerdict};
 use madderloom_store::{Batch, Disk, Durability, Error, File, Reader, Snapshot};
 use std::collections::BTreeMap;
@@ -11,6 +12,9 @@
 /// The value of a record whose request was answered.
 const ANSWERED: &[u8] = b"a";
 
+/// Records of an earlier format that are rewritten in one batch.
+const UPGRADED_RECORDS_PER_BATCH: usize = 200;
+
 /// An open request: one that was admitted and has not ended.
 struct OpenRequest {
     /// When its record expires, in store time.
@@ -35,16 +39,14 @@
 /// Tracks the idempotency records of one process. Its memory is bounded by the number of open requests and by
 /// [`IdempotencyLimits::max_records`].
 ///
-/// Records expire in *store time*: the time that the sidecar has been running, summed over all its starts. At a start it
+/// The age of a record counts in the time that the sidecar has been running, summed over all its starts. At a start it
 /// continues from where the latest record left it, and no other clock is read. So a record lasts for at least the
 /// retention in real time, however the machine's clock is changed between two starts, and longer by the time that the
-/// process was down.
+/// process was down. The retention in force applies to all records, also after it was raised or lowered: no record lasts
+/// for less than the shortest that was in force since it was written.
 pub struct IdempotencyTracker {
     limits: IdempotencyLimits,
-    /// The caller's time when the tracker was opened.
-    opened_at: u64,
-    /// The store time when the tracker was opened.
-    store_time_at_open: u64,
+    clock: RecordClock,
     open: BTreeMap<IdempotencyKey, OpenRequest>,
     records: ExpiryCounts,
     unrecorded_count: u64,
@@ -54,45 +56,66 @@
     /// Continues with the records in a store. `now` is the caller's monotonic time in microseconds.
     pub fn open<F: File>(limits: IdempotencyLimits, snapshot: &Snapshot<F>, now: u64) -> Self {
         let mut tracker = IdempotencyTracker::empty(limits);
-        let mut latest_expiry = None;
-        // At time 0 no record has expired yet.
-        for entry in snapshot.keys(KEY_PREFIX, 0) {
-            let expires_at = entry.expires_at.unwrap_or(u64::MAX);
-            tracker.records.add(expires_at);
-            latest_expiry = latest_expiry.max(Some(expires_at));
+        // At time 0 no record has expired yet. A record of an earlier format counts as written now.
+        let records = || snapshot.keys(KEY_PREFIX, 0);
+        let written_times = || records().map(|entry| entry.expires_at.and_then(written_at));
+        let running_time = written_times().flatten().max().unwrap_or(0);
+        for written_at in written_times() {
+            let written_at = written_at.unwrap_or(running_time);
+            tracker.records.add(expiry_of(written_at));
         }
-        // The latest record was written one retention before it expires, so store time had reached at least that.
-        let resumed = latest_expiry.map_or(0, |expiry| expiry.saturating_sub(limits.retention));
-        tracker.opened_at = now;
-        tracker.store_time_at_open = resumed;
+        tracker.clock = RecordClock::new(running_time, now, limits.retention);
         tracker
     }
 
+    /// Batches that rewrite the records of earlier formats, which do not tell when they were written, as written now. So they
+    /// last for as long as they may have to. To be written before any request is admitted: until then such records count as
+    /// expired.
+    pub fn upgrade_records<'a, F: File>(
+        &'a self,
+        snapshot: &'a Snapshot<F>,
+        now: u64,
+    ) -> impl Iterator<Item = Batch> + 'a {
+        let expires_at = expiry_of(self.clock.running_time(now));
+        let mut old_keys = snapshot
+            .keys(KEY_PREFIX, 0)
+            .filter(|entry| entry.expires_at.and_then(written_at).is_none())
+            .map(|entry| entry.key)
+            .peekable();
+        std::iter::from_fn(move || {
+            old_keys.peek()?;
+            let mut batch = Batch::new();
+            for key in old_keys.by_ref().take(UPGRADED_RECORDS_PER_BATCH) {
+                let value = snapshot.get(key, 0).ok().flatten();
+                // A record that cannot be read counts as one of a request that may have run.
+                let value = value.unwrap_or_else(|| MAY_HAVE_RUN.to_vec());
+                batch.put_until(key, value, expires_at);
+            }
+            Some(batch)
+        })
+    }
+
     /// A tracker without a store.
     pub fn empty(limits: IdempotencyLimits) -> Self {
         IdempotencyTracker {
             limits,
-            opened_at: 0,
-            store_time_at_open: 0,
+            clock: RecordClock::new(0, 0, limits.retention),
             open: BTreeMap::new(),
             records: ExpiryCounts::default(),
             unrecorded_count: 0,
         }
     }
 
-    /// Replaces the limits. A shorter retention applies to existing records as well: store time advances by the
-    /// difference. Otherwise the next start would infer too late a store time from the expiry of an old record, and
-    /// would forget the records after it.
-    pub fn set_limits(&mut self, limits: IdempotencyLimits) {
-        let shortened_by = self.limits.retention.saturating_sub(limits.retention);
-        self.store_time_at_open = self.store_time_at_open.saturating_add(shortened_by);
+    /// Replaces the limits at the caller's time `now`. The retention applies to the existing records that have not expired.
+    pub fn set_limits(&mut self, limits: IdempotencyLimits, now: u64) {
+        self.clock.set_retention(limits.retention, now);
         self.limits = limits;
     }
 
-    /// The store time: the clock by which records expire, which reads and compactions of the store have to be passed.
+    /// The store time: the clock by which records expire, which reads and compactions of the store have to be passed. It never
+    /// goes back, but stands still for a while after the retention was raised.
     pub fn store_time(&self, now: u64) -> u64 {
-        let running = now.saturating_sub(self.opened_at);
-        self.store_time_at_open.saturating_add(running)
+        self.clock.expiry_time(now)
     }
 
     /// Decides what to do with a request before its last byte is written to a server. To be called once for each request;
@@ -112,7 +135,7 @@
         if self.is_duplicate(reader, key, time) {
             return Admission::Fail;
         }
-        let expires_at = time.saturating_add(self.limits.retention);
+        let expires_at = expiry_of(self.clock.running_time(now));
         if self.records.total() >= self.limits.max_records {
             return self.admit_without_record(key, mode, expires_at);
         }
--- a/crates/sidecar-state/src/lib.rs
+++ b/crates/sidecar-state/src/lib.rs
@@ -17,7 +17,7 @@
 pub use error::Error;
 pub use idempotency::{
     Admission, IdempotencyKey, IdempotencyLimits, IdempotencyMode, IdempotencyTracker,
-    MAX_KEY_BYTES, MAX_SERVICE_NAME_BYTES, RecordState, WriteVerdict,
+    MAX_KEY_BYTES, MAX_RETENTION, MAX_SERVICE_NAME_BYTES, RecordState, WriteVerdict,
 };
 pub use warm_start::{
     ClassSnapshot, DecayedSnapshot, ListedServer, MAX_CLASSES, MAX_NAME_BYTES, MAX_SERVERS, Means,
--- a/crates/sidecar-state/tests/idempotency_records.rs
+++ b/crates/sidecar-state/tests/idempotency_records.rs
@@ -63,6 +63,14 @@
         Sidecar::new(self.disk.lose_power(loss), mode)
     }
 
+    fn set_retention(&mut self, retention: u64) {
+        let limits = IdempotencyLimits {
+            retention,
+            ..LIMITS
+        };
+        self.tracker.set_limits(limits, self.now);
+    }
+
     fn time(&self) -> u64 {
         self.tracker.store_time(self.now)
     }
@@ -339,10 +347,7 @@
     let mut sidecar = Sidecar::new(SimDisk::new(), IdempotencyMode::Durable);
     assert_eq!(sidecar.send("a"), Ok(()));
     sidecar.tracker.abandon(&key("a"));
-    sidecar.tracker.set_limits(IdempotencyLimits {
-        retention: RETENTION / 10,
-        ..LIMITS
-    });
+    sidecar.set_retention(RETENTION / 10);
     sidecar.now += 1_000_000;
     assert_eq!((sidecar.send("a"), sidecar.send("b")), (FAIL, Ok(())));
     let disk = sidecar.disk.lose_power(Loss::All);
--- a/crates/sidecar-state/tests/stored_state_opens.rs
+++ b/crates/sidecar-state/tests/stored_state_opens.rs
@@ -5,7 +5,7 @@
     Admission, Drain, IdempotencyKey, IdempotencyLimits, IdempotencyMode, IdempotencyTracker,
     RecordState, SnapshotDecay, restore_services,
 };
-use madderloom_store::{Options, RealDisk, Store};
+use madderloom_store::{Durability, Options, RealDisk, Store};
 use serde_json::{Value, json};
 use std::path::Path;
 use tempfile::TempDir;
@@ -65,9 +65,15 @@
 
 #[test]
 fn what_was_sent_before_is_not_sent_again() {
-    let (_copy, store) = open("sidecar-dd0b5ab");
-    let mut tracker = IdempotencyTracker::open(LIMITS, &store.snapshot(), 7 * SECOND);
+    let (_copy, mut store) = open("sidecar-dd0b5ab");
+    let snapshot = store.snapshot();
+    let mut tracker = IdempotencyTracker::open(LIMITS, &snapshot, 7 * SECOND);
     assert_eq!(tracker.len(), 3);
+    for batch in tracker.upgrade_records(&snapshot, 7 * SECOND) {
+        store
+            .write(&batch, Durability::Durable)
+            .expect("it is written");
+    }
     for (key, record) in [
         (
             "idempotency-key\0order-answered",
--- a/crates/sidecar/src/state_writer/mod.rs
+++ b/crates/sidecar/src/state_writer/mod.rs
@@ -23,6 +23,8 @@
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -96,6 +98,8 @@
     /// None if the disk did not allow it to be opened, and after it was closed.
     store: RefCell<Option<Box<dyn StateStore>>>,
     tracker: RefCell<IdempotencyTracker>,
+    /// The store time as the store's thread knows it.
+    store_time: Arc<AtomicU64>,
     started_at: Instant,
     /// The last write of a record has failed.
     is_failing: Cell<bool>,
@@ -142,6 +146,7 @@
             tracker: RefCell::new(IdempotencyTracker::empty(state.idempotency_limits)),
             state: RefCell::new(state),
             store: RefCell::default(),
+            store_time: Arc::default(),
             started_at: Instant::now(),
             is_failing: Cell::new(false),
             withdrawals,
@@ -152,12 +157,15 @@
     }
 
     /// Restores the state from a store, and writes to it from now on.
-    fn start_store<D: Disk>(&self, store: Store<D>) -> Result<(), Error> {
-        let (snapshot, started_at) = (store.snapshot(), self.started_at);
+    fn start_store<D: Disk>(&self, mut store: Store<D>) -> Result<(), Error> {
+        let snapshot = store.snapshot();
         let tracker =
             IdempotencyTracker::open(self.state.borrow().idempotency_limits, &snapshot, 0);
-        let store_time_at_start = tracker.store_time(0);
+        for batch in tracker.upgrade_records(&snapshot, 0) {
+            store.write(&batch, Durability::Durable)?;
+        }
         self.tracker.replace(tracker);
+        self.publish_store_time();
         // A snapshot that cannot be read counts as none.
         self.restored_services
             .replace(restore_services(&snapshot).unwrap_or_default());
@@ -169,7 +177,8 @@
                 (String::from_utf8_lossy(name).into_owned(), orders)
             });
         self.level_orders.replace(orders.collect());
-        let store_time = move || store_time_at_start.saturating_add(micros_since(started_at));
+        let published = Arc::clone(&self.store_time);
+        let store_time = move || published.load(Ordering::Relaxed);
         let store = GroupCommit::start(store, MAX_QUEUED_BYTES, store_time)?;
         self.store.replace(Some(Box::new(store)));
         Ok(())
@@ -187,10 +196,17 @@
         self.key_headers.replace(key_headers(&state));
         self.tracker
             .borrow_mut()
-            .set_limits(state.idempotency_limits);
+            .set_limits(state.idempotency_limits, micros_since(self.started_at));
         self.state.replace(state);
     }
 
+    /// Tells the store's thread the store time, by which it removes expired records. It may be behind, and is never ahead.
+    fn publish_store_time(&self) {
+        let now = micros_since(self.started_at);
+        let store_time = self.tracker.borrow().store_time(now);
+        self.store_time.store(store_time, Ordering::Relaxed);
+    }
+
     pub(super) fn state(&self) -> State {
         self.state.borrow().clone()
     }
@@ -220,6 +236,7 @@
     /// Writes a batch. A batch that is not written within [`WRITE_TIMEOUT`] counts as rejected, although it may be written
     /// later.
     pub(super) async fn write(&self, batch: Batch, durability: Durability) -> Written {
+        self.publish_store_time();
         let (sender, written) = oneshot::channel();
         self.submit(batch, durability, move |written| {
             // The receiver may be gone.
@@ -232,6 +249,7 @@
     }
 
     fn admit(&self, key: &IdempotencyKey, mode: IdempotencyMode) -> Admission {
+        self.publish_store_time();
         let mut tracker = self.tracker.borrow_mut();
         match &*self.store.borrow() {
             Some(store) => store.admit(&mut tracker, key, mode, micros_since(self.started_at)),
