Test clients that leave end their connection whatever other threads start

Cause: a client's end was its drop. Change: Conn::close shuts the connection down before it drops it; used where a client's leaving is the test.

--- a/crates/cli/tests/acceptance/gone_clients.rs
+++ b/crates/cli/tests/acceptance/gone_clients.rs
@@ -122,7 +122,7 @@
     client.write(&text);
     let mut conn = node.accept();
     assert!(conn.read().is_some());
-    drop(client);
+    client.close();
     assert!(conn.read().is_none(), "the attempt goes on");
     let asked = Asked::by(node);
     let mut again = sidecar.client();
@@ -144,7 +144,7 @@
     until("it has been read", || {
         !crate::has_unread(sidecar.address.port())
     });
-    drop(client);
+    client.close();
     let mut again = sidecar.client();
     again.write(&text);
     assert_eq!(again.read().expect("an answer").status(), 200);
@@ -164,7 +164,7 @@
     client.write(&requests);
     let mut conn = node.accept();
     assert!(conn.read().is_some());
-    drop(client);
+    client.close();
     assert!(conn.read().is_none(), "the attempt goes on");
     let asked = Asked::by(node);
     is_served(sidecar.client());
--- a/crates/cli/tests/acceptance/uploads.rs
+++ b/crates/cli/tests/acceptance/uploads.rs
@@ -102,7 +102,7 @@
     );
     assert!(client.read().is_none(), "more than one answer came");
     // As clients do behind the end; the process would wait a second for it.
-    drop(client);
+    client.close();
     assert_eq!(sidecar.child.wait().expect("it ends").code(), Some(0));
     assert!(
         told.elapsed() < KILLED_AFTER,
@@ -133,7 +133,7 @@
     sidecar.signal("TERM");
     sidecar.wait_for("stopping");
     assert_eq!(client.read().expect("an answer").status(), 408);
-    drop(client);
+    client.close();
     assert_eq!(sidecar.child.wait().expect("it ends").code(), Some(0));
     assert!(
         told.elapsed() < KILLED_AFTER,
--- a/crates/cli/tests/graphql/front.rs
+++ b/crates/cli/tests/graphql/front.rs
@@ -138,7 +138,7 @@
     let mut client = process.client("front");
     client.write(&text);
     until("it runs", || servers.ran("m1") == 1);
-    drop(client);
+    client.close();
     let mut other = process.client("front");
     ask(
         &mut other,
--- a/crates/cli/tests/liveness/clients.rs
+++ b/crates/cli/tests/liveness/clients.rs
@@ -63,7 +63,7 @@
     is_at_rest(&sidecar);
     others_are_served(&sidecar);
     assert!(!writes.is_finished(), "all of the answer has gone");
-    drop(client);
+    client.close();
     drop(writes.join().expect("it ends with its connection"));
 }
 
--- a/crates/fault-testing/src/peer.rs
+++ b/crates/fault-testing/src/peer.rs
@@ -428,6 +428,13 @@
             .expect("the connection is open");
     }
 
+    /// Closes the connection at once. To drop it does so only when no process that another thread is starting has a copy of the
+    /// socket, which lasts until that process runs its program.
+    pub fn close(self) {
+        // The peer may have closed it before.
+        let _ = self.0.get_ref().shutdown(std::net::Shutdown::Both);
+    }
+
     /// Closes the connection with a reset, discarding unsent bytes.
     ///
     /// # Panics
