A pool that begins to share its list holds the one that it uses

Change: at a reload each shared pool's own list is held with its version and the age of its evidence, unless a version is held already.

--- a/crates/cli/tests/fleet/lists.rs
+++ b/crates/cli/tests/fleet/lists.rs
@@ -4,7 +4,7 @@
 use crate::many::Fleet;
 use madderloom_fault_testing::{
     DiscoveryBehavior, FakeDiscovery, FaultAction, Link, ListResponse, LoadGenerator,
-    RequestResult, Server, verify_results, wait_until,
+    RequestResult, Server, Signal, verify_results, wait_until,
 };
 use std::time::{Duration, Instant};
 
@@ -401,3 +401,52 @@
         "all have called discovery again, and watch"
     );
 }
+
+/// An instance that was told of a drain began to share its list, took the fleet's older one over, and sent to the draining server again.
+#[test]
+fn an_instance_that_begins_to_share_its_list_takes_no_older_one_over() {
+    const OLDER: u64 = 41;
+    let servers: Vec<Server> = (0..2)
+        .map(|n| Server::with_service_time(&format!("w{n}"), millis(5)))
+        .collect();
+    let all: Vec<&Server> = servers.iter().collect();
+    // Two replicas of discovery, of which the second lags behind.
+    let behaviors = [manner(), manner()];
+    let [newer, older] = behaviors.map(|behavior| FakeDiscovery::new(behavior, &all));
+    newer.publish(OLDER + 1, &all, &["w1"]);
+    older.publish(OLDER, &all, &[]);
+    let pool = |discovery: &FakeDiscovery| format!("discovery = \"{}\"\n", discovery.address);
+    let mut fleet = Fleet::found(AGENT, servers, &site_of(2));
+    let shares = "share_lists = \"fleet\"\n";
+    fleet.add("south-1", "shop-1", shares, &pool(&older));
+    fleet
+        .stage
+        .program("south-1")
+        .wait_for("discovery answered");
+    fleet.add("north-0", "shop-0", "", &pool(&newer));
+    let program = fleet.stage.program("north-0");
+    program.wait_for("discovery answered");
+    let told = Instant::now();
+    let file = fleet.rig.at("north-0.toml");
+    let text = std::fs::read_to_string(&file).expect("it is there");
+    let begins_to_share = text.replace("\n\n[[listeners]]", &format!("\n{shares}[[listeners]]"));
+    assert_ne!(text, begins_to_share);
+    std::fs::write(&file, begins_to_share).expect("written");
+    program.signal(Signal::HUP);
+    program.wait_for("read again");
+    let load = LoadGenerator::start(&[fleet.fronts["north-0"]], millis(20));
+    std::thread::sleep(millis(4_000));
+    load.stop();
+    let drained = madderloom_fault_testing::Arrivals::of_servers([&fleet.rig.servers[1]]);
+    assert_eq!(
+        drained.since(told).len(),
+        0,
+        "requests to the draining server"
+    );
+    let has_taken_over = |name: &str| {
+        let lines = fleet.stage.program(name).log();
+        lines.iter().any(|line| line.contains(PASSED_ON))
+    };
+    assert!(!has_taken_over("north-0"), "it took the older list over");
+    assert!(has_taken_over("south-1"), "the fleet has the newer list");
+}
--- a/crates/endpoint-sharing/src/lib.rs
+++ b/crates/endpoint-sharing/src/lib.rs
@@ -46,7 +46,9 @@
     AgentTimestamp, EndpointListReport, EndpointListReports, EndpointListUpdate,
     EndpointListUpdates,
 };
-pub use shared_endpoint_lists::{HeldListStatus, Offer, SharedEndpointLists, UpdateOutcome};
+pub use shared_endpoint_lists::{
+    HeldListStatus, Offer, OwnList, SharedEndpointLists, UpdateOutcome,
+};
 pub use timing::{
     CLOCK_DRIFT_DIVISOR, DiscoveryCallSchedule, HIGHER_VERSION_TIMEOUT, Micros, agent_refresh_age,
     first_discovery_wait,
--- a/crates/endpoint-sharing/src/shared_endpoint_lists.rs
+++ b/crates/endpoint-sharing/src/shared_endpoint_lists.rs
@@ -26,6 +26,19 @@
     pub evidence_at: Micros,
 }
 
+/// A list that an instance has from discovery, and has not shared yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnList {
+    /// Discovery's number of the list.
+    pub index: u64,
+    /// All of it.
+    pub text: String,
+    /// The time of the latest evidence, by the instance's clock.
+    pub evidence_at: Micros,
+    /// The instance watches discovery, and that watch has delivered the list.
+    pub watches_discovery: bool,
+}
+
 /// What an instance has to do after an update from the agent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpdateOutcome {
@@ -103,6 +116,18 @@
         self.lists.contains_key(list)
     }
 
+    /// Takes in a list that the instance had before it shared it: older ones do not supersede it. Without effect if the list
+    /// is not followed or a version is held.
+    pub fn hold_own(&mut self, list: &str, own: OwnList) {
+        let Some(held @ None) = self.lists.get_mut(list) else {
+            return;
+        };
+        let version = ListVersion::of(own.index, &own.text);
+        let text = (own.text.len() <= MAX_LIST_BYTES).then_some(own.text);
+        let new = HeldList::new(version, text, own.evidence_at, own.watches_discovery);
+        *held = Some(new);
+    }
+
     /// Discards what is held of a list, because it came from a discovery that is no longer used.
     pub fn forget(&mut self, list: &str) {
         if let Some(held) = self.lists.get_mut(list) {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -6,6 +6,7 @@
 use foldhash::quality::FixedState;
 use madderloom_balancer::settings::Site;
 use madderloom_balancer::{DiscoveryUpdate, Event, Micros, ServerEntry, ServerId, ServerState};
+use madderloom_endpoint_sharing::OwnList;
 use madderloom_operator_config::Server;
 use madderloom_sidecar_state::{ListedServer, ServerSnapshot};
 use serde::{Deserialize, Serialize};
@@ -367,6 +368,17 @@
         self.version.get()
     }
 
+    /// The list of this pool as the fleet shares it, with evidence of that time; `None` where none has come.
+    pub(super) fn own_list(&self, evidence_at: Micros) -> Option<OwnList> {
+        let index = self.list_version();
+        (index > 0).then(|| OwnList {
+            index,
+            text: self.shared_text(),
+            evidence_at,
+            watches_discovery: self.is_calling_discovery(),
+        })
+    }
+
     /// Makes the next call to discovery request the complete list.
     pub(super) fn reset_list_version(&self) {
         self.version.set(0);
--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -175,6 +175,9 @@
         self.process
             .shared_lists
             .set_pools(share_lists, discovered.map(|pool| pool.name.clone()));
+        for service in self.process.services.borrow().iter() {
+            service.hold_own_list();
+        }
         self.process.set_totals(resource_totals(
             self.descriptors,
             self.memory_bytes,
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -220,6 +220,14 @@
             .map(|age| shared.map_or(age, |shared| shared.min(age)))
     }
 
+    /// Where the pool begins to share its list: nothing older that the fleet has replaces the one that it uses.
+    pub(super) fn hold_own_list(&self) {
+        if let Some(age) = self.pool.list_age(self.process.clock.now()) {
+            let own = |evidence_at| self.pool.own_list(evidence_at);
+            self.process.shared_lists.hold_own(&self.name, age, own);
+        }
+    }
+
     pub(super) fn set_limits(&self, limits: ResourceLimits, shares: ResourceShares) {
         self.connections.slots.update(shares.connections);
         self.request_limits
--- a/crates/sidecar/src/shared_lists.rs
+++ b/crates/sidecar/src/shared_lists.rs
@@ -6,7 +6,7 @@
 use super::clock::boottime;
 use madderloom_endpoint_sharing::{
     DiscoveryCallSchedule, EndpointListReports, EndpointListUpdates, HeldListStatus, Micros, Offer,
-    SharedEndpointLists, UpdateOutcome, agent_refresh_age,
+    OwnList, SharedEndpointLists, UpdateOutcome, agent_refresh_age,
 };
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -40,6 +40,25 @@
         self.prefix.replace(prefix.map(str::to_string));
     }
 
+    /// Takes in the list that a pool had before it shared it. Its evidence is `age` old; `own` gets the time of it.
+    pub(super) fn hold_own(
+        &self,
+        pool: &str,
+        age: Micros,
+        own: impl FnOnce(Micros) -> Option<OwnList>,
+    ) {
+        let Some(list) = self.list_name(pool) else {
+            return;
+        };
+        let mut lists = self.lists.borrow_mut();
+        if lists.evidence_at(&list).is_some() {
+            return;
+        }
+        if let Some(own) = own(boottime().saturating_sub(age)) {
+            lists.hold_own(&list, own);
+        }
+    }
+
     /// The name of a pool's list within the fleet; none if the list is not shared.
     fn list_name(&self, pool: &str) -> Option<String> {
         let list = format!("{}/{pool}", self.prefix.borrow().as_ref()?);
