Rewritten ledger entries are not flushed batch by batch at the start

Found by reading the change again: the first start flushed once for each 200 entries of an earlier version, a thousand flushes for 200,000. They need none: a power loss brings back the former entries at most, never a later write without the earlier ones, and the next start rewrites them. The next durable write flushes all.

--- a/crates/sidecar/src/state_writer/mod.rs
+++ b/crates/sidecar/src/state_writer/mod.rs
@@ -162,7 +162,8 @@
         let tracker =
             IdempotencyTracker::open(self.state.borrow().idempotency_limits, &snapshot, 0);
         for batch in tracker.upgrade_records(&snapshot, 0) {
-            store.write(&batch, Durability::Durable)?;
+            // A power loss brings the former records back at most, which the next start rewrites.
+            store.write(&batch, Durability::Relaxed)?;
         }
         self.tracker.replace(tracker);
         self.publish_store_time();
