One bound of the ledger's window, one way to hold a list from discovery

Found by reading the change again: the longest window stood in the operator file's section and in the ledger, which would cut a longer one silently; the section takes the ledger's now. The version and the text of a list from discovery were made in two places; HeldList::from_discovery serves both. Behaviour is the same.

--- a/crates/endpoint-sharing/src/held_list.rs
+++ b/crates/endpoint-sharing/src/held_list.rs
@@ -1,5 +1,6 @@
 //! One list as an instance holds it.
 
+use crate::limits::MAX_LIST_BYTES;
 use crate::message::EndpointListReport;
 use crate::timing::Micros;
 use crate::version::ListVersion;
@@ -36,6 +37,18 @@
         }
     }
 
+    /// A list from discovery, of which `text` is all. The text is not kept if it is too long to be shared.
+    pub(crate) fn from_discovery(
+        index: u64,
+        text: String,
+        evidence_at: Micros,
+        watches_discovery: bool,
+    ) -> Self {
+        let version = ListVersion::of(index, &text);
+        let text = (text.len() <= MAX_LIST_BYTES).then_some(text);
+        HeldList::new(version, text, evidence_at, watches_discovery)
+    }
+
     /// Whether the text may be sent to an agent that accepts this many bytes.
     pub(crate) fn fits(&self, max_list_bytes: usize) -> bool {
         self.text
--- a/crates/endpoint-sharing/src/shared_endpoint_lists.rs
+++ b/crates/endpoint-sharing/src/shared_endpoint_lists.rs
@@ -122,10 +122,9 @@
         let Some(held @ None) = self.lists.get_mut(list) else {
             return;
         };
-        let version = ListVersion::of(own.index, &own.text);
-        let text = (own.text.len() <= MAX_LIST_BYTES).then_some(own.text);
-        let new = HeldList::new(version, text, own.evidence_at, own.watches_discovery);
-        *held = Some(new);
+        let (evidence_at, watches_discovery) = (own.evidence_at, own.watches_discovery);
+        let own = HeldList::from_discovery(own.index, own.text, evidence_at, watches_discovery);
+        *held = Some(own);
     }
 
     /// Discards what is held of a list, because it came from a discovery that is no longer used.
@@ -140,12 +139,12 @@
         let Some(held) = self.lists.get_mut(list) else {
             return false;
         };
-        let version = ListVersion::of(index, &text);
+        let new = HeldList::from_discovery(index, text, now, true);
         let report_now = held.as_ref().is_none_or(|held| {
-            held.version != version || now.saturating_sub(held.evidence_at) > HIGHER_VERSION_TIMEOUT
+            held.version != new.version
+                || now.saturating_sub(held.evidence_at) > HIGHER_VERSION_TIMEOUT
         });
-        let text = (text.len() <= MAX_LIST_BYTES).then_some(text);
-        *held = Some(HeldList::new(version, text, now, true));
+        *held = Some(new);
         report_now
     }
 
--- a/crates/operator-config/src/state.rs
+++ b/crates/operator-config/src/state.rs
@@ -1,7 +1,7 @@
 //! `[state]`: the state that is persisted across restarts, and its directory. Without the section nothing is persisted.
 
 use madderloom_config_reader::{Document, Span};
-use madderloom_sidecar_state::{IdempotencyLimits, IdempotencyMode, SnapshotDecay};
+use madderloom_sidecar_state::{IdempotencyLimits, IdempotencyMode, MAX_RETENTION, SnapshotDecay};
 use serde::Deserialize;
 use std::path::PathBuf;
 
@@ -103,7 +103,7 @@
             span
         };
         let (s, ms) = (Span::s, Span::ms);
-        let retention = span("window", self.window, s(300), s(1), DAY);
+        let retention = span("window", self.window, s(300), s(1), Span(MAX_RETENTION));
         let snapshot_interval = span("warm_every", self.warm_every, s(5), ms(200), s(3_600));
         let half_life = span("warm_half", self.warm_half, s(30), s(1), DAY);
         let max_age = span("warm_oldest", self.warm_oldest, s(300), s(1), DAY);
